--- a/examples/one_gateway.rs
+++ b/examples/one_gateway.rs
@@ -1,7 +1,7 @@
 //! Builds settings, feeds a gateway a handful of events and prints what it wants done.
 
-use chalkstair::api::*;
-use chalkstair::{Event, Gateway, Settings};
+use ottercroft::api::*;
+use ottercroft::{Event, Gateway, Settings};
 
 fn main() -> Result<(), SettingsError> {
     let class = |aim, worth, threads| Class {
--- a/src/bin/chalkstair-adapter/main.rs
+++ b/src/bin/ottercroft-adapter/main.rs
@@ -2,7 +2,7 @@
 
 mod wire;
 
-use chalkstair::{Action, Gateway};
+use ottercroft::{Action, Gateway};
 use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
@@ -107,7 +107,7 @@
             Err(e) => Err(Malformed(format!("message: {e}"))),
         };
         if let Err(Malformed(what)) = result {
-            eprintln!("chalkstair-adapter: {what}");
+            eprintln!("ottercroft-adapter: {what}");
             return ExitCode::FAILURE;
         }
     }
--- a/src/bin/chalkstair-adapter/wire.rs
+++ b/src/bin/ottercroft-adapter/wire.rs
@@ -1,6 +1,6 @@
 //! The wire: messages as they stand on it, and their translation to and from the library's interface.
 
-use chalkstair::api::*;
+use ottercroft::api::*;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::collections::BTreeMap;
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,4 +1,4 @@
-//! chalkstair makes a workload manager's decisions in front of analytic query engines.
+//! ottercroft makes a workload manager's decisions in front of analytic query engines.
 //!
 //! The library is sans-I/O: a host hands [`Event`]s with their time to a [`Gateway`] and carries out
 //! the [`Action`]s that come back. The same events with the same seed give the same actions.
--- a/tests/adapter.rs
+++ b/tests/adapter.rs
@@ -6,7 +6,7 @@
 const ENV: &str = r#"{"areas":["here"],"balancers":2,"kinds":["k"],"domain":{"kindCores":[8],"memoryByKindMb":[16384],"parallelism":[1],"grantCap":0.4,"memoryHeeded":true,"takesPriority":true},"permissions":{"cancel":true,"maxAttempts":3,"mayDuplicate":true,"probes":true,"retryAfter":true,"maxRetryAfter":2.0},"report":{"how":"inline"},"requestClasses":[{"name":"lookup","promise":1.0,"hardLimit":5.0,"effect":"read_like","credit":1}],"rules":{"stopSendingWithin":1,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":2},"step":0.005,"zone":"here","futureKey":[1]}"#;
 
 fn run(lines: &[String]) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_chalkstair-adapter"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ottercroft-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! Settings and a small driver for the module tests. It plays no servers: tests say what happens.
 #![allow(dead_code)]
 
-use chalkstair::Gateway;
-use chalkstair::api::*;
+use ottercroft::Gateway;
+use ottercroft::api::*;
 use std::collections::BTreeMap;
 
 pub const MS: Micros = 1_000;
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use chalkstair::Gateway;
-use chalkstair::api::*;
+use ottercroft::Gateway;
+use ottercroft::api::*;
 use common::*;
 
 fn crowded() -> Option<Report> {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use chalkstair::Gateway;
-use chalkstair::api::*;
+use ottercroft::Gateway;
+use ottercroft::api::*;
 use common::{MS, S, class, entry, settings};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
--- a/tests/sliver.rs
+++ b/tests/sliver.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use chalkstair::api::*;
+use ottercroft::api::*;
 use common::*;
 
 fn fleet(gateways: u32) -> Settings {
