--- a/src/bin/ottercroft-adapter/main.rs
+++ b/src/bin/ottercroft-adapter/main.rs
@@ -2,17 +2,18 @@
 
 mod wire;
 
+use ottercroft::settings::{Malformed, Names, body, micros};
 use ottercroft::{Action, Gateway};
 use serde_json::value::RawValue;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
 use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::process::ExitCode;
-use wire::{Malformed, Out};
+use wire::Out;
 
 struct Instance {
     gateway: Gateway,
-    names: wire::Names,
+    names: Names,
 }
 
 #[derive(Default)]
@@ -34,14 +35,12 @@
         let message: BTreeMap<&str, &RawValue> =
             serde_json::from_str(line).map_err(|e| Malformed(format!("message: {e}")))?;
         let mut parts = message.into_iter();
-        let (Some((name, body)), None) = (parts.next(), parts.next()) else {
+        let (Some((name, raw)), None) = (parts.next(), parts.next()) else {
             return Err(Malformed("message: not an object with one key".into()));
         };
-        let text = body.get();
+        let text = raw.get();
         match name {
-            "ROUND" => {
-                self.now = wire::micros(name, "moment", wire::body::<wire::Round>(name, text)?.moment)?
-            }
+            "ROUND" => self.now = micros(name, "moment", body::<wire::Round>(name, text)?.moment)?,
             "GO" => {
                 emit(&mut self.reply, &Out::Ack {});
                 stdout
@@ -51,16 +50,16 @@
                 self.reply.clear();
             }
             "DEFINE_LIST" => {
-                let list: wire::DefineList = wire::body(name, text)?;
+                let list: wire::DefineList = body(name, text)?;
                 self.lists.insert(list.set_id, list.hosts);
             }
-            "ENLIST" => self.enlist(wire::body(name, text)?)?,
+            "ENLIST" => self.enlist(body(name, text)?)?,
             "STOP" => {
-                self.instances.remove(&wire::body::<wire::Who>(name, text)?.who);
+                self.instances.remove(&body::<wire::Who>(name, text)?.who);
             }
             "FLEET" | "INBOUND" | "ACK_FIRST" | "NOTICE" | "REPLY" | "HANGUP" | "WAKEUP" | "CHECK_RESULT"
             | "INBOX" => {
-                let who = wire::body::<wire::Who>(name, text)?.who;
+                let who = body::<wire::Who>(name, text)?.who;
                 if let Some(instance) = self.instances.get_mut(&who)
                     && let Some(event) = wire::event(name, text, &instance.names, &self.lists)?
                 {
--- /dev/null
+++ b/src/coordinator.rs
@@ -0,0 +1,142 @@
+//! The coordinator's feed, sans-I/O: numbered events that change the list of executors, one JSON object a
+//! line, and each second a line that holds the last number alone.
+
+use serde::Deserialize;
+use std::net::SocketAddr;
+
+/// What a process does, as the list has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum State {
+    /// Takes queries.
+    Up,
+    /// Completes its work.
+    Draining,
+    /// Gone.
+    Removed,
+}
+
+/// An executor as the list has it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Target {
+    /// Which executor; a machine that replaces it has another.
+    pub uid: String,
+    /// Where it listens; may be missing once it is gone.
+    #[serde(default)]
+    pub endpoint: Option<SocketAddr>,
+    /// Its zone.
+    #[serde(default)]
+    pub az: String,
+    /// Its kind.
+    #[serde(default)]
+    pub model: String,
+    /// Its cell.
+    #[serde(default)]
+    pub pod_group: u64,
+    /// What it does.
+    pub state: State,
+    /// Relative size.
+    #[serde(default)]
+    pub capacity_hint: Option<f64>,
+    /// Unix millisecond of a late start; 0 for long ago.
+    #[serde(default)]
+    pub boot_ms: u64,
+}
+
+/// The list, or what changed of it.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Endpoints {
+    /// The whole list: what it does not name is gone.
+    #[serde(default)]
+    pub all: bool,
+    /// The entries.
+    #[serde(default)]
+    pub targets: Vec<Target>,
+}
+
+/// A numbered event; one without endpoints changes nothing here.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+pub struct Update {
+    /// Its number, from 1.
+    pub index: u64,
+    /// What it says.
+    #[serde(default)]
+    pub endpoints: Option<Endpoints>,
+}
+
+/// The events of the start.
+#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+pub struct Known {
+    /// The last number.
+    pub index: u64,
+    /// The events.
+    #[serde(default)]
+    pub updates: Vec<Update>,
+}
+
+impl Known {
+    /// The list that the events come to.
+    pub fn targets(&self) -> Vec<Target> {
+        let mut list: Vec<Target> = Vec::new();
+        for e in self.updates.iter().filter_map(|u| u.endpoints.as_ref()) {
+            if e.all {
+                list.clear();
+            }
+            for t in &e.targets {
+                list.retain(|l| l.uid != t.uid);
+                list.push(t.clone());
+            }
+        }
+        list
+    }
+}
+
+/// A line of the feed.
+#[derive(Debug, PartialEq)]
+pub enum Line {
+    /// The last number that there is.
+    Last(u64),
+    /// An event.
+    Update(Update),
+}
+
+/// The line that asks for all that comes after event `held`.
+pub fn follow(held: u64) -> String {
+    format!("follow {held}\n")
+}
+
+/// Reads one line without its line feed.
+pub fn line(text: &[u8]) -> Result<Line, String> {
+    let text = std::str::from_utf8(text).map_err(|e| e.to_string())?.trim();
+    match text.parse() {
+        Ok(last) => Ok(Line::Last(last)),
+        Err(_) => serde_json::from_str(text).map(Line::Update).map_err(|e| e.to_string()),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn events_add_up_to_a_list_and_unknown_keys_are_skipped() {
+        let target = |uid: &str, state: &str| {
+            format!(r#"{{"uid":"{uid}","endpoint":"10.1.0.9:1","state":"{state}"}}"#)
+        };
+        let event = |n: u64, all: bool, targets: &str| {
+            format!(r#"{{"index":{n},"endpoints":{{"rev":1,"all":{all},"targets":[{targets}]}},"x":1}}"#)
+        };
+        let whole = event(1, true, &format!("{},{}", target("a", "up"), target("b", "up")));
+        let change = event(2, false, &target("a", "draining"));
+        let parsed = |t: &str| match line(t.as_bytes()) {
+            Ok(Line::Update(u)) => u,
+            other => panic!("{other:?}"),
+        };
+        let known = Known { index: 2, updates: vec![parsed(&whole), parsed(&change)] };
+        let list: Vec<_> = known.targets().into_iter().map(|t| (t.uid, t.state)).collect();
+        assert_eq!(list, [("b".to_string(), State::Up), ("a".to_string(), State::Draining)]);
+        assert_eq!(line(b"41"), Ok(Line::Last(41)));
+        assert_eq!(parsed(r#"{"index":3,"shard":4}"#).endpoints, None);
+        assert!(line(b"{").is_err() && line(b"\xff").is_err());
+    }
+}
--- /dev/null
+++ b/src/dispatch.rs
@@ -0,0 +1,597 @@
+//! The facade over the decisions, in blocking style: [`Dispatch::pick`] takes a request in,
+//! [`Dispatch::report`] tells what happened, [`Dispatch::tick`] lets time pass; each returns what is to be
+//! done, in order. It owns the gateway, its timers, and every open request with its attempts and deadline.
+//!
+//! The network's side sees the types of this module alone, never the gateway's events and actions.
+
+use crate::api::{
+    self, Action, Arrival, Effect, EngineId, Entry, Event, Finished, Group, ListKind, Micros, Outcome,
+    Readiness, Settings, SettingsError,
+};
+use crate::{Gateway, must};
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+
+/// An answer has to be seen before the client leaves: all ends this much before, or a quarter of the budget.
+const MARGIN: Micros = 60_000;
+/// What a refusal tells a client to wait where the decisions name no time.
+const BACKOFF_MS: u64 = 200;
+
+/// An executor, by a number that comes from its uid alone.
+pub type ExecutorId = EngineId;
+
+/// The number of an executor: FNV-1a, so that all dispatchers and every later life have the same one.
+pub fn executor_id(uid: &str) -> ExecutorId {
+    uid.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193))
+}
+
+/// One attempt of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// The request.
+    pub request: u64,
+    /// The attempt, from 0.
+    pub attempt: u32,
+}
+
+/// A request as a client sent it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// Its id, never used twice.
+    pub id: u64,
+    /// Its class, an index.
+    pub class: usize,
+    /// Its key, in classes that keep order.
+    pub key: Option<u64>,
+    /// How long the client still waits.
+    pub budget: Micros,
+    /// Estimated work of all threads, in seconds.
+    pub work_s: Option<f64>,
+    /// Estimated memory in MB.
+    pub memory_mb: Option<f64>,
+    /// Its group of tables.
+    pub group: u64,
+}
+
+/// An executor as the list has it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Member {
+    /// Which executor.
+    pub executor: ExecutorId,
+    /// Its zone, an index.
+    pub zone: usize,
+    /// Its kind, an index.
+    pub kind: usize,
+    /// Its cell.
+    pub cell: u64,
+    /// What it does.
+    pub standing: Standing,
+    /// Relative size.
+    pub size: f64,
+    /// Unix time of a late start.
+    pub started: Option<Micros>,
+}
+
+/// What an executor's process does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Takes requests.
+    Up,
+    /// Completes its work.
+    Draining,
+    /// Gone.
+    Gone,
+}
+
+/// Why a list comes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum News {
+    /// As last known before the start.
+    Restored,
+    /// The whole list.
+    Whole,
+    /// What changed.
+    Changes,
+}
+
+/// A load report.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Queries held.
+    pub inflight: Option<f64>,
+    /// Share of the cores that is busy.
+    pub util: Option<f64>,
+    /// Queries waiting for memory.
+    pub queue: Option<f64>,
+    /// Share of memory granted.
+    pub memory: Option<f64>,
+    /// Share of disks busy.
+    pub disks: Option<f64>,
+}
+
+/// How an attempt ended; `R` is the result as the network holds it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum End<R> {
+    /// The whole result is here.
+    Served(R),
+    /// Turned away, it never ran.
+    Full,
+    /// It was over already and never ran.
+    Void,
+    /// An error; it may have run.
+    Error,
+    /// It never reached the executor whole.
+    NeverSent,
+    /// Its connection was lost; it may have run.
+    Lost,
+}
+
+/// How a probe ended.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Echo {
+    /// It runs, perhaps with a report.
+    Up(Option<Load>),
+    /// It says that it does not take requests.
+    Down,
+    /// No connection.
+    Unreachable,
+    /// The connection was lost.
+    Lost,
+    /// Nothing came in time.
+    Silent,
+}
+
+/// Word on an attempt that is out.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Word {
+    /// Share done.
+    Progress(f64),
+    /// Megabytes missing.
+    Spills(f64),
+    /// It waits for memory or for a load.
+    Waits,
+}
+
+/// What the network tells.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Report<R> {
+    /// An attempt is over.
+    Ended(Ticket, End<R>),
+    /// Word on an attempt.
+    Noted(Ticket, Word),
+    /// A probe is over, after so long.
+    Probed(ExecutorId, Echo, Micros),
+    /// The client of a request has left.
+    Left(u64),
+}
+
+/// A final answer.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer<R> {
+    /// The result.
+    Served(R),
+    /// Trying again is harmless, after so many milliseconds.
+    Refused(u64),
+    /// Failed, with no promise.
+    Failed,
+}
+
+/// What the network has to do, in order.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Order<R> {
+    /// Send an attempt.
+    Start {
+        /// The attempt.
+        ticket: Ticket,
+        /// Where to.
+        executor: ExecutorId,
+        /// Memory granted in MB; 0 leaves it to the executor.
+        memory_mb: f64,
+        /// Priority, 0 to 3.
+        priority: u8,
+        /// When the dispatcher stops waiting.
+        until: Micros,
+    },
+    /// Give an attempt up; nothing more is to be told of it.
+    Stop(Ticket),
+    /// A new priority for an attempt that is out.
+    Boost(Ticket, u8),
+    /// Probe an executor.
+    Probe(ExecutorId),
+    /// The one final answer of a request.
+    Answer(u64, Answer<R>),
+}
+
+#[derive(Debug)]
+struct Attempt {
+    engine: EngineId,
+    sent: Micros,
+    /// How it ended; `None` while it is out.
+    outcome: Option<Outcome>,
+    priority: u8,
+}
+
+#[derive(Debug)]
+struct Open {
+    deadline: Micros,
+    /// Refusing it is harmless whatever ran.
+    safe: bool,
+    /// Answered, or the client has left.
+    closed: bool,
+    memory_mb: f64,
+    priority: u8,
+    attempts: Vec<Attempt>,
+}
+
+impl Open {
+    fn over(&self) -> bool {
+        self.closed && self.attempts.iter().all(|a| a.outcome.is_some())
+    }
+}
+
+/// Counters since the start.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Tally {
+    /// Requests taken.
+    pub taken: u64,
+    /// Answered with a result.
+    pub served: u64,
+    /// Refused.
+    pub refused: u64,
+    /// Failed.
+    pub failed: u64,
+    /// Clients that left before their answer.
+    pub left: u64,
+    /// Attempts sent.
+    pub attempts: u64,
+    /// Attempts that ran into their deadline.
+    pub expired: u64,
+    /// Attempts lost with their connection.
+    pub lost: u64,
+    /// Attempts that never reached an executor.
+    pub never_sent: u64,
+    /// Probes sent.
+    pub probes: u64,
+}
+
+/// The dispatcher's decisions, and what is open.
+pub struct Dispatch<R> {
+    gateway: Gateway,
+    classes: Vec<bool>,
+    most_held: usize,
+    open: BTreeMap<u64, Open>,
+    deadlines: BTreeSet<(Micros, u64)>,
+    wakes: BinaryHeap<Reverse<(Micros, u64)>>,
+    orders: Vec<Order<R>>,
+    /// Counters.
+    pub tally: Tally,
+}
+
+impl<R> Dispatch<R> {
+    /// One that knows its settings and no executor.
+    pub fn new(settings: Settings, most_held: usize, seed: u64) -> Result<Dispatch<R>, SettingsError> {
+        let harmless =
+            |c: &api::Class| matches!(c.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        let classes = settings.classes.iter().map(harmless).collect();
+        Ok(Dispatch {
+            gateway: Gateway::new(settings, seed)?,
+            classes,
+            most_held,
+            open: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            wakes: BinaryHeap::new(),
+            orders: Vec::new(),
+            tally: Tally::default(),
+        })
+    }
+
+    /// Requests whose clients still wait.
+    pub fn waiting(&self) -> usize {
+        self.open.values().filter(|o| !o.closed).count()
+    }
+
+    /// When [`Dispatch::tick`] has something to do next.
+    pub fn next_due(&self) -> Option<Micros> {
+        let wake = self.wakes.peek().map(|Reverse((t, _))| *t);
+        let deadline = self.deadlines.first().map(|(t, _)| *t);
+        wake.into_iter().chain(deadline).min()
+    }
+
+    /// News of the executors.
+    pub fn members(&mut self, now: Micros, news: News, members: &[Member]) -> Vec<Order<R>> {
+        let kind = match news {
+            News::Restored => ListKind::Restored,
+            News::Whole => ListKind::Replace,
+            News::Changes => ListKind::Update,
+        };
+        let entry = |m: &Member| Entry {
+            engine: m.executor,
+            zone: m.zone,
+            kind: m.kind,
+            cell: m.cell,
+            readiness: match m.standing {
+                Standing::Up => Readiness::Active,
+                Standing::Draining => Readiness::Leaving,
+                Standing::Gone => Readiness::Left,
+            },
+            rating: m.size,
+            started: m.started,
+        };
+        self.run(now, Event::List { kind, entries: members.iter().map(entry).collect() })
+    }
+
+    /// Takes a request in: it is sent, held or answered by what is returned here or later. An id that is
+    /// still open is an error, as its answer could not be told from the other's.
+    pub fn pick(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
+        if self.open.contains_key(&request.id) {
+            return Err("a request with this id is open");
+        }
+        self.tally.taken += 1;
+        let grace = request.budget.saturating_sub(MARGIN.min(request.budget / 4)).max(1);
+        let safe = *self.classes.get(request.class).ok_or("unknown class")?;
+        let open = Open {
+            deadline: now + grace,
+            safe,
+            closed: false,
+            memory_mb: 0.0,
+            priority: 1,
+            attempts: Vec::new(),
+        };
+        let full = self.waiting() >= self.most_held;
+        self.deadlines.insert((open.deadline, request.id));
+        self.open.insert(request.id, open);
+        if full {
+            self.answer(request.id, Answer::Refused(BACKOFF_MS));
+            self.forget(request.id);
+            return Ok(std::mem::take(&mut self.orders));
+        }
+        let arrival = Arrival {
+            query: request.id,
+            class: request.class,
+            tenant: None,
+            key: request.key,
+            grace,
+            estimate_s: request.work_s.filter(|e| e.is_finite() && *e > 0.0),
+            memory_mb: request.memory_mb.filter(|e| e.is_finite() && *e > 0.0),
+            group: request.group,
+            repeated: false,
+        };
+        Ok(self.run(now, Event::Arrival(arrival)))
+    }
+
+    /// What the network has to tell.
+    pub fn report(&mut self, now: Micros, report: Report<R>) -> Vec<Order<R>> {
+        match report {
+            Report::Ended(ticket, end) => self.ended(now, ticket, end),
+            Report::Noted(t, word) => {
+                let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
+                let note = match word {
+                    Word::Progress(x) => api::Note::Progress(x),
+                    Word::Spills(x) => api::Note::Spill(x),
+                    Word::Waits => api::Note::Waits,
+                };
+                self.run(now, Event::Noted { query: t.request, attempt: t.attempt, engine, note })
+            }
+            Report::Probed(engine, echo, latency) => {
+                let (outcome, load) = match echo {
+                    Echo::Up(load) => (Outcome::Ok, load),
+                    Echo::Down => (Outcome::Error, None),
+                    Echo::Unreachable => (Outcome::ConnectFailed, None),
+                    Echo::Lost => (Outcome::Reset, None),
+                    Echo::Silent => (Outcome::Timeout, None),
+                };
+                let report = load.map(|l| api::Report {
+                    util: l.util,
+                    inflight: l.inflight,
+                    queue: l.queue,
+                    memory: l.memory,
+                    disks: l.disks,
+                });
+                self.run(now, Event::Probed { engine, outcome, latency, report })
+            }
+            Report::Left(id) => match self.open.get_mut(&id) {
+                Some(o) if !o.closed => {
+                    o.closed = true;
+                    self.tally.left += 1;
+                    let orders = self.run(now, Event::HungUp { query: id });
+                    self.forget(id);
+                    orders
+                }
+                _ => Vec::new(),
+            },
+        }
+    }
+
+    /// Lets time pass: timers, and requests whose time is over.
+    pub fn tick(&mut self, now: Micros) -> Vec<Order<R>> {
+        let mut orders = Vec::new();
+        while let Some((_, token)) = self.wakes.peek().map(|Reverse(w)| *w).filter(|(t, _)| *t <= now) {
+            self.wakes.pop();
+            orders.append(&mut self.run(now, Event::Timer { token }));
+        }
+        while let Some((at, id)) = self.deadlines.first().copied().filter(|(t, _)| *t <= now) {
+            self.deadlines.remove(&(at, id));
+            orders.append(&mut self.expire(now, id));
+        }
+        orders
+    }
+
+    /// Gives every request that is open its answer now: refused where that is harmless, else failed.
+    pub fn give_up(&mut self, now: Micros) -> Vec<Order<R>> {
+        let waiting: Vec<u64> = self.open.iter().filter(|(_, o)| !o.closed).map(|(id, _)| *id).collect();
+        waiting.into_iter().flat_map(|id| self.close(now, id)).collect()
+    }
+
+    fn out(&mut self, t: Ticket) -> Option<&mut Attempt> {
+        let attempt = self.open.get_mut(&t.request)?.attempts.get_mut(t.attempt as usize)?;
+        attempt.outcome.is_none().then_some(attempt)
+    }
+
+    fn ended(&mut self, now: Micros, t: Ticket, end: End<R>) -> Vec<Order<R>> {
+        let Some(engine) = self.out(t).map(|a| a.engine) else {
+            must!(false, "an attempt ended that was not out");
+            return Vec::new();
+        };
+        let outcome = match end {
+            End::Served(result) => {
+                if self.open.get(&t.request).is_some_and(|o| !o.closed) {
+                    self.answer(t.request, Answer::Served(result));
+                }
+                Outcome::Ok
+            }
+            End::Full => Outcome::Full,
+            End::Void => Outcome::Moot,
+            End::Error => Outcome::Error,
+            End::NeverSent => {
+                self.tally.never_sent += 1;
+                Outcome::ConnectFailed
+            }
+            End::Lost => {
+                self.tally.lost += 1;
+                log::info!("request {:016x}: attempt {} lost with its connection", t.request, t.attempt);
+                Outcome::Reset
+            }
+        };
+        let event = self.finish(now, t, outcome);
+        debug_assert!(event.as_ref().is_some_and(|e| matches!(e, Event::Finished(f) if f.engine == engine)));
+        let orders = event.map_or_else(Vec::new, |e| self.run(now, e));
+        self.forget(t.request);
+        orders
+    }
+
+    /// The request's time is over: what is out is given up and has timed out.
+    fn expire(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        let Some(open) = self.open.get(&id) else { return Vec::new() };
+        let out: Vec<u32> =
+            (0..).zip(&open.attempts).filter(|(_, a)| a.outcome.is_none()).map(|(n, _)| n).collect();
+        let mut orders = Vec::new();
+        for attempt in out {
+            let ticket = Ticket { request: id, attempt };
+            self.tally.expired += 1;
+            self.orders.push(Order::Stop(ticket));
+            if let Some(event) = self.finish(now, ticket, Outcome::Timeout) {
+                orders.append(&mut self.run(now, event));
+            }
+        }
+        orders.append(&mut self.close(now, id));
+        self.forget(id);
+        orders
+    }
+
+    /// Ends a request whose answer the decisions did not give.
+    fn close(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        let Some(open) = self.open.get(&id).filter(|o| !o.closed) else { return Vec::new() };
+        let never_ran = open.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran));
+        let harmless = open.safe || never_ran;
+        self.answer(id, if harmless { Answer::Refused(BACKOFF_MS) } else { Answer::Failed });
+        let orders = self.run(now, Event::HungUp { query: id });
+        self.forget(id);
+        orders
+    }
+
+    /// Notes an attempt's end; the event that tells of it.
+    fn finish(&mut self, now: Micros, t: Ticket, outcome: Outcome) -> Option<Event> {
+        let done = self.open.get(&t.request)?.closed;
+        let attempt = self.out(t)?;
+        attempt.outcome = Some(outcome);
+        let latency = now.saturating_sub(attempt.sent);
+        let (query, attempt, engine) = (t.request, t.attempt, attempt.engine);
+        let finished = Finished { query, attempt, engine, done, outcome, latency, bill: None, report: None };
+        Some(Event::Finished(finished))
+    }
+
+    /// The one place that gives a final answer.
+    fn answer(&mut self, id: u64, answer: Answer<R>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if !must!(!open.closed, "a second answer") {
+            return;
+        }
+        open.closed = true;
+        match &answer {
+            Answer::Served(_) => self.tally.served += 1,
+            Answer::Refused(_) => self.tally.refused += 1,
+            Answer::Failed => self.tally.failed += 1,
+        }
+        self.orders.push(Order::Answer(id, answer));
+    }
+
+    fn forget(&mut self, id: u64) {
+        if self.open.get(&id).is_some_and(Open::over)
+            && let Some(open) = self.open.remove(&id)
+        {
+            self.deadlines.remove(&(open.deadline, id));
+        }
+    }
+
+    /// Hands an event to the decisions, and on what they want done until nothing is left.
+    fn run(&mut self, now: Micros, event: Event) -> Vec<Order<R>> {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.gateway.handle(now, event, &mut actions);
+            for action in actions {
+                self.act(now, action, &mut events);
+            }
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    fn act(&mut self, now: Micros, action: Action, events: &mut VecDeque<Event>) {
+        match action {
+            Action::Terms { query, memory_mb, priority } => {
+                let Some(open) = self.open.get_mut(&query) else { return };
+                (open.memory_mb, open.priority) = (memory_mb, priority);
+                for (n, a) in (0..).zip(&mut open.attempts) {
+                    if a.outcome.is_none() && a.priority != priority {
+                        a.priority = priority;
+                        self.orders.push(Order::Boost(Ticket { request: query, attempt: n }, priority));
+                    }
+                }
+            }
+            Action::Send { query, engine, timeout } => {
+                let Some(open) = self.open.get_mut(&query).filter(|o| !o.closed) else {
+                    must!(false, "a send for a request that is over");
+                    return;
+                };
+                self.tally.attempts += 1;
+                let ticket = Ticket { request: query, attempt: open.attempts.len() as u32 };
+                open.attempts.push(Attempt { engine, sent: now, outcome: None, priority: open.priority });
+                self.orders.push(Order::Start {
+                    ticket,
+                    executor: engine,
+                    memory_mb: open.memory_mb,
+                    priority: open.priority,
+                    until: timeout.map_or(open.deadline, |t| open.deadline.min(now + t)),
+                });
+            }
+            Action::Cancel { query, attempt } => {
+                let ticket = Ticket { request: query, attempt };
+                if let Some(event) = self.finish(now, ticket, Outcome::Cancelled) {
+                    self.orders.push(Order::Stop(ticket));
+                    events.push_back(event);
+                    self.forget(query);
+                }
+            }
+            Action::Refuse { query, retry_after } => {
+                self.answer(query, Answer::Refused(retry_after.map_or(BACKOFF_MS, |t| t.div_ceil(1000))));
+                self.forget(query);
+            }
+            Action::Fail { query } => {
+                self.answer(query, Answer::Failed);
+                self.forget(query);
+            }
+            Action::Probe { engine } => {
+                self.tally.probes += 1;
+                self.orders.push(Order::Probe(engine));
+            }
+            Action::Wake { token, after } => self.wakes.push(Reverse((now + after, token))),
+            Action::Log(line) => log::info!("{line}"),
+            // The list is pushed here, idle connections end by their own clock, and there are no peers.
+            Action::Watch
+            | Action::Unwatch
+            | Action::ReadList
+            | Action::CloseIdle { .. }
+            | Action::Tell { .. } => {}
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,8 +7,17 @@
 //! - [`control`] holds every decision.
 
 pub mod api;
+pub mod config;
 pub mod control;
+pub mod coordinator;
+pub mod dispatch;
+pub mod executor;
+pub mod invariant;
+pub mod mysql;
+pub mod net;
+pub mod settings;
 mod state;
+pub mod statement;
 
 pub use api::{Action, Event, Settings};
 pub use state::Gateway;
--- /dev/null
+++ b/src/net/executors.rs
@@ -0,0 +1,643 @@
+//! Executors and the connections to them.
+//!
+//! A connection belongs to one executor by its uid, whatever its address becomes. A request that was given
+//! up on a connection never goes out on that one again, so that a late answer can't be taken for a new one.
+
+use super::buffers::{Block, Inbox, Outbox, Pool};
+use super::dial;
+use super::poll::{Key, Poll};
+use super::timers::Timers;
+use crate::api::Micros;
+use crate::coordinator::{State, Target};
+use crate::dispatch::{Echo, End, ExecutorId, Load, Report, Ticket, Word, executor_id};
+use crate::executor::{self, Answer, Gauges, Note, Terms};
+use crate::must;
+use crate::settings::Transport;
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+/// A result: its pages in order.
+pub type Rows = Vec<Block>;
+
+/// The most pages that a result may have: 48,000 bytes come to 8 of the usual size.
+const MOST_PAGES: u32 = 256;
+/// A connection that owes word for this long gets nothing new: its machine may have vanished.
+const DOUBTFUL: Micros = 1_500_000;
+/// A killed id is remembered on its connection for this long, longer than an answer can be under way.
+const REMEMBERED: Micros = 60_000_000;
+/// A probe may take this much longer than a dial.
+const PROBE_SLACK: Micros = 50_000;
+
+/// What an attempt needs to go out.
+#[derive(Clone)]
+pub struct Job {
+    /// The name of its class.
+    pub kind: Rc<str>,
+    /// The statement, without the comment.
+    pub statement: Rc<str>,
+}
+
+/// An attempt on its way.
+struct Stream {
+    ticket: Ticket,
+    /// Written whole.
+    written: bool,
+    /// All pages; 0 until the executor said OK.
+    pages: u32,
+    rows: Rows,
+    /// When the pull was written.
+    since: Micros,
+}
+
+enum Outgoing {
+    Pull { id: u64, job: Job, memory_mb: f64, priority: u8, until: Micros },
+    Kill(u64),
+    Boost(u64, u8),
+    Scroll(u64, u32),
+    Discard(u64),
+    Meter(u64),
+}
+
+/// One connection.
+struct Conn {
+    executor: ExecutorId,
+    stream: TcpStream,
+    up: bool,
+    opened: Micros,
+    heard: Micros,
+    touched: Micros,
+    /// Takes nothing new.
+    retired: bool,
+    inbox: Inbox,
+    outbox: Outbox,
+    /// The pull that is in the outbox.
+    writing: Option<u64>,
+    queue: VecDeque<Outgoing>,
+    streams: BTreeMap<u64, Stream>,
+    killed: BTreeMap<u64, Micros>,
+    /// Probes that are out, and when they were asked for.
+    probes: BTreeMap<u64, Micros>,
+    watched: bool,
+}
+
+impl Conn {
+    /// Whether word is owed for too long.
+    fn doubtful(&self, now: Micros) -> bool {
+        let streams = self.streams.values().filter(|s| s.written).map(|s| s.since);
+        let oldest = streams.chain(self.probes.values().copied()).min();
+        self.up && oldest.is_some_and(|t| now > t.max(self.heard) + DOUBTFUL)
+    }
+
+    fn takes(&self, id: u64, most: usize, now: Micros) -> bool {
+        let fresh = !self.streams.contains_key(&id) && !self.killed.contains_key(&id);
+        !self.retired && self.streams.len() < most && fresh && !self.doubtful(now)
+    }
+
+    fn idle(&self) -> bool {
+        self.streams.is_empty() && self.probes.is_empty() && self.queue.is_empty() && self.outbox.is_empty()
+    }
+}
+
+struct Executor {
+    uid: String,
+    address: Option<SocketAddr>,
+    state: State,
+    conns: Vec<Key>,
+}
+
+/// What falls due here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Dial(Key),
+    Probe(Key, u64),
+}
+
+/// Counters of the connections.
+#[derive(Debug, Default)]
+pub struct Wire {
+    /// Dials begun.
+    pub dials: u64,
+    /// Lines that could not be used.
+    pub bad_lines: u64,
+    /// Answers for what is not open any more.
+    pub stray: u64,
+}
+
+/// All executors, and the connections to them.
+pub struct Executors {
+    transport: Transport,
+    most_conns: usize,
+    pool: Pool,
+    list: BTreeMap<ExecutorId, Executor>,
+    conns: BTreeMap<Key, Conn>,
+    /// Where each attempt is.
+    places: BTreeMap<Ticket, Key>,
+    timers: Timers<Due>,
+    next_tag: u64,
+    scratch: Vec<u8>,
+    /// What the dispatcher has to be told, in order.
+    pub reports: VecDeque<Report<Rows>>,
+    /// Counters.
+    pub wire: Wire,
+}
+
+impl Executors {
+    /// None yet; `most_conns` bounds the connections in all.
+    pub fn new(transport: Transport, most_conns: usize, pool: &Pool) -> Executors {
+        Executors {
+            transport,
+            most_conns,
+            pool: pool.clone(),
+            list: BTreeMap::new(),
+            conns: BTreeMap::new(),
+            places: BTreeMap::new(),
+            timers: Timers::default(),
+            next_tag: 1,
+            scratch: Vec::new(),
+            reports: VecDeque::new(),
+            wire: Wire::default(),
+        }
+    }
+
+    /// Whether a connection has this key.
+    pub fn owns(&self, key: Key) -> bool {
+        self.conns.contains_key(&key)
+    }
+
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+
+    /// When [`Executors::tick`] has something to do next.
+    pub fn next_due(&self) -> Option<Micros> {
+        self.timers.next_due()
+    }
+
+    // ---- The list ----------------------------------------------------------------------------------
+
+    /// News of the list: an address that moved or a process that started anew ends what was open before it,
+    /// and what still waits for an executor that drains or is gone is taken back.
+    pub fn listed(&mut self, targets: &[Target], whole: bool, now: Micros, poll: &Poll) {
+        for t in targets {
+            self.list_one(t, now, poll);
+        }
+        if whole {
+            let named = |e: &Executor| targets.iter().any(|t| t.uid == e.uid);
+            let gone: Vec<ExecutorId> =
+                self.list.iter().filter(|(_, e)| !named(e)).map(|(i, _)| *i).collect();
+            gone.into_iter().for_each(|id| self.leaves(id, State::Removed, poll));
+        }
+    }
+
+    fn list_one(&mut self, t: &Target, now: Micros, poll: &Poll) {
+        let id = executor_id(&t.uid);
+        let e = self.list.entry(id).or_insert_with(|| Executor {
+            uid: t.uid.clone(),
+            address: t.endpoint,
+            state: t.state,
+            conns: Vec::new(),
+        });
+        if e.uid != t.uid {
+            log::error!("executors {} and {} share the number {id}; {} is left out", e.uid, t.uid, t.uid);
+            return;
+        }
+        let moved = t.endpoint.is_some() && e.address != t.endpoint;
+        e.address = t.endpoint.or(e.address);
+        if e.state != t.state {
+            log::info!("executor {}: {:?}, was {:?}", t.uid, t.state, e.state);
+        }
+        let booted = t.boot_ms * 1000;
+        for key in e.conns.clone() {
+            let Some(conn) = self.conns.get_mut(&key) else { continue };
+            conn.retired |= moved;
+            if conn.opened < booted && booted <= now {
+                self.lose(key, poll, "its executor started anew");
+            }
+        }
+        if t.state != State::Up {
+            self.leaves(id, t.state, poll);
+        } else if let Some(e) = self.list.get_mut(&id) {
+            e.state = State::Up;
+        }
+    }
+
+    fn leaves(&mut self, id: ExecutorId, state: State, poll: &Poll) {
+        let Some(e) = self.list.get_mut(&id) else { return };
+        e.state = state;
+        for key in e.conns.clone() {
+            self.take_back(key);
+            let Some(conn) = self.conns.get_mut(&key) else { continue };
+            conn.retired |= state == State::Removed;
+            if conn.retired && conn.idle() {
+                self.lose(key, poll, "its executor is gone");
+            }
+        }
+    }
+
+    /// Takes back every pull of which no byte was written.
+    fn take_back(&mut self, key: Key) {
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        let mut back = Vec::new();
+        if !conn.outbox.begun()
+            && let Some(id) = conn.writing.take()
+        {
+            conn.outbox.clear();
+            back.push(id);
+        }
+        conn.queue.retain(|o| match o {
+            Outgoing::Pull { id, .. } => {
+                back.push(*id);
+                false
+            }
+            _ => true,
+        });
+        for id in back {
+            if let Some(s) = conn.streams.remove(&id) {
+                self.places.remove(&s.ticket);
+                self.reports.push_back(Report::Ended(s.ticket, End::NeverSent));
+            }
+        }
+    }
+
+    // ---- Orders ------------------------------------------------------------------------------------
+
+    /// Sends an attempt.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start(
+        &mut self,
+        t: Ticket,
+        to: ExecutorId,
+        job: Job,
+        memory_mb: f64,
+        priority: u8,
+        until: Micros,
+        now: Micros,
+        poll: &Poll,
+    ) {
+        let id = t.request;
+        let most = self.transport.streams_per_conn;
+        let Some(key) = self.connection(to, now, poll, |c| c.takes(id, most, now)) else {
+            self.reports.push_back(Report::Ended(t, End::NeverSent));
+            return;
+        };
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        conn.streams.insert(id, Stream { ticket: t, written: false, pages: 0, rows: Vec::new(), since: now });
+        conn.queue.push_back(Outgoing::Pull { id, job, memory_mb, priority, until });
+        must!(self.places.insert(t, key).is_none(), "an attempt was started twice");
+        self.write(key, now, poll);
+    }
+
+    /// Gives an attempt up; nothing more is told of it.
+    pub fn stop(&mut self, t: Ticket, now: Micros, poll: &Poll) {
+        let Some(key) = self.places.remove(&t) else { return };
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        let id = t.request;
+        let Some(stream) = conn.streams.remove(&id) else { return };
+        let waiting = |o: &Outgoing| matches!(o, Outgoing::Pull { id: i, .. } if *i == id);
+        if let Some(at) = conn.queue.iter().position(waiting) {
+            conn.queue.remove(at);
+            return;
+        }
+        if conn.writing == Some(id) && !conn.outbox.begun() {
+            conn.writing = None;
+            conn.outbox.clear();
+            return self.write(key, now, poll);
+        }
+        conn.killed.insert(id, now);
+        conn.queue.push_back(if stream.pages > 0 { Outgoing::Discard(id) } else { Outgoing::Kill(id) });
+        self.write(key, now, poll);
+    }
+
+    /// A new priority for an attempt.
+    pub fn boost(&mut self, t: Ticket, priority: u8, now: Micros, poll: &Poll) {
+        let Some(key) = self.places.get(&t).copied() else { return };
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        for o in &mut conn.queue {
+            if let Outgoing::Pull { id, priority: p, .. } = o
+                && *id == t.request
+            {
+                *p = priority;
+                return;
+            }
+        }
+        if conn.streams.get(&t.request).is_some_and(|s| s.pages == 0) {
+            conn.queue.push_back(Outgoing::Boost(t.request, priority));
+            self.write(key, now, poll);
+        }
+    }
+
+    /// Probes an executor.
+    pub fn probe(&mut self, to: ExecutorId, now: Micros, poll: &Poll) {
+        let Some(key) = self.connection(to, now, poll, |c| !c.retired && !c.doubtful(now)) else {
+            self.reports.push_back(Report::Probed(to, Echo::Unreachable, 0));
+            return;
+        };
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        conn.probes.insert(tag, now);
+        conn.queue.push_back(Outgoing::Meter(tag));
+        self.timers.set(now + self.transport.dial_timeout + PROBE_SLACK, Due::Probe(key, tag));
+        self.write(key, now, poll);
+    }
+
+    /// A connection that will do, or a new one.
+    fn connection(
+        &mut self,
+        to: ExecutorId,
+        now: Micros,
+        poll: &Poll,
+        fits: impl Fn(&Conn) -> bool,
+    ) -> Option<Key> {
+        let e = self.list.get(&to)?;
+        let usable =
+            e.conns.iter().filter_map(|k| self.conns.get(k).map(|c| (*k, c))).filter(|(_, c)| fits(c));
+        if let Some((key, _)) = usable.min_by_key(|(_, c)| (!c.up, c.opened)) {
+            return Some(key);
+        }
+        let address = e.address?;
+        if self.conns.len() >= self.most_conns {
+            log::warn!("executor {}: no connection left of {}", e.uid, self.most_conns);
+            return None;
+        }
+        let dialed = dial::dial(address).and_then(|s| poll.add(&s, true).map(|key| (s, key)));
+        let (stream, key) = match dialed {
+            Ok(dialed) => dialed,
+            Err(err) => {
+                log::warn!("executor {}: can't dial {address}: {err}", e.uid);
+                return None;
+            }
+        };
+        self.wire.dials += 1;
+        self.timers.set(now + self.transport.dial_timeout, Due::Dial(key));
+        self.conns.insert(
+            key,
+            Conn {
+                executor: to,
+                stream,
+                up: false,
+                opened: now,
+                heard: now,
+                touched: now,
+                retired: false,
+                inbox: Inbox::new(&self.pool),
+                outbox: Outbox::new(&self.pool),
+                writing: None,
+                queue: VecDeque::new(),
+                streams: BTreeMap::new(),
+                killed: BTreeMap::new(),
+                probes: BTreeMap::new(),
+                watched: true,
+            },
+        );
+        self.list.get_mut(&to)?.conns.push(key);
+        Some(key)
+    }
+
+    // ---- Events ------------------------------------------------------------------------------------
+
+    /// A socket is ready.
+    pub fn ready(&mut self, key: Key, readable: bool, writable: bool, now: Micros, poll: &Poll) {
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        if !conn.up {
+            match dial::up(&conn.stream) {
+                Ok(()) => (conn.up, conn.heard, conn.opened) = (true, now, now),
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
+                Err(e) => return self.lose(key, poll, &e.to_string()),
+            }
+        }
+        if readable {
+            match conn.inbox.fill(&mut conn.stream) {
+                Ok(0) => return self.lose(key, poll, "closed by the executor"),
+                Ok(_) => {
+                    (conn.heard, conn.touched) = (now, now);
+                    self.read(key, now, poll);
+                }
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+                Err(e) => return self.lose(key, poll, &e.to_string()),
+            }
+        }
+        if writable || readable {
+            self.write(key, now, poll);
+        }
+    }
+
+    fn read(&mut self, key: Key, now: Micros, poll: &Poll) {
+        let mut consumed = 0;
+        loop {
+            let Some(conn) = self.conns.get_mut(&key) else { return };
+            let parsed = executor::next(&conn.inbox.bytes()[consumed..]);
+            let (n, answer) = match parsed {
+                Ok(Some(found)) => found,
+                Ok(None) => break,
+                Err(e) => {
+                    self.wire.bad_lines += 1;
+                    return self.lose(key, poll, &format!("bad line: {}", e.0));
+                }
+            };
+            consumed += n;
+            match answer {
+                Answer::Probe { tag, up, gauges } => {
+                    if let Some(sent) = conn.probes.remove(&tag) {
+                        let echo = if up { Echo::Up(gauges.map(load)) } else { Echo::Down };
+                        self.reports.push_back(Report::Probed(conn.executor, echo, now.saturating_sub(sent)));
+                    }
+                }
+                Answer::Request { id, word, body } => {
+                    let ended = match conn.streams.get_mut(&id) {
+                        None => {
+                            self.wire.stray += 1;
+                            None
+                        }
+                        Some(s) => match advance(s, word, body, &self.pool) {
+                            Step::Goes => None,
+                            Step::Noted(word) => {
+                                self.reports.push_back(Report::Noted(s.ticket, word));
+                                None
+                            }
+                            Step::Pages(pages) => {
+                                conn.queue.extend((1..pages).map(|page| Outgoing::Scroll(id, page)));
+                                None
+                            }
+                            Step::Ended(end) => Some(end),
+                            Step::Broken(what) => {
+                                self.wire.bad_lines += 1;
+                                return self.lose(key, poll, what);
+                            }
+                        },
+                    };
+                    if let Some(end) = ended
+                        && let Some(s) = conn.streams.remove(&id)
+                    {
+                        self.places.remove(&s.ticket);
+                        self.reports.push_back(Report::Ended(s.ticket, end));
+                    }
+                }
+            }
+        }
+        if let Some(conn) = self.conns.get_mut(&key) {
+            conn.inbox.consume(consumed);
+        }
+    }
+
+    /// Writes what waits, one message after the other, so that what was not begun can be taken back.
+    fn write(&mut self, key: Key, now: Micros, poll: &Poll) {
+        let Some(conn) = self.conns.get_mut(&key).filter(|c| c.up) else { return };
+        let failed = loop {
+            match conn.outbox.flush(&mut conn.stream) {
+                Ok(true) => {}
+                Ok(false) => break None,
+                Err(e) => break Some(e),
+            }
+            if let Some(s) = conn.writing.take().and_then(|id| conn.streams.get_mut(&id)) {
+                (s.written, s.since) = (true, now);
+            }
+            let Some(next) = conn.queue.pop_front() else { break None };
+            conn.touched = now;
+            self.scratch.clear();
+            let out = &mut self.scratch;
+            match next {
+                Outgoing::Pull { id, job, memory_mb, priority, until } => {
+                    let wait_ms = (until.saturating_sub(now) / 1000).max(1);
+                    executor::pull(
+                        out,
+                        id,
+                        &Terms { kind: &job.kind, wait_ms, memory_mb, priority },
+                        &job.statement,
+                    );
+                    conn.writing = Some(id);
+                }
+                Outgoing::Kill(id) => executor::kill(out, id),
+                Outgoing::Boost(id, priority) => executor::boost(out, id, priority),
+                Outgoing::Scroll(id, page) => executor::scroll(out, id, page),
+                Outgoing::Discard(id) => executor::discard(out, id),
+                Outgoing::Meter(tag) => executor::meter(out, tag),
+            }
+            conn.outbox.append(&self.scratch);
+        };
+        if let Some(e) = failed {
+            return self.lose(key, poll, &e.to_string());
+        }
+        let waits = !conn.outbox.is_empty();
+        if waits != conn.watched {
+            conn.watched = waits;
+            if let Err(e) = poll.writable(key, &conn.stream, waits) {
+                self.lose(key, poll, &e.to_string());
+            }
+        }
+    }
+
+    /// Closes a connection; all that was open on it is over.
+    fn lose(&mut self, key: Key, poll: &Poll, why: &str) {
+        let Some(conn) = self.conns.remove(&key) else { return };
+        poll.remove(&conn.stream);
+        if let Some(e) = self.list.get_mut(&conn.executor) {
+            e.conns.retain(|k| *k != key);
+            if !conn.idle() {
+                let (streams, probes) = (conn.streams.len(), conn.probes.len());
+                log::info!(
+                    "executor {}: connection lost with {streams} attempts, {probes} probes: {why}",
+                    e.uid
+                );
+            }
+        }
+        for s in conn.streams.into_values() {
+            self.places.remove(&s.ticket);
+            let end = if s.written { End::Lost } else { End::NeverSent };
+            self.reports.push_back(Report::Ended(s.ticket, end));
+        }
+        let echo = if conn.up { Echo::Lost } else { Echo::Unreachable };
+        for _ in conn.probes {
+            self.reports.push_back(Report::Probed(conn.executor, echo, 0));
+        }
+    }
+
+    /// Dials and probes that took too long.
+    pub fn tick(&mut self, now: Micros, poll: &Poll) {
+        while let Some(due) = self.timers.due(now) {
+            match due {
+                Due::Dial(key) => {
+                    if self.conns.get(&key).is_some_and(|c| !c.up) {
+                        self.lose(key, poll, "no connection in time");
+                    }
+                }
+                Due::Probe(key, tag) => {
+                    let Some(conn) = self.conns.get_mut(&key) else { continue };
+                    if let Some(sent) = conn.probes.remove(&tag) {
+                        // Nothing new goes where a probe met silence; a new dial proves what runs.
+                        conn.retired |= conn.heard < sent;
+                        let silent = Report::Probed(conn.executor, Echo::Silent, now.saturating_sub(sent));
+                        self.reports.push_back(silent);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Closes what has been idle nearly as long as executors allow, and forgets old ids.
+    pub fn sweep(&mut self, now: Micros, poll: &Poll) {
+        let idle = self.transport.conn_idle - (self.transport.conn_idle / 4).min(2_000_000);
+        let over = |c: &Conn| c.idle() && (c.retired || now > c.touched + idle);
+        let closed: Vec<Key> = self.conns.iter().filter(|(_, c)| over(c)).map(|(k, _)| *k).collect();
+        closed.into_iter().for_each(|key| self.lose(key, poll, "idle"));
+        self.conns.values_mut().for_each(|c| c.killed.retain(|_, t| now < *t + REMEMBERED));
+        let conns = &self.conns;
+        self.list.retain(|_, e| e.state != State::Removed || e.conns.iter().any(|k| conns.contains_key(k)));
+    }
+}
+
+/// What an answer does to its attempt.
+enum Step {
+    Goes,
+    Noted(Word),
+    Pages(u32),
+    Ended(End<Rows>),
+    Broken(&'static str),
+}
+
+fn advance(s: &mut Stream, word: executor::Word, body: &[u8], pool: &Pool) -> Step {
+    match word {
+        executor::Word::Note(None) => Step::Goes,
+        executor::Word::Note(Some(Note::Done(x))) => Step::Noted(Word::Progress(x)),
+        executor::Word::Note(Some(Note::Spills(x))) => Step::Noted(Word::Spills(x)),
+        executor::Word::Note(Some(Note::Waits)) => Step::Noted(Word::Waits),
+        executor::Word::Busy => Step::Ended(End::Full),
+        executor::Word::Void => Step::Ended(End::Void),
+        executor::Word::Err => Step::Ended(End::Error),
+        executor::Word::Ok { pages } => {
+            if s.pages > 0 || pages > MOST_PAGES {
+                return Step::Broken("a second OK, or too many pages");
+            }
+            keep(s, body, pool);
+            s.pages = pages;
+            match pages {
+                1 => Step::Ended(End::Served(std::mem::take(&mut s.rows))),
+                n => Step::Pages(n),
+            }
+        }
+        executor::Word::Rows { page } => {
+            // Pages were asked for in order on one connection.
+            if s.pages == 0 || page as usize != s.rows.len() {
+                return Step::Broken("a page out of turn");
+            }
+            keep(s, body, pool);
+            match s.rows.len() == s.pages as usize {
+                true => Step::Ended(End::Served(std::mem::take(&mut s.rows))),
+                false => Step::Goes,
+            }
+        }
+    }
+}
+
+fn keep(s: &mut Stream, page: &[u8], pool: &Pool) {
+    let mut block = pool.block();
+    must!(block.append(page) == page.len(), "a page is larger than a buffer");
+    s.rows.push(block);
+}
+
+fn load(g: Gauges) -> Load {
+    Load { inflight: g.inflight, util: g.util, queue: g.queue, memory: g.x0, disks: g.x1 }
+}
--- /dev/null
+++ b/src/net/feed.rs
@@ -0,0 +1,155 @@
+//! The connection to the coordinator.
+
+use super::dial;
+use super::poll::{Key, Poll};
+use crate::api::Micros;
+use crate::coordinator::{self, Line, Update};
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+/// A line comes every second: after this long without one the connection is given up.
+const SILENCE: Micros = 3_000_000;
+/// Pause before a new try.
+const PAUSE: Micros = 300_000;
+/// The longest line: a whole list of some ten thousand executors.
+const LONGEST: usize = 4 * 1024 * 1024;
+
+/// The feed of the coordinator; it comes back by itself.
+pub struct Feed {
+    address: SocketAddr,
+    /// The last event that was taken.
+    held: u64,
+    /// An event that can't be read is skipped once it came twice, or nothing after it would ever come.
+    refused: Option<u64>,
+    conn: Option<(Key, TcpStream)>,
+    up: bool,
+    heard: Micros,
+    retry_at: Micros,
+    line: Vec<u8>,
+    /// Connections begun.
+    pub dials: u64,
+    /// Lines that could not be used.
+    pub bad_lines: u64,
+}
+
+impl Feed {
+    /// Not connected yet; `held` is the last event of the start.
+    pub fn new(address: SocketAddr, held: u64) -> Feed {
+        Feed {
+            address,
+            held,
+            refused: None,
+            conn: None,
+            up: false,
+            heard: 0,
+            retry_at: 0,
+            line: Vec::new(),
+            dials: 0,
+            bad_lines: 0,
+        }
+    }
+
+    /// Whether its connection has this key.
+    pub fn owns(&self, key: Key) -> bool {
+        self.conn.as_ref().is_some_and(|(k, _)| *k == key)
+    }
+
+    /// When [`Feed::tick`] has something to do next.
+    pub fn next_due(&self) -> Micros {
+        if self.conn.is_some() { self.heard + SILENCE } else { self.retry_at }
+    }
+
+    /// Connects when it is time, and gives a silent connection up.
+    pub fn tick(&mut self, now: Micros, poll: &Poll) {
+        if now < self.next_due() {
+            return;
+        }
+        if self.conn.is_some() {
+            return self.lose(now, poll, "silent");
+        }
+        self.dials += 1;
+        self.line.clear();
+        (self.up, self.heard) = (false, now);
+        match dial::dial(self.address).and_then(|s| poll.add(&s, true).map(|key| (key, s))) {
+            Ok(conn) => self.conn = Some(conn),
+            Err(e) => self.lose(now, poll, &e.to_string()),
+        }
+    }
+
+    /// The socket is ready: what is new, in order.
+    pub fn ready(&mut self, now: Micros, poll: &Poll) -> Vec<Update> {
+        let mut updates = Vec::new();
+        if let Err(why) = self.advance(now, poll, &mut updates) {
+            self.lose(now, poll, &why);
+        }
+        updates
+    }
+
+    fn advance(&mut self, now: Micros, poll: &Poll, updates: &mut Vec<Update>) -> Result<(), String> {
+        let Some((key, stream)) = &mut self.conn else { return Ok(()) };
+        if !self.up {
+            match dial::up(stream) {
+                Ok(()) => {}
+                Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(()),
+                Err(e) => return Err(e.to_string()),
+            }
+            // The line is far shorter than any socket's buffer.
+            let all = stream.write_all(coordinator::follow(self.held).as_bytes());
+            all.and_then(|()| poll.writable(*key, stream, false)).map_err(|e| e.to_string())?;
+            (self.up, self.heard) = (true, now);
+            log::info!("coordinator {}: following from event {}", self.address, self.held);
+        }
+        let mut piece = [0; 16 * 1024];
+        match stream.read(&mut piece) {
+            Ok(0) => return Err("closed by the coordinator".into()),
+            Ok(n) => self.line.extend_from_slice(&piece[..n]),
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
+                return Ok(());
+            }
+            Err(e) => return Err(e.to_string()),
+        }
+        let mut from = 0;
+        while let Some(n) = self.line[from..].iter().position(|b| *b == b'\n') {
+            let line = coordinator::line(&self.line[from..from + n]);
+            from += n + 1;
+            self.heard = now;
+            match line {
+                Ok(line) => self.take(line, updates)?,
+                Err(e) => {
+                    self.bad_lines += 1;
+                    if self.refused.replace(self.held) == Some(self.held) {
+                        log::error!("coordinator: event {} can't be read and is skipped: {e}", self.held + 1);
+                        (self.held, self.refused) = (self.held + 1, None);
+                    }
+                    return Err(format!("bad line: {e}"));
+                }
+            }
+        }
+        self.line.drain(..from);
+        if self.line.len() > LONGEST { Err("line without end".into()) } else { Ok(()) }
+    }
+
+    fn take(&mut self, line: Line, updates: &mut Vec<Update>) -> Result<(), String> {
+        match line {
+            Line::Last(last) if last > self.held => Err(format!("event {last} is there, {} held", self.held)),
+            Line::Last(_) => Ok(()),
+            Line::Update(u) if u.index <= self.held => Ok(()),
+            Line::Update(u) if u.index > self.held + 1 => {
+                Err(format!("event {} after {}", u.index, self.held))
+            }
+            Line::Update(u) => {
+                (self.held, self.refused) = (u.index, None);
+                updates.push(u);
+                Ok(())
+            }
+        }
+    }
+
+    fn lose(&mut self, now: Micros, poll: &Poll, why: &str) {
+        if let Some((_, stream)) = self.conn.take() {
+            poll.remove(&stream);
+        }
+        log::warn!("coordinator {}: {why}; held {}", self.address, self.held);
+        self.retry_at = now + PAUSE;
+    }
+}
--- /dev/null
+++ b/src/net/mod.rs
@@ -0,0 +1,500 @@
+//! The dispatcher on real sockets: one loop, clients on one side, executors and the coordinator on the other.
+
+mod buffers;
+mod dial;
+mod executors;
+mod feed;
+mod poll;
+mod session;
+mod timers;
+
+use crate::api::Micros;
+use crate::config::Config;
+use crate::coordinator::{State, Target, Update};
+use crate::dispatch::{Dispatch, Member, News, Order, Report, Standing, executor_id};
+use crate::invariant;
+use crate::mysql::Error;
+use crate::settings::Names;
+use buffers::Pool;
+use executors::{Executors, Job, Rows};
+use feed::Feed;
+use poll::{Key, Poll};
+use session::{Asked, Session, Sessions};
+use signal_hook::consts::SIGTERM;
+use std::collections::{BTreeMap, VecDeque};
+use std::fmt::Display;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::net::UnixStream;
+use std::time::Duration;
+use timers::Clock;
+
+/// Housekeeping: idle connections, counters.
+const SWEEP: Micros = 1_000_000;
+const COUNTERS: Micros = 10_000_000;
+/// Accepting pauses this long when descriptors have run out.
+const ACCEPT_PAUSE: Micros = 100_000;
+/// Connections accepted in one turn at most.
+const ACCEPTS: usize = 64;
+/// A client that takes nothing off its answer for this long is let go.
+const STUCK: Micros = 30_000_000;
+/// A client that was told to go has this long to read the last bytes.
+const LINGER: Micros = 1_000_000;
+/// After SIGTERM: how long new work is taken, when what is open is given up, and the end.
+const TAKES_ON: Micros = 700_000;
+const GIVES_UP: Micros = 3_100_000;
+const ENDS: Micros = 3_400_000;
+const STOP_LOOK: Micros = 20_000;
+
+/// A dispatcher that is set up and has not begun to serve.
+pub struct Node {
+    poll: Poll,
+    clock: Clock,
+    pool: Pool,
+    names: Names,
+    dispatch: Dispatch<Rows>,
+    sessions: Sessions,
+    executors: Executors,
+    feed: Feed,
+    jobs: BTreeMap<u64, (Key, Job)>,
+    listener: Option<(Key, TcpListener)>,
+    /// The listener while accepting pauses.
+    paused: Option<TcpListener>,
+    signal: (Key, UnixStream),
+    most_sessions: usize,
+    next_id: u32,
+    accept_at: Option<Micros>,
+    sweep_at: Micros,
+    counters_at: Micros,
+    stopping: Option<Micros>,
+    given_up: bool,
+    refused_clients: u64,
+}
+
+fn context<E: Display>(what: &str) -> impl Fn(E) -> io::Error + '_ {
+    move |e| io::Error::other(format!("{what}: {e}"))
+}
+
+impl Node {
+    /// Sets a dispatcher up: from here on its address takes connections.
+    pub fn new(config: Config) -> io::Result<Node> {
+        let seed = config.seed();
+        let transport = config.settings.transport().map_err(context("configuration"))?;
+        let (settings, names) = config.settings.settings().map_err(context("configuration"))?;
+        let dispatch =
+            Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
+        let poll = Poll::new().map_err(context("poller"))?;
+        let listen = config.listen;
+        let listener = bind(listen).map_err(context(&format!("listen on {listen}")))?;
+        let listener_key = poll.add(&listener, false)?;
+        let (signal, write) = UnixStream::pair()?;
+        signal.set_nonblocking(true)?;
+        signal_hook::low_level::pipe::register(SIGTERM, write).map_err(context("SIGTERM"))?;
+        let signal_key = poll.add(&signal, false)?;
+        let pool = Pool::default();
+        let mut clock = Clock::default();
+        let now = clock.now();
+        let half = (config.limits.sockets / 2).saturating_sub(24).max(8);
+        let mut node = Node {
+            poll,
+            names,
+            dispatch,
+            sessions: Sessions::default(),
+            executors: Executors::new(transport, half, &pool),
+            feed: Feed::new(config.coordinator, config.known.index),
+            jobs: BTreeMap::new(),
+            listener: Some((listener_key, listener)),
+            paused: None,
+            signal: (signal_key, signal),
+            most_sessions: half,
+            // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
+            next_id: (seed ^ (seed >> 32) ^ now) as u32,
+            accept_at: None,
+            sweep_at: now + SWEEP,
+            counters_at: now + COUNTERS,
+            stopping: None,
+            given_up: false,
+            refused_clients: 0,
+            pool,
+            clock,
+        };
+        let known = config.known.targets();
+        log::info!("{} listens on {listen}, {} executors known", config.name, known.len());
+        node.members(now, News::Restored, &known);
+        Ok(node)
+    }
+
+    /// Serves until SIGTERM, then until all that was taken has its answer.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut events = polling::Events::new();
+        loop {
+            let now = self.clock.now();
+            if self.over(now) {
+                break;
+            }
+            let wait = self.next_due().saturating_sub(now);
+            self.poll.wait(&mut events, Duration::from_micros(wait)).map_err(context("poller"))?;
+            let now = self.clock.now();
+            for event in events.iter() {
+                self.ready(event.key, event.readable, event.writable, now);
+            }
+            self.tick();
+        }
+        self.count();
+        log::info!("stopped");
+        Ok(())
+    }
+
+    fn next_due(&self) -> Micros {
+        let due =
+            [self.dispatch.next_due(), self.executors.next_due(), self.accept_at, Some(self.feed.next_due())];
+        // While stopping, a look every now and then is near enough to each of its limits.
+        let own = if self.stopping.is_some() { self.clock.last() + STOP_LOOK } else { self.sweep_at };
+        due.into_iter().flatten().fold(own, Micros::min)
+    }
+
+    fn ready(&mut self, key: Key, readable: bool, writable: bool, now: Micros) {
+        if self.listener.as_ref().is_some_and(|(k, _)| *k == key) {
+            self.accept(now);
+        } else if key == self.signal.0 {
+            self.stop(now);
+        } else if self.feed.owns(key) {
+            for update in self.feed.ready(now, &self.poll) {
+                self.update(now, update);
+            }
+        } else if self.executors.owns(key) {
+            self.executors.ready(key, readable, writable, now, &self.poll);
+            self.settle(now, Vec::new());
+        } else if self.sessions.by_key.contains_key(&key) {
+            if readable {
+                self.read(key, now);
+            }
+            if writable {
+                self.flush(key);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        let orders = self.dispatch.tick(now);
+        self.settle(now, orders);
+        self.executors.tick(now, &self.poll);
+        self.settle(now, Vec::new());
+        self.feed.tick(now, &self.poll);
+        if self.accept_at.is_some_and(|t| t <= now) {
+            self.accept_at = None;
+            self.accept_again(now);
+        }
+        if self.sweep_at <= now {
+            self.sweep_at = now + SWEEP;
+            self.sweep(now);
+        }
+        if self.counters_at <= now {
+            self.counters_at = now + COUNTERS;
+            self.count();
+        }
+    }
+
+    // ---- Decisions ---------------------------------------------------------------------------------
+
+    /// Carries orders out, and hands on what comes of them, until nothing is left.
+    fn settle(&mut self, now: Micros, orders: Vec<Order<Rows>>) {
+        let mut orders = VecDeque::from(orders);
+        loop {
+            if let Some(order) = orders.pop_front() {
+                self.carry_out(now, order);
+            } else if let Some(report) = self.executors.reports.pop_front() {
+                orders.extend(self.dispatch.report(now, report));
+            } else {
+                break;
+            }
+        }
+    }
+
+    fn carry_out(&mut self, now: Micros, order: Order<Rows>) {
+        match order {
+            Order::Start { ticket, executor, memory_mb, priority, until } => {
+                let Some((_, job)) = self.jobs.get(&ticket.request) else { return };
+                let job = job.clone();
+                self.executors.start(ticket, executor, job, memory_mb, priority, until, now, &self.poll);
+            }
+            Order::Stop(ticket) => self.executors.stop(ticket, now, &self.poll),
+            Order::Boost(ticket, priority) => self.executors.boost(ticket, priority, now, &self.poll),
+            Order::Probe(executor) => self.executors.probe(executor, now, &self.poll),
+            Order::Answer(request, answer) => {
+                let Some((key, _)) = self.jobs.remove(&request) else { return };
+                if let Some(s) = self.sessions.by_key.get_mut(&key).filter(|s| s.open == Some(request)) {
+                    s.answer(&answer);
+                    s.touched = now;
+                    self.flush(key);
+                    self.advance(key, now);
+                }
+            }
+        }
+    }
+
+    fn update(&mut self, now: Micros, update: Update) {
+        let Some(e) = update.endpoints else { return };
+        let news = if e.all { News::Whole } else { News::Changes };
+        self.members(now, news, &e.targets);
+    }
+
+    fn members(&mut self, now: Micros, news: News, targets: &[Target]) {
+        let member = |t: &Target| {
+            let (zone, kind) = (self.names.zones.get(&t.az), self.names.kinds.get(&t.model));
+            let gone = t.state == State::Removed;
+            if !gone && (zone.is_none() || kind.is_none() || t.endpoint.is_none()) {
+                log::error!("executor {}: unknown zone or kind, or no address; it is left out", t.uid);
+                return None;
+            }
+            Some(Member {
+                executor: executor_id(&t.uid),
+                zone: zone.copied().unwrap_or(0),
+                kind: kind.copied().unwrap_or(0),
+                cell: t.pod_group,
+                standing: match t.state {
+                    State::Up => Standing::Up,
+                    State::Draining => Standing::Draining,
+                    State::Removed => Standing::Gone,
+                },
+                size: t.capacity_hint.unwrap_or(1.0),
+                started: (t.boot_ms > 0).then_some(t.boot_ms * 1000),
+            })
+        };
+        let restored = |t: &&Target| news != News::Restored || t.state != State::Removed;
+        let members: Vec<Member> = targets.iter().filter(restored).filter_map(member).collect();
+        self.executors.listed(targets, news != News::Changes, now, &self.poll);
+        let orders = self.dispatch.members(now, news, &members);
+        self.settle(now, orders);
+    }
+
+    // ---- Clients -----------------------------------------------------------------------------------
+
+    fn accept(&mut self, now: Micros) {
+        for _ in 0..ACCEPTS {
+            let Some((_, listener)) = &self.listener else { return };
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(e) => {
+                    log::error!("accept: {e}; pausing");
+                    self.pause_accepting(now);
+                    return;
+                }
+            };
+            let id = self.next_id;
+            self.next_id = self.next_id.wrapping_add(1);
+            let mut scramble = [0; 20];
+            (0u32..).zip(&mut scramble).for_each(|(i, b)| *b = 33 + (id.rotate_left(i) % 90) as u8);
+            match Session::new(stream, &self.poll, &self.pool, id, &scramble, now) {
+                Ok(mut s) => {
+                    if self.sessions.by_key.len() >= self.most_sessions {
+                        self.refused_clients += 1;
+                        s.error(&Error::new(1040, "08004", "too many connections: backoff=200"));
+                        s.closing = true;
+                    }
+                    let key = self.sessions.insert(s);
+                    // What the client wrote ahead is read now: its request came before later ones.
+                    self.flush(key);
+                    self.read(key, now);
+                }
+                Err(e) => log::warn!("client {id}: {e}"),
+            }
+        }
+    }
+
+    fn pause_accepting(&mut self, now: Micros) {
+        // The listener stays readable: it must not be watched meanwhile, or the loop would spin.
+        if let Some((_, listener)) = self.listener.take() {
+            self.poll.remove(&listener);
+            self.paused = Some(listener);
+            self.accept_at = Some(now + ACCEPT_PAUSE);
+        }
+    }
+
+    fn accept_again(&mut self, now: Micros) {
+        let Some(listener) = self.paused.take() else { return };
+        match self.poll.add(&listener, false) {
+            Ok(key) => {
+                self.listener = Some((key, listener));
+                self.accept(now);
+            }
+            Err(e) => {
+                log::error!("accept: {e}; pausing");
+                self.paused = Some(listener);
+                self.accept_at = Some(now + ACCEPT_PAUSE);
+            }
+        }
+    }
+
+    fn read(&mut self, key: Key, now: Micros) {
+        let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
+        if s.read(now) { self.advance(key, now) } else { self.hang_up(key, now) }
+    }
+
+    /// Takes what the client wants, until a request is open or nothing is left.
+    fn advance(&mut self, key: Key, now: Micros) {
+        while let Some(s) = self.sessions.by_key.get_mut(&key) {
+            match s.next(&self.names) {
+                None => break,
+                Some(Asked::Close) => return self.hang_up(key, now),
+                Some(Asked::Kill(id)) => self.kill(key, id, now),
+                Some(Asked::Request(request, kind, statement)) => {
+                    let id = request.id;
+                    s.open = Some(id);
+                    if self.jobs.contains_key(&id) {
+                        s.open = None;
+                        s.error(&Error::new(1105, "HY000", "a request with this rid is open"));
+                        continue;
+                    }
+                    self.jobs.insert(id, (key, Job { kind, statement }));
+                    match self.dispatch.pick(now, &request) {
+                        Ok(orders) => self.settle(now, orders),
+                        Err(e) => {
+                            self.jobs.remove(&id);
+                            if let Some(s) = self.sessions.by_key.get_mut(&key) {
+                                s.open = None;
+                                s.error(&Error::new(1105, "HY000", e));
+                            }
+                        }
+                    }
+                }
+            }
+        }
+        self.flush(key);
+    }
+
+    /// KILL QUERY: the client of that request has left; its session goes on.
+    fn kill(&mut self, from: Key, id: u32, now: Micros) {
+        let target = self.sessions.by_id.get(&id).copied();
+        if let Some(s) = self.sessions.by_key.get_mut(&from) {
+            match target {
+                Some(_) => s.ok(),
+                None => s.error(&Error::new(1094, "HY000", format!("unknown thread id: {id}"))),
+            }
+        }
+        let Some(key) = target else { return };
+        let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
+        let Some(request) = s.open.take() else { return };
+        s.error(&Error::new(1317, "70100", "query execution was interrupted"));
+        self.left(request, now);
+        self.flush(key);
+        if key != from {
+            self.advance(key, now);
+        }
+    }
+
+    fn left(&mut self, request: u64, now: Micros) {
+        self.jobs.remove(&request);
+        let orders = self.dispatch.report(now, Report::Left(request));
+        self.settle(now, orders);
+    }
+
+    fn hang_up(&mut self, key: Key, now: Micros) {
+        let Some(s) = self.sessions.remove(key) else { return };
+        let open = s.open;
+        s.close(&self.poll);
+        if let Some(request) = open {
+            self.left(request, now);
+        }
+    }
+
+    fn flush(&mut self, key: Key) {
+        let now = self.clock.last();
+        let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
+        if !s.flush(&self.poll) {
+            self.hang_up(key, now);
+        }
+    }
+
+    // ---- Housekeeping and the end ------------------------------------------------------------------
+
+    fn sweep(&mut self, now: Micros) {
+        self.executors.sweep(now, &self.poll);
+        let stuck = |s: &Session| {
+            let lingers = s.closing && now > s.touched + LINGER;
+            lingers || (s.open.is_none() && !s.flushed() && now > s.touched + STUCK)
+        };
+        let gone: Vec<Key> = self.sessions.by_key.iter().filter(|(_, s)| stuck(s)).map(|(k, _)| *k).collect();
+        gone.into_iter().for_each(|key| self.hang_up(key, now));
+    }
+
+    fn count(&self) {
+        let t = &self.dispatch.tally;
+        let w = &self.executors.wire;
+        log::info!(
+            "counters: taken={} served={} refused={} failed={} left={} open={} attempts={} expired={} lost={} \
+             never_sent={} probes={} dials={} conns={} clients={} clients_refused={} stray={} bad_lines={} \
+             feed_dials={} feed_bad_lines={} free_buffers={} broken={}",
+            t.taken,
+            t.served,
+            t.refused,
+            t.failed,
+            t.left,
+            self.dispatch.waiting(),
+            t.attempts,
+            t.expired,
+            t.lost,
+            t.never_sent,
+            t.probes,
+            w.dials,
+            self.executors.connections(),
+            self.sessions.by_key.len(),
+            self.refused_clients,
+            w.stray,
+            w.bad_lines,
+            self.feed.dials,
+            self.feed.bad_lines,
+            self.pool.free(),
+            invariant::broken(),
+        );
+    }
+
+    fn stop(&mut self, now: Micros) {
+        let mut byte = [0; 16];
+        let _ = io::Read::read(&mut self.signal.1, &mut byte);
+        if self.stopping.is_none() {
+            log::info!("SIGTERM: {} requests open", self.dispatch.waiting());
+            self.stopping = Some(now);
+        }
+    }
+
+    /// Whether the dispatcher is at its end; on the way there it takes less and less.
+    fn over(&mut self, now: Micros) -> bool {
+        let Some(since) = self.stopping else { return false };
+        if now < since + TAKES_ON {
+            return false;
+        }
+        if self.listener.is_some() {
+            self.accept(now);
+            if let Some((_, listener)) = self.listener.take() {
+                self.poll.remove(&listener);
+            }
+            // The last look at what was written in time.
+            let all: Vec<Key> = self.sessions.by_key.keys().copied().collect();
+            all.into_iter().for_each(|key| self.read(key, now));
+        }
+        if now >= since + GIVES_UP && !self.given_up {
+            self.given_up = true;
+            let orders = self.dispatch.give_up(now);
+            self.settle(now, orders);
+        }
+        let done = |s: &Session| s.open.is_none() && s.flushed();
+        let idle: Vec<Key> = self.sessions.by_key.iter().filter(|(_, s)| done(s)).map(|(k, _)| *k).collect();
+        idle.into_iter().for_each(|key| self.hang_up(key, now));
+        self.sessions.by_key.is_empty() || now >= since + ENDS
+    }
+}
+
+/// Listens; a restart finds the address free.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,337 @@
+//! The settings as JSON, the same for the adapter and the real dispatcher, and the names that go with them.
+
+use crate::api::*;
+use serde::{Deserialize, de::DeserializeOwned};
+use std::collections::BTreeMap;
+use std::fmt;
+
+/// A malformed message, told in one line.
+#[derive(Debug)]
+pub struct Malformed(pub String);
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// Parses the body of a message; an error names the message and the field.
+pub fn body<T: DeserializeOwned>(name: &str, text: &str) -> Result<T, Malformed> {
+    let mut de = serde_json::Deserializer::from_str(text);
+    serde_path_to_error::deserialize(&mut de).map_err(|e| {
+        let path = e.path().to_string();
+        Malformed(if path == "." {
+            format!("{name}: {}", e.inner())
+        } else {
+            format!("{name}: field {path}: {}", e.inner())
+        })
+    })
+}
+
+/// An error that names message and field.
+pub fn bad(name: &str, field: &str, what: impl std::fmt::Display) -> Malformed {
+    Malformed(format!("{name}: field {field}: {what}"))
+}
+
+/// Seconds to microseconds; negative or absurd values are malformed.
+pub fn micros(name: &str, field: &str, s: f64) -> Result<Micros, Malformed> {
+    if s.is_finite() && (0.0..1e12).contains(&s) {
+        Ok((s * 1e6).round() as Micros)
+    } else {
+        Err(bad(name, field, format_args!("{s} is no time")))
+    }
+}
+
+/// The settings as they stand in JSON; unknown keys are skipped.
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Env {
+    #[serde(default)]
+    areas: Vec<String>,
+    balancers: u32,
+    #[serde(default)]
+    costs: CostsIn,
+    #[serde(default)]
+    discovery: Option<String>,
+    #[serde(default)]
+    domain: DomainIn,
+    #[serde(default)]
+    kinds: Vec<String>,
+    #[serde(default)]
+    over_share_worth: Option<f64>,
+    #[serde(default)]
+    parties: Option<Vec<PartyIn>>,
+    #[serde(default)]
+    permissions: PermissionsIn,
+    #[serde(default)]
+    report: ReportIn,
+    request_classes: Vec<ClassIn>,
+    rules: RulesIn,
+    #[serde(default)]
+    step: f64,
+    #[serde(default)]
+    zone: Option<String>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct CostsIn {
+    cross_zone: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct DomainIn {
+    class_load: Vec<bool>,
+    yields_to_loads: Vec<bool>,
+    grant_cap: Option<f64>,
+    kind_cores: Vec<f64>,
+    memory_by_kind_mb: Vec<f64>,
+    memory_heeded: Option<bool>,
+    on_shortage: Option<String>,
+    parallelism: Vec<u32>,
+    progress_pace: Option<f64>,
+    takes_priority: Option<bool>,
+    tells_cost: Option<bool>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct PartyIn {
+    name: String,
+    #[serde(default)]
+    quota_per_s: Option<f64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "camelCase", default)]
+struct PermissionsIn {
+    cancel: Option<bool>,
+    conn_idle: Option<f64>,
+    dial_timeout: Option<f64>,
+    max_attempts: Option<u32>,
+    max_retry_after: Option<f64>,
+    may_duplicate: Option<bool>,
+    most_held: Option<usize>,
+    probes: Option<bool>,
+    retry_after: Option<bool>,
+    streams_per_conn: Option<usize>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(default)]
+struct ReportIn {
+    how: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct ClassIn {
+    name: String,
+    promise: f64,
+    hard_limit: f64,
+    effect: String,
+    #[serde(default)]
+    aim_stretch: Option<f64>,
+    #[serde(default)]
+    group: Option<String>,
+    #[serde(default)]
+    keep_order: Option<bool>,
+    #[serde(default)]
+    late_worth: Option<f64>,
+    #[serde(default)]
+    bound_to: Option<Vec<String>>,
+    #[serde(default)]
+    areas_only: Option<Vec<String>>,
+    #[serde(default)]
+    dedup_window: Option<f64>,
+    #[serde(default)]
+    credit: Option<f64>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "camelCase")]
+struct RulesIn {
+    stop_sending_within: f64,
+    cold_from: f64,
+    ramp_time: f64,
+    fall: f64,
+    fall_multiple: f64,
+    #[serde(default)]
+    free_resends: Option<f64>,
+    #[serde(default)]
+    further_ratio: Option<f64>,
+    #[serde(default)]
+    ratio_span: Option<f64>,
+    #[serde(default)]
+    key_quiet: Option<f64>,
+}
+
+/// What the network has to heed; decisions never see it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Transport {
+    /// Requests held open at once; more are refused before a decision is asked for.
+    pub most_held: usize,
+    /// Attempts that one connection to an executor carries in parallel.
+    pub streams_per_conn: usize,
+    /// Connections are closed by executors after being idle this long.
+    pub conn_idle: Micros,
+    /// A connection not up within this time has failed.
+    pub dial_timeout: Micros,
+}
+
+/// The names of one instance's settings; decisions never see them.
+pub struct Names {
+    /// Classes of query.
+    pub classes: BTreeMap<String, ClassId>,
+    /// Tenants.
+    pub tenants: BTreeMap<String, TenantId>,
+    /// Zones.
+    pub zones: BTreeMap<String, ZoneId>,
+    /// Kinds of machine.
+    pub kinds: BTreeMap<String, KindId>,
+}
+
+fn indices<'a>(names: impl Iterator<Item = &'a String>) -> BTreeMap<String, usize> {
+    names.enumerate().map(|(i, n)| (n.clone(), i)).collect()
+}
+
+/// Index of a name, or an error that says which field held one that is unknown.
+pub fn lookup(map: &BTreeMap<String, usize>, name: &str, field: &str, key: &str) -> Result<usize, Malformed> {
+    map.get(key).copied().ok_or_else(|| bad(name, field, format_args!("unknown name {key:?}")))
+}
+
+impl Env {
+    /// What the network has to heed; what is absent is taken wide, as no rule then narrows it.
+    pub fn transport(&self) -> Result<Transport, Malformed> {
+        let span = |field: &str, s: Option<f64>, default: f64| {
+            micros("settings", &format!("permissions.{field}"), s.unwrap_or(default))
+        };
+        let p = &self.permissions;
+        Ok(Transport {
+            most_held: p.most_held.unwrap_or(10_000),
+            streams_per_conn: p.streams_per_conn.unwrap_or(100).max(1),
+            conn_idle: span("connIdle", p.conn_idle, 30.0)?,
+            dial_timeout: span("dialTimeout", p.dial_timeout, 0.25)?,
+        })
+    }
+
+    /// Translates the settings and keeps the names beside.
+    pub fn settings(self) -> Result<(Settings, Names), Malformed> {
+        const M: &str = "ENLIST";
+        let parties = self.parties.unwrap_or_default();
+        let names = Names {
+            classes: indices(self.request_classes.iter().map(|c| &c.name)),
+            tenants: indices(parties.iter().map(|p| &p.name)),
+            zones: indices(self.areas.iter()),
+            kinds: indices(self.kinds.iter()),
+        };
+        let mut classes = Vec::new();
+        for (i, c) in self.request_classes.iter().enumerate() {
+            let f = |field: &str| format!("env.requestClasses[{i}].{field}");
+            let group = match c.group.as_deref() {
+                None | Some("all") => Group::All,
+                Some("zone") => Group::Zone,
+                Some("cell") => Group::Cell,
+                Some(other) => return Err(bad(M, &f("group"), format_args!("unknown value {other:?}"))),
+            };
+            let window = micros(M, &f("dedupWindow"), c.dedup_window.unwrap_or(0.0))?;
+            let effect = match c.effect.as_str() {
+                "read_like" => Effect::Safe,
+                "idempotency_key" => Effect::Keyed { group, window },
+                "non_idempotent" => Effect::Unsafe,
+                other => return Err(bad(M, &f("effect"), format_args!("unknown value {other:?}"))),
+            };
+            let set = |map: &BTreeMap<String, usize>, field: &str, list: &Option<Vec<String>>| {
+                list.as_ref()
+                    .map(|l| l.iter().map(|n| lookup(map, M, &f(field), n)).collect::<Result<Vec<_>, _>>())
+                    .transpose()
+            };
+            classes.push(Class {
+                aim: micros(M, &f("promise"), c.promise)?,
+                aim_stretch: c.aim_stretch.unwrap_or(0.0),
+                deadline: micros(M, &f("hardLimit"), c.hard_limit)?,
+                worth: c.credit.unwrap_or(1.0),
+                late_worth: c.late_worth.unwrap_or(0.0),
+                threads: self.domain.parallelism.get(i).copied().unwrap_or(1),
+                effect,
+                keep_order: c.keep_order.unwrap_or(false),
+                loads: self.domain.class_load.get(i).copied().unwrap_or(false),
+                yields_to_loads: self.domain.yields_to_loads.get(i).copied().unwrap_or(false),
+                only_zones: set(&names.zones, "areasOnly", &c.areas_only)?,
+                only_kinds: set(&names.kinds, "boundTo", &c.bound_to)?,
+            });
+        }
+        let kind = |i: usize| Kind {
+            cores: self.domain.kind_cores.get(i).copied().unwrap_or(1.0),
+            memory_mb: self.domain.memory_by_kind_mb.get(i).copied().unwrap_or(0.0),
+        };
+        let p = self.permissions;
+        let r = self.rules;
+        let d = &self.domain;
+        let retry_after = micros(M, "env.permissions.maxRetryAfter", p.max_retry_after.unwrap_or(0.0))?;
+        let progress = micros(M, "env.domain.progressPace", d.progress_pace.unwrap_or(0.0))?;
+        let budget = match r.further_ratio {
+            Some(ratio) => Some(Budget {
+                free: r.free_resends.unwrap_or(0.0),
+                ratio,
+                span: micros(M, "env.rules.ratioSpan", r.ratio_span.unwrap_or(0.0))?,
+            }),
+            None => None,
+        };
+        let settings = Settings {
+            gateways: self.balancers,
+            kinds: (0..self.kinds.len().max(1)).map(kind).collect(),
+            tenants: parties
+                .iter()
+                .map(|p| Tenant { quota_per_s: p.quota_per_s.unwrap_or(f64::MAX) })
+                .collect(),
+            zones: self.areas.len().max(1),
+            zone: match &self.zone {
+                Some(z) => lookup(&names.zones, M, "env.zone", z)?,
+                None => 0,
+            },
+            over_share_worth: self.over_share_worth.unwrap_or(1.0),
+            cross_zone_price: self.costs.cross_zone.unwrap_or(0.0),
+            reports: match self.report.how.as_deref() {
+                Some("inline") => Reports::Inline,
+                Some("on_probe") => Reports::OnProbe,
+                None | Some("off") => Reports::Off,
+                Some(other) => return Err(bad(M, "env.report.how", format_args!("unknown value {other:?}"))),
+            },
+            list_must_be_asked: self.discovery.as_deref() == Some("ask"),
+            probes: p.probes.unwrap_or(false),
+            cancel: p.cancel.unwrap_or(false),
+            second_copies: p.may_duplicate.unwrap_or(false),
+            max_attempts: p.max_attempts.unwrap_or(1),
+            max_retry_after: (p.retry_after.unwrap_or(false) && retry_after > 0).then_some(retry_after),
+            grants: d.memory_heeded.unwrap_or(false),
+            priorities: d.takes_priority.unwrap_or(false),
+            most_grant: d.grant_cap.unwrap_or(1.0),
+            shortage: match d.on_shortage.as_deref() {
+                None | Some("queue") => Shortage::Queue,
+                Some("trim") => Shortage::Trim,
+                Some("swap") => Shortage::Swap,
+                Some(other) => {
+                    return Err(bad(M, "env.domain.onShortage", format_args!("unknown value {other:?}")));
+                }
+            },
+            progress: (progress > 0).then_some(progress),
+            tells_cost: d.tells_cost.unwrap_or(false),
+            budget,
+            cold: ColdRule {
+                from: r.cold_from,
+                ramp: micros(M, "env.rules.rampTime", r.ramp_time)?,
+                multiple: r.fall_multiple,
+                fall: micros(M, "env.rules.fall", r.fall)?,
+            },
+            drain_grace: micros(M, "env.rules.stopSendingWithin", r.stop_sending_within)?,
+            key_quiet: r.key_quiet.map(|q| micros(M, "env.rules.keyQuiet", q)).transpose()?,
+            step: micros(M, "env.step", self.step)?,
+            classes,
+        };
+        Ok((settings, names))
+    }
+}
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use common::*;
 use ottercroft::Gateway;
 use ottercroft::api::*;
-use common::*;
 
 fn crowded() -> Option<Report> {
     Some(Report { inflight: Some(60.0), ..Report::default() })
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
+use common::{MS, S, class, entry, settings};
 use ottercroft::Gateway;
 use ottercroft::api::*;
-use common::{MS, S, class, entry, settings};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, VecDeque};
--- a/tests/sliver.rs
+++ b/tests/sliver.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
-use ottercroft::api::*;
 use common::*;
+use ottercroft::api::*;
 
 fn fleet(gateways: u32) -> Settings {
     Settings { gateways, ..settings() }
