Tell nine stories against scripted peers on loopback sockets

Seen: the refusal story failed in 2 of 14 runs with 1105 in place of 1203. Checked: the answer printed; the port of the closed listener was free for the listeners of the stories that ran beside it, so the dial came up. At fault: the test, not the program.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -86,7 +86,7 @@
         let poll = Poll::new().map_err(context("poller"))?;
         let listen = config.listen;
         let listener = bind(listen).map_err(context(&format!("listen on {listen}")))?;
-        let listener_key = poll.add(&listener, false)?;
+        let (listener_key, address) = (poll.add(&listener, false)?, listener.local_addr()?);
         let (signal, write) = UnixStream::pair()?;
         signal.set_nonblocking(true)?;
         signal_hook::low_level::pipe::register(SIGTERM, write).map_err(context("SIGTERM"))?;
@@ -119,7 +119,7 @@
             clock,
         };
         let known = config.known.targets();
-        log::info!("{} listens on {listen}, {} executors known", config.name, known.len());
+        log::info!("{} listens on {address}, {} executors known", config.name, known.len());
         node.members(now, News::Restored, &known);
         Ok(node)
     }
--- /dev/null
+++ b/tests/peers/mod.rs
@@ -0,0 +1,239 @@
+//! Scripted peers on loopback sockets: a client, an executor, a coordinator, and the program between them.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+/// No story takes this long unless something hangs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+const SETTINGS: &str = r#"{"areas":["a"],"balancers":1,"kinds":["k"],"domain":{"kindCores":[8],"memoryByKindMb":[16384],"parallelism":[1,2],"grantCap":0.4,"memoryHeeded":true,"takesPriority":true},"permissions":{"cancel":true,"maxAttempts":3,"mayDuplicate":true,"probes":true,"retryAfter":true,"maxRetryAfter":1.0,"dialTimeout":0.25},"report":{"how":"on_probe"},"requestClasses":[{"name":"read","promise":5.0,"hardLimit":20.0,"effect":"read_like"},{"name":"load","promise":5.0,"hardLimit":20.0,"effect":"non_idempotent","keepOrder":true}],"rules":{"stopSendingWithin":2,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":3},"zone":"a"}"#;
+
+fn listener() -> (TcpListener, SocketAddr) {
+    let l = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = l.local_addr().unwrap();
+    (l, address)
+}
+
+fn patient(stream: TcpStream) -> TcpStream {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// An entry of the executors' list.
+pub fn target(uid: &str, at: SocketAddr, state: &str) -> String {
+    format!(
+        r#"{{"uid":"{uid}","endpoint":"{at}","az":"a","model":"k","pod_group":0,"state":"{state}","capacity_hint":1,"boot_ms":0}}"#
+    )
+}
+
+/// A numbered event.
+pub fn event(index: u64, all: bool, targets: &[String]) -> String {
+    let list = targets.join(",");
+    format!(r#"{{"index":{index},"endpoints":{{"rev":{index},"all":{all},"targets":[{list}]}}}}"#)
+}
+
+/// A started dispatcher; it is killed at the end if it still runs.
+pub struct Dispatcher {
+    pub child: Child,
+    pub address: SocketAddr,
+    pub log: BufReader<std::process::ChildStderr>,
+}
+
+impl Drop for Dispatcher {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// Runs the program on a configuration text.
+pub fn program(config: &str) -> Child {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let n = NEXT.fetch_add(1, Ordering::Relaxed);
+    let path =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("config-{}-{n}", std::process::id()));
+    std::fs::write(&path, config).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_ottercroft"));
+    command
+        .env("ROUTER_CONFIG", path)
+        .env_remove("ROUTER_LISTEN")
+        .env_remove("ROUTER_NAME")
+        .env_remove("RUST_LOG");
+    command.stderr(Stdio::piped()).spawn().unwrap()
+}
+
+/// The program with these executors known, and its coordinator.
+pub fn dispatcher(executors: &[(&str, SocketAddr)]) -> (Dispatcher, Coordinator) {
+    let (listener, at) = listener();
+    let targets: Vec<String> = executors.iter().map(|(uid, at)| target(uid, *at, "up")).collect();
+    let known = event(1, true, &targets);
+    let config = format!(
+        r#"{{"name":"t","listen":"127.0.0.1:0","seed":"1f","limits":{{"sockets":256}},"coordinator":"{at}",
+            "known":{{"index":1,"updates":[{known}]}},"settings":{SETTINGS},"more":0}}"#
+    );
+    let mut child = program(&config);
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    log.read_line(&mut line).unwrap();
+    let address = line.split(" listens on ").nth(1).and_then(|l| l.split(',').next()).expect(&line);
+    let address = address.parse().unwrap();
+    (Dispatcher { child, address, log }, Coordinator { listener })
+}
+
+pub struct Coordinator {
+    listener: TcpListener,
+}
+
+impl Coordinator {
+    /// The next connection, with the line that it begins with.
+    pub fn accept(&self) -> (TcpStream, String) {
+        let stream = patient(self.listener.accept().unwrap().0);
+        let mut line = String::new();
+        BufReader::new(&stream).read_line(&mut line).unwrap();
+        (stream, line)
+    }
+}
+
+/// An executor's listener.
+pub struct Executor {
+    listener: TcpListener,
+    pub address: SocketAddr,
+}
+
+impl Executor {
+    pub fn new() -> Executor {
+        let (listener, address) = listener();
+        Executor { listener, address }
+    }
+
+    pub fn accept(&self) -> Peer {
+        Peer(BufReader::new(patient(self.listener.accept().unwrap().0)))
+    }
+}
+
+/// One connection of a dispatcher to an executor.
+pub struct Peer(BufReader<TcpStream>);
+
+impl Peer {
+    /// The next command, probes answered on the way; a pull's statement is its last word. None at the end.
+    pub fn command(&mut self) -> Option<Vec<String>> {
+        loop {
+            let mut line = String::new();
+            if self.0.read_line(&mut line).ok()? == 0 {
+                return None;
+            }
+            let mut words: Vec<String> = line.trim_end().split(' ').map(String::from).collect();
+            match words[0].as_str() {
+                "METER" => self.say(&format!("{} UP gauges=inflight:0;x0:0;x1:0 0\r\n\r\n", words[1])),
+                "PULL" => {
+                    let mut statement = vec![0; words[3].parse::<usize>().unwrap() + 2];
+                    self.0.read_exact(&mut statement).unwrap();
+                    words[3] = String::from_utf8(statement).unwrap().trim_end_matches("\r\n").into();
+                    return Some(words);
+                }
+                _ => return Some(words),
+            }
+        }
+    }
+
+    pub fn say(&mut self, text: &str) {
+        let _ = self.0.get_mut().write_all(text.as_bytes());
+    }
+
+    /// A page of rows under an id.
+    pub fn page(&mut self, id: &str, head: &str, rows: &str) {
+        self.say(&format!("{id} {head} {}\r\n{rows}\r\n", rows.len()));
+    }
+}
+
+/// What a client got.
+#[derive(Debug, PartialEq)]
+pub enum Got {
+    Ok,
+    Rows(Vec<Vec<String>>),
+    Error(u16, String),
+    Closed,
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    /// The connection id of the greeting.
+    pub id: u32,
+}
+
+fn packet(sequence: u8, body: &[u8]) -> Vec<u8> {
+    let mut bytes = (body.len() as u32).to_le_bytes()[..3].to_vec();
+    bytes.push(sequence);
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+fn query(sql: &str) -> Vec<u8> {
+    packet(0, &[b"\x03", sql.as_bytes()].concat())
+}
+
+impl Client {
+    /// Connects, and writes login and first statement before it has read anything.
+    pub fn asks(to: SocketAddr, sql: &str) -> Client {
+        let mut stream = patient(TcpStream::connect(to).unwrap());
+        let mut login = (0x200u32 | 0x8000 | 0x8).to_le_bytes().to_vec();
+        login.extend_from_slice(&[0; 28]);
+        login.extend_from_slice(b"app\0\0main\0");
+        stream.write_all(&[packet(1, &login), query(sql)].concat()).unwrap();
+        let mut client = Client { stream, id: 0 };
+        let greeting = client.packet().expect("a greeting").1;
+        let at = greeting.iter().position(|b| *b == 0).unwrap() + 1;
+        client.id = u32::from_le_bytes(greeting[at..at + 4].try_into().unwrap());
+        assert_eq!(client.got(), Got::Ok);
+        client
+    }
+
+    pub fn ask(&mut self, sql: &str) {
+        self.stream.write_all(&query(sql)).unwrap();
+    }
+
+    fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
+        let mut head = [0; 4];
+        self.stream.read_exact(&mut head).ok()?;
+        let mut body = vec![0; u32::from_le_bytes([head[0], head[1], head[2], 0]) as usize];
+        self.stream.read_exact(&mut body).ok()?;
+        Some((head[3], body))
+    }
+
+    /// One whole answer; every packet has to carry the next sequence id.
+    pub fn got(&mut self) -> Got {
+        let Some((mut last, body)) = self.packet() else { return Got::Closed };
+        match body[0] {
+            0 => return Got::Ok,
+            0xff => {
+                let code = u16::from_le_bytes([body[1], body[2]]);
+                return Got::Error(code, String::from_utf8_lossy(&body[9..]).into_owned());
+            }
+            _ => {}
+        }
+        let (mut rows, mut ends) = (Vec::new(), 0);
+        while ends < 2 {
+            let Some((sequence, body)) = self.packet() else { return Got::Closed };
+            last = last.wrapping_add(1);
+            assert_eq!(sequence, last, "sequence id");
+            match (body[0] == 0xfe && body.len() == 5, ends) {
+                (true, _) => ends += 1,
+                (false, 0) => {}
+                (false, _) => {
+                    let (mut cells, mut rest) = (Vec::new(), &body[..]);
+                    while let Some((n, tail)) = rest.split_first() {
+                        let (cell, tail) = tail.split_at(usize::from(*n));
+                        cells.push(String::from_utf8(cell.to_vec()).unwrap());
+                        rest = tail;
+                    }
+                    rows.push(cells);
+                }
+            }
+        }
+        Got::Rows(rows)
+    }
+}
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,214 @@
+//! The program on loopback sockets against scripted peers: one story for each way in which a day can fail.
+
+mod peers;
+
+use peers::*;
+use std::io::{BufRead, Read, Write};
+use std::process::Command;
+
+const READ: &str =
+    "/* method=read,rid=00000000000000a1,budget=15000,est=10.0,space=9 */ SELECT a FROM sales_7.t";
+const LOAD: &str =
+    "/* method=load,rid=00000000000000b1,budget=15000,obj=00000000000000c1 */ INSERT INTO sales_7.t";
+
+fn row(cells: [&str; 3]) -> Vec<String> {
+    cells.map(String::from).to_vec()
+}
+
+// A client may write all it has before it reads, its result may have more packets than sequence ids, and
+// no row may go out before the last page is here.
+#[test]
+fn a_long_result_in_pages_is_served_whole() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, READ);
+    let mut peer = executor.accept();
+    let pull = peer.command().unwrap();
+    assert_eq!((pull[0].as_str(), pull[1].as_str()), ("PULL", "00000000000000a1"));
+    assert!(pull[2].starts_with("kind=read,ms=1"), "{}", pull[2]);
+    assert_eq!(pull[3], "SELECT a FROM sales_7.t");
+    let rows = "1\tx\ty\n".repeat(200);
+    peer.page(&pull[1], "OK pages=3", &rows);
+    for page in ["1", "2"] {
+        assert_eq!(peer.command().unwrap(), ["SCROLL", "00000000000000a1", page]);
+        peer.page(&pull[1], &format!("ROWS page={page}"), &rows);
+    }
+    assert_eq!(client.got(), Got::Rows(vec![row(["1", "x", "y"]); 600]));
+}
+
+// An executor that ends between two pages is a failed attempt like any other: another one is asked, and the
+// client sees nothing of the first.
+#[test]
+fn an_executor_lost_between_pages_is_made_up_for() {
+    let executors = [Executor::new(), Executor::new()];
+    let (d, _coordinator) = dispatcher(&[("e1", executors[0].address), ("e2", executors[1].address)]);
+    let mut client = Client::asks(d.address, READ);
+    let (tell, told) = std::sync::mpsc::channel();
+    for executor in executors {
+        let tell = tell.clone();
+        std::thread::spawn(move || {
+            let mut peer = executor.accept();
+            while let Some(command) = peer.command() {
+                tell.send((command, peer)).unwrap();
+                peer = executor.accept();
+            }
+        });
+    }
+    let (pull, mut first) = told.recv().unwrap();
+    first.page(&pull[1], "OK pages=2", "lost\tx\ty\n");
+    assert_eq!(first.command().unwrap()[0], "SCROLL");
+    drop(first);
+    let (pull, mut second) = told.recv().unwrap();
+    second.page(&pull[1], "OK pages=1", "1\t\ty\n");
+    assert_eq!(client.got(), Got::Rows(vec![row(["1", "", "y"])]));
+}
+
+// What must not run twice is failed, not refused, once it may have run: a refusal invites a second run.
+#[test]
+fn a_load_that_may_have_run_is_failed_and_one_that_never_ran_is_refused() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, LOAD);
+    let mut peer = executor.accept();
+    assert_eq!(peer.command().unwrap()[0], "PULL");
+    drop(peer);
+    assert!(matches!(client.got(), Got::Error(1105, _)));
+    // A port that is held and not listened at refuses connections, which proves that nothing ran.
+    let held = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    held.bind(&"127.0.0.1:0".parse::<std::net::SocketAddr>().unwrap().into()).unwrap();
+    let (d, _coordinator) = dispatcher(&[("e1", held.local_addr().unwrap().as_socket().unwrap())]);
+    let mut client = Client::asks(d.address, LOAD);
+    let got = client.got();
+    let Got::Error(1203, text) = &got else { panic!("{got:?}") };
+    let backoff = text.split("backoff=").nth(1).and_then(|ms| ms.parse::<u64>().ok());
+    assert!(backoff.is_some_and(|ms| ms <= 1000), "{text}");
+}
+
+// KILL QUERY comes on another session and means that the client has left: work stops, nothing is owed. An
+// id of another dispatcher or an earlier life is unknown here and must hit nobody.
+#[test]
+fn a_killed_request_stops_at_its_executor() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, READ);
+    let mut peer = executor.accept();
+    let pull = peer.command().unwrap();
+    let mut other = Client::asks(d.address, &format!("KILL QUERY {}", client.id.wrapping_add(77)));
+    assert!(matches!(other.got(), Got::Error(1094, _)));
+    other.ask(&format!("KILL QUERY {}", client.id));
+    assert_eq!(other.got(), Got::Ok);
+    assert_eq!(peer.command().unwrap(), ["KILL", pull[1].as_str()]);
+    assert!(matches!(client.got(), Got::Error(1317, _)));
+    // The id that was given up may still be answered late; sent again it needs another connection.
+    client.ask(READ);
+    let mut again = executor.accept();
+    let pull = again.command().unwrap();
+    peer.page(&pull[1], "OK pages=1", "late\tx\ty\n");
+    again.page(&pull[1], "OK pages=1", "new\tx\ty\n");
+    assert_eq!(client.got(), Got::Rows(vec![row(["new", "x", "y"])]));
+}
+
+// A machine that vanished says nothing: the answer comes by the dispatcher's own clock, before the client's.
+#[test]
+fn silence_ends_by_our_own_clock() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let from = std::time::Instant::now();
+    let mut client = Client::asks(d.address, &READ.replace("15000", "3000"));
+    assert!(matches!(client.got(), Got::Error(1203, _)));
+    assert!(from.elapsed().as_millis() < 3000);
+}
+
+// The list changes by numbered events: what drains gets nothing new, and a feed that was lost goes on where
+// it ended, with events that came twice skipped.
+#[test]
+fn the_feed_goes_on_where_it_was_lost() {
+    let executors = [Executor::new(), Executor::new()];
+    let at = [executors[0].address, executors[1].address];
+    let (d, coordinator) = dispatcher(&[("e1", at[0])]);
+    let (mut feed, line) = coordinator.accept();
+    assert_eq!(line, "follow 1\n");
+    writeln!(feed, "1\n{}\n", event(2, false, &[target("e2", at[1], "up")])).unwrap();
+    drop(feed); // the empty line is malformed, and costs the connection after the event was taken
+    let (mut feed, line) = coordinator.accept();
+    assert_eq!(line, "follow 2\n");
+    let last = event(3, false, &[target("e1", at[0], "draining")]);
+    writeln!(feed, "{}\n{last}\n9", event(2, false, &[target("e2", at[1], "removed")])).unwrap();
+    assert_eq!(coordinator.accept().1, "follow 3\n"); // 9 is there and 3 is held: a gap
+    let mut client = Client::asks(d.address, READ);
+    let mut peer = executors[1].accept();
+    let pull = peer.command().unwrap();
+    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert_eq!(client.got(), Got::Rows(vec![row(["1", "x", "y"])]));
+}
+
+// Nothing from outside may end the program: each peer that speaks badly loses its own connection only.
+#[test]
+fn bad_input_costs_one_connection() {
+    let executor = Executor::new();
+    let (mut d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, READ);
+    let mut peer = executor.accept();
+    peer.command().unwrap();
+    peer.say("00000000000000a1 OK pages=1 6\r\nx\ty\tz\n\r"); // one byte short of its length's end
+    peer.say("x what is this\r\n");
+    assert!(peer.command().is_none());
+    assert!(matches!(client.got(), Got::Error(1203, _)));
+    client.ask("/* method=nothing,rid=00000000000000a2,budget=9 */ SELECT 1");
+    assert!(matches!(client.got(), Got::Error(1064, _)));
+    client.ask("/* method=read,rid=00000000000000a2 */ SELECT 1");
+    assert!(matches!(client.got(), Got::Error(1064, _)));
+    client.ask("SELECT @@version_comment LIMIT 1");
+    assert_eq!(client.got(), Got::Rows(vec![vec!["ottercroft".to_string()]]));
+    client.stream.write_all(&[1, 0, 0, 0, 22]).unwrap();
+    assert!(matches!(client.got(), Got::Error(1047, _)));
+    client.stream.write_all(&[255, 255, 255, 0, 3]).unwrap();
+    assert!(matches!(client.got(), Got::Error(1153, _)));
+    assert_eq!(client.got(), Got::Closed);
+    let mut other = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(other.got(), Got::Ok);
+    assert!(d.child.try_wait().unwrap().is_none());
+}
+
+// A planned restart: what comes on the way out is still taken, all that was taken is answered, and the end
+// is an orderly one.
+#[test]
+fn sigterm_answers_all_that_was_taken() {
+    let executor = Executor::new();
+    let (mut d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut open = Client::asks(d.address, READ);
+    let mut peer = executor.accept();
+    let first = peer.command().unwrap();
+    let mut stuck = Client::asks(d.address, LOAD);
+    assert_eq!(peer.command().unwrap()[0], "PULL");
+    let killed = Command::new("kill").args(["-TERM", &d.child.id().to_string()]).status().unwrap();
+    assert!(killed.success());
+    let mut line = String::new();
+    while !line.contains("SIGTERM") {
+        line.clear();
+        assert!(d.log.read_line(&mut line).unwrap() > 0);
+    }
+    let mut late = Client::asks(d.address, &READ.replace("a1", "a3"));
+    let second = peer.command().unwrap();
+    for pull in [&first, &second] {
+        peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    }
+    assert_eq!(open.got(), Got::Rows(vec![row(["1", "x", "y"])]));
+    assert_eq!(late.got(), Got::Rows(vec![row(["1", "x", "y"])]));
+    assert!(matches!(stuck.got(), Got::Error(1105, _)), "it may have run and nobody knows");
+    assert!(d.child.wait().unwrap().success());
+}
+
+// A configuration that can't be used is one clear line and a failure, not a dispatcher that half works.
+#[test]
+fn a_bad_configuration_is_one_line() {
+    for (config, what) in
+        [("{", "EOF"), (r#"{"listen":"nowhere"}"#, "listen"), (r#"{"listen":"127.0.0.1:0"}"#, "coordinator")]
+    {
+        let mut child = program(config);
+        let mut text = String::new();
+        child.stderr.take().unwrap().read_to_string(&mut text).unwrap();
+        assert!(!child.wait().unwrap().success());
+        assert!(text.lines().count() == 1 && text.contains(what), "{text}");
+    }
+}
