End requests earlier, so that a moment's standstill is not a lost answer

Checked: the decisions' deadline and the facade's are the same instant, so `expire` answers whenever a turn comes; no second request with the id, no stray answer, no line or connection lost at that second; CPU at most 0.05 s in a second, so no throttling. Ruled out: a lost timer (the module's own tick of 0.1 s ran throughout), a KILL for another session (ids start at random). At fault, as far as that shows: MARGIN of 60 ms in dispatch.rs. With the 70 ms of slack it stands 130 ms of standstill, on arrival or at the end, and a machine that is shared can do worse. The standstill itself was not caught again: the new `slow turn` line will tell. Change: the end comes 250 ms (or an eighth of a shorter budget) before the client's, and what the loop was behind when it read a request comes off its budget.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -12,8 +12,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
-/// An answer has to be seen before the client leaves: all ends this much before, or a quarter of the budget.
-const MARGIN: Micros = 60_000;
+/// An answer has to be seen before the client leaves, also when this process or its machine stood still for a
+/// moment: all ends this much before, or this part of a shorter budget.
+const MARGIN: Micros = 250_000;
+const MARGIN_PART: Micros = 8;
 /// What a refusal tells a client to wait where the decisions name no time.
 const BACKOFF_MS: u64 = 200;
 
@@ -213,6 +215,7 @@
 
 #[derive(Debug)]
 struct Open {
+    arrived: Micros,
     deadline: Micros,
     /// Refusing it is harmless whatever ran.
     safe: bool,
@@ -327,9 +330,10 @@
             return Err("a request with this id is open");
         }
         self.tally.taken += 1;
-        let grace = request.budget.saturating_sub(MARGIN.min(request.budget / 4)).max(1);
+        let grace = request.budget.saturating_sub(MARGIN.min(request.budget / MARGIN_PART)).max(1);
         let safe = *self.classes.get(request.class).ok_or("unknown class")?;
         let open = Open {
+            arrived: now,
             deadline: now + grace,
             safe,
             closed: false,
@@ -393,6 +397,11 @@
                 Some(o) if !o.closed => {
                     o.closed = true;
                     self.tally.left += 1;
+                    let (waited, left) = (now - o.arrived, o.deadline.saturating_sub(now));
+                    let (waited, left) = (waited / 1000, left / 1000);
+                    log::info!(
+                        "request {id:016x}: its client left after {waited} ms, {left} ms before our end"
+                    );
                     let orders = self.run(now, Event::HungUp { query: id });
                     self.forget(id);
                     orders
@@ -595,3 +604,69 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::settings::Env;
+
+    const SETTINGS: &str = r#"{"balancers":1,"kinds":["k"],"domain":{"kindCores":[8],"parallelism":[1]},
+        "permissions":{"cancel":true,"maxAttempts":3},
+        "requestClasses":[{"name":"load","promise":5,"hardLimit":20,"effect":"non_idempotent"}],
+        "rules":{"stopSendingWithin":2,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":3}}"#;
+    const BUDGET: Micros = 4_000_000;
+
+    fn dispatch() -> Dispatch<()> {
+        let env: Env = serde_json::from_str(SETTINGS).unwrap();
+        let mut d = Dispatch::new(env.settings().unwrap().0, 2, 7).unwrap();
+        let standing = Standing::Up;
+        let member = Member { executor: 5, zone: 0, kind: 0, cell: 0, standing, size: 1.0, started: None };
+        d.members(1_000, News::Restored, &[member]);
+        d
+    }
+
+    fn pick(d: &mut Dispatch<()>, now: Micros, id: u64) -> Vec<Order<()>> {
+        let request =
+            Request { id, class: 0, key: None, budget: BUDGET, work_s: None, memory_mb: None, group: 0 };
+        d.pick(now, &request).unwrap()
+    }
+
+    fn answers(orders: &[Order<()>]) -> Vec<&Answer<()>> {
+        orders.iter().filter_map(|o| if let Order::Answer(_, a) = o { Some(a) } else { None }).collect()
+    }
+
+    // A day was lost to one answer that came after its client had left: the end has to come well before the
+    // client's, and with it one answer, the right one, and the word to stop what is out.
+    #[test]
+    fn a_request_ends_once_and_well_before_its_client_leaves() {
+        let mut d = dispatch();
+        let orders = pick(&mut d, 2_000, 1);
+        assert!(matches!(orders[..], [Order::Start { ticket: Ticket { request: 1, attempt: 0 }, .. }]));
+        let mut given = Vec::new();
+        while d.waiting() > 0 {
+            let now = d.next_due().unwrap();
+            assert!(now + 200_000 < 2_000 + BUDGET, "the end comes too near to the client's");
+            given.extend(d.tick(now));
+        }
+        assert!(given.contains(&Order::Stop(Ticket { request: 1, attempt: 0 })));
+        assert_eq!(answers(&given), [&Answer::Failed]);
+        assert!(d.open.is_empty() && d.deadlines.is_empty());
+    }
+
+    // What the machine allows to be held is refused beyond that, and an id that is open is not taken twice.
+    #[test]
+    fn what_is_too_much_is_refused_before_a_decision() {
+        let mut d = dispatch();
+        pick(&mut d, 2_000, 1);
+        pick(&mut d, 2_000, 2);
+        assert_eq!(answers(&pick(&mut d, 2_000, 3)), [&Answer::Refused(BACKOFF_MS)]);
+        let again =
+            Request { id: 1, class: 0, key: None, budget: 1, work_s: None, memory_mb: None, group: 0 };
+        assert!(d.pick(2_000, &again).is_err());
+        // A client that left is owed nothing, also when an answer or the end comes later.
+        assert!(answers(&d.report(3_000, Report::Left(1))).is_empty());
+        let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()));
+        assert!(answers(&d.report(4_000, end)).is_empty() && !d.open.contains_key(&1));
+        assert_eq!(answers(&d.give_up(5_000)), [&Answer::Failed]);
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,6 +32,8 @@
 /// Housekeeping: idle connections, counters.
 const SWEEP: Micros = 1_000_000;
 const COUNTERS: Micros = 10_000_000;
+/// A turn of the loop that takes longer than this, or oversleeps so much, is logged.
+const SLOW_TURN: Micros = 20_000;
 /// Accepting pauses this long when descriptors have run out.
 const ACCEPT_PAUSE: Micros = 100_000;
 /// Connections accepted in one turn at most.
@@ -64,6 +66,8 @@
     most_sessions: usize,
     next_id: u32,
     accept_at: Option<Micros>,
+    /// How long ago what is read now may have come.
+    behind: Micros,
     sweep_at: Micros,
     counters_at: Micros,
     stopping: Option<Micros>,
@@ -110,6 +114,7 @@
             // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
             next_id: (seed ^ (seed >> 32) ^ now) as u32,
             accept_at: None,
+            behind: 0,
             sweep_at: now + SWEEP,
             counters_at: now + COUNTERS,
             stopping: None,
@@ -127,6 +132,7 @@
     /// Serves until SIGTERM, then until all that was taken has its answer.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = polling::Events::new();
+        let mut worked = 0;
         loop {
             let now = self.clock.now();
             if self.over(now) {
@@ -134,11 +140,18 @@
             }
             let wait = self.next_due().saturating_sub(now);
             self.poll.wait(&mut events, Duration::from_micros(wait)).map_err(context("poller"))?;
-            let now = self.clock.now();
+            let woke = self.clock.now();
+            // What came while this process did not look came at any time since it last did.
+            self.behind = (woke - now).saturating_sub(wait) + worked;
             for event in events.iter() {
-                self.ready(event.key, event.readable, event.writable, now);
+                self.ready(event.key, event.readable, event.writable, woke);
             }
             self.tick();
+            let (asleep, busy) = (woke - now, self.clock.now() - woke);
+            if busy > SLOW_TURN || asleep > wait + SLOW_TURN {
+                log::warn!("slow turn: slept {asleep} of {wait} us, then worked {busy} us");
+            }
+            worked = busy;
         }
         self.count();
         log::info!("stopped");
@@ -341,7 +354,8 @@
                 None => break,
                 Some(Asked::Close) => return self.hang_up(key, now),
                 Some(Asked::Kill(id)) => self.kill(key, id, now),
-                Some(Asked::Request(request, kind, statement)) => {
+                Some(Asked::Request(mut request, kind, statement)) => {
+                    request.budget = request.budget.saturating_sub(self.behind);
                     let id = request.id;
                     s.open = Some(id);
                     if self.jobs.contains_key(&id) {
