--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -226,7 +226,12 @@
 /// Values of a SELECT that reads no table: numbers and the variables that drivers ask for.
 fn constants(list: &str) -> Option<Vec<(String, String)>> {
     let value = |item: &str| {
-        let name = item.split_whitespace().next()?;
+        let words: Vec<&str> = item.split_whitespace().collect();
+        let (name, shown) = match words[..] {
+            [name] => (name, name),
+            [name, word, shown] if word.eq_ignore_ascii_case("as") => (name, shown),
+            _ => return None,
+        };
         let variable =
             name.strip_prefix("@@").map(|v| v.rsplit('.').next().unwrap_or(v).to_ascii_lowercase());
         let value = match variable.as_deref() {
@@ -240,9 +245,10 @@
             Some(v) if v.starts_with("collation") => "utf8mb4_general_ci".into(),
             Some(_) => String::new(),
         };
-        Some((name.to_string(), value))
+        Some((shown.to_string(), value))
     };
-    let list = list.split(" LIMIT ").next().unwrap_or(list);
+    let limit = list.to_ascii_lowercase().find(" limit ");
+    let list = limit.map_or(list, |n| &list[..n]);
     list.split(',').map(|item| value(item.trim())).collect()
 }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -160,6 +160,9 @@
     assert!(matches!(client.got(), Got::Error(1064, _)));
     client.ask("SELECT @@version_comment LIMIT 1");
     assert_eq!(client.got(), Got::Rows(vec![vec!["ottercroft".to_string()]]));
+    // A table can't be read without the fields, whatever its SELECT begins with.
+    client.ask("select 1 FROM sales_7.t");
+    assert!(matches!(client.got(), Got::Error(1064, _)));
     client.stream.write_all(&[1, 0, 0, 0, 22]).unwrap();
     assert!(matches!(client.got(), Got::Error(1047, _)));
     client.stream.write_all(&[255, 255, 255, 0, 3]).unwrap();
