--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -616,7 +616,7 @@
 
     const SETTINGS: &str = r#"{"balancers":1,"kinds":["k"],"domain":{"kindCores":[8],"parallelism":[1]},
         "permissions":{"cancel":true,"maxAttempts":3},
-        "requestClasses":[{"name":"load","promise":5,"hardLimit":20,"effect":"non_idempotent"}],
+        "requestClasses":[{"name":"load","promise":5,"hardLimit":20,"effect":"non_idempotent","keepOrder":true}],
         "rules":{"stopSendingWithin":2,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":3}}"#;
     const BUDGET: Micros = 4_000_000;
 
