--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -441,10 +441,8 @@
     }
 
     fn ended(&mut self, now: Micros, t: Ticket, end: End<R>) -> Vec<Order<R>> {
-        let Some(engine) = self.out(t).map(|a| a.engine) else {
-            must!(false, "an attempt ended that was not out");
-            return Vec::new();
-        };
+        // An attempt may end while the order to stop it is on its way: the stop was told, and once is enough.
+        let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
         let outcome = match end {
             End::Served(result) => {
                 if self.open.get(&t.request).is_some_and(|o| !o.closed) {
@@ -466,7 +464,8 @@
             }
         };
         let event = self.finish(now, t, outcome);
-        debug_assert!(event.as_ref().is_some_and(|e| matches!(e, Event::Finished(f) if f.engine == engine)));
+        let whole = matches!(&event, Some(Event::Finished(f)) if f.engine == engine);
+        must!(whole, "an attempt that was out has no end to tell");
         let orders = event.map_or_else(Vec::new, |e| self.run(now, e));
         self.forget(t.request);
         orders
@@ -671,6 +670,8 @@
         assert!(answers(&d.report(3_000, Report::Left(1))).is_empty());
         let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()));
         assert!(answers(&d.report(4_000, end)).is_empty() && !d.open.contains_key(&1));
+        // A connection may be lost with an attempt whose stop is being carried out: told twice is told once.
+        assert!(d.report(4_000, Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost)).is_empty());
         assert_eq!(answers(&d.give_up(5_000)), [&Answer::Failed]);
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,7 +11,7 @@
 use crate::api::Micros;
 use crate::config::Config;
 use crate::coordinator::{State, Target, Update};
-use crate::dispatch::{Dispatch, Member, News, Order, Report, Standing, executor_id};
+use crate::dispatch::{Dispatch, End, Member, News, Order, Report, Standing, executor_id};
 use crate::invariant;
 use crate::mysql::Error;
 use crate::settings::Names;
@@ -228,7 +228,10 @@
     fn carry_out(&mut self, now: Micros, order: Order<Rows>) {
         match order {
             Order::Start { ticket, executor, memory_mb, priority, until } => {
-                let Some((_, job)) = self.jobs.get(&ticket.request) else { return };
+                // The client may have left since this was decided: then nothing goes out, and that is told.
+                let Some((_, job)) = self.jobs.get(&ticket.request) else {
+                    return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent));
+                };
                 let job = job.clone();
                 self.executors.start(ticket, executor, job, memory_mb, priority, until, now, &self.poll);
             }
