--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,10 +1,14 @@
-//! ottercroft makes a workload manager's decisions in front of analytic query engines.
+//! ottercroft is a dispatcher in front of analytic query engines.
 //!
-//! The library is sans-I/O: a host hands [`Event`]s with their time to a [`Gateway`] and carries out
+//! Its decisions are sans-I/O: a host hands [`Event`]s with their time to a [`Gateway`] and carries out
 //! the [`Action`]s that come back. The same events with the same seed give the same actions.
 //!
 //! - [`api`] is the interface: settings, events, actions and ids.
 //! - [`control`] holds every decision.
+//! - [`dispatch`] is the facade that a real dispatcher sees: pick, report, tick.
+//! - [`mysql`], [`executor`] and [`coordinator`] are the codecs of its protocols, [`statement`] reads queries.
+//! - [`net`] is the dispatcher on sockets: one event loop.
+//! - [`config`] and [`settings`] read what it is told, [`invariant`] counts what must not happen.
 
 pub mod api;
 pub mod config;
