Reread the configuration at SIGHUP and follow the coordinator it names

Checked: no handler was registered but for SIGTERM (net/mod.rs, Node::new); the log ends in mid-traffic with no error before.

Lines at fault: net/mod.rs registered SIGTERM alone, after the configuration was read; net/feed.rs had one fixed address, took 3 s to notice silence (a coordinator that stopped counts as told after 4 s) and then paused.

Now signals are caught first of all, the feed moves and goes on from the last event held, silence counts after 1.9 s, and a feed that had told something is dialled again at once.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,11 +1,15 @@
-//! The dispatcher: reads its configuration and serves until SIGTERM.
+//! The dispatcher: reads its configuration and serves until SIGTERM; at SIGHUP it reads it again.
 
-use ottercroft::config::Config;
+use ottercroft::config::{Config, ConfigError};
 use ottercroft::net::Node;
+use ottercroft::net::signals::Signals;
 use std::process::ExitCode;
 
 fn run() -> Result<(), Box<dyn std::error::Error>> {
-    Node::new(Config::load(|name| std::env::var(name).ok())?)?.run()?;
+    // Before all else: the default for SIGHUP would end a program that is just starting.
+    let signals = Signals::new().map_err(|e| format!("signals: {e}"))?;
+    let load: fn() -> Result<Config, ConfigError> = || Config::load(|name| std::env::var(name).ok());
+    Node::new(load()?, signals, load)?.run()?;
     Ok(())
 }
 
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -7,10 +7,12 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-/// A line comes every second: after this long without one the connection is given up.
-const SILENCE: Micros = 3_000_000;
-/// Pause before a new try.
-const PAUSE: Micros = 300_000;
+/// A line comes every second: after this long without one the coordinator has stopped, and is asked again.
+const SILENCE: Micros = 1_900_000;
+/// A dial that is not up by then is begun again.
+const DIAL: Micros = 500_000;
+/// Pause before a new try, once one has brought nothing.
+const PAUSE: Micros = 200_000;
 /// The longest line: a whole list of some ten thousand executors.
 const LONGEST: usize = 4 * 1024 * 1024;
 
@@ -23,6 +25,8 @@
     refused: Option<u64>,
     conn: Option<(Key, TcpStream)>,
     up: bool,
+    /// Whether this connection brought a whole line: then a new one is worth a try at once.
+    told: bool,
     heard: Micros,
     retry_at: Micros,
     line: Vec<u8>,
@@ -41,6 +45,7 @@
             refused: None,
             conn: None,
             up: false,
+            told: false,
             heard: 0,
             retry_at: 0,
             line: Vec::new(),
@@ -56,7 +61,23 @@
 
     /// When [`Feed::tick`] has something to do next.
     pub fn next_due(&self) -> Micros {
-        if self.conn.is_some() { self.heard + SILENCE } else { self.retry_at }
+        match &self.conn {
+            Some(_) if self.up => self.heard + SILENCE,
+            Some(_) => self.heard + DIAL,
+            None => self.retry_at,
+        }
+    }
+
+    /// The coordinator is at another address from now on; its numbering goes on from the last event held.
+    pub fn move_to(&mut self, address: SocketAddr, now: Micros, poll: &Poll) {
+        if address == self.address {
+            return;
+        }
+        if let Some((_, stream)) = self.conn.take() {
+            poll.remove(&stream);
+        }
+        (self.address, self.retry_at, self.refused) = (address, now, None);
+        self.tick(now, poll);
     }
 
     /// Connects when it is time, and gives a silent connection up.
@@ -65,11 +86,15 @@
             return;
         }
         if self.conn.is_some() {
-            return self.lose(now, poll, "silent");
+            self.lose(now, poll, "silent");
+            if now < self.retry_at {
+                return;
+            }
         }
         self.dials += 1;
+        // Half a line that a lost connection left behind is no line.
         self.line.clear();
-        (self.up, self.heard) = (false, now);
+        (self.up, self.told, self.heard) = (false, false, now);
         match dial::dial(self.address).and_then(|s| poll.add(&s, true).map(|key| (key, s))) {
             Ok(conn) => self.conn = Some(conn),
             Err(e) => self.lose(now, poll, &e.to_string()),
@@ -112,7 +137,7 @@
         while let Some(n) = self.line[from..].iter().position(|b| *b == b'\n') {
             let line = coordinator::line(&self.line[from..from + n]);
             from += n + 1;
-            self.heard = now;
+            (self.heard, self.told) = (now, true);
             match line {
                 Ok(line) => self.take(line, updates)?,
                 Err(e) => {
@@ -150,6 +175,6 @@
             poll.remove(&stream);
         }
         log::warn!("coordinator {}: {why}; held {}", self.address, self.held);
-        self.retry_at = now + PAUSE;
+        self.retry_at = now + if std::mem::take(&mut self.told) { 0 } else { PAUSE };
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,10 +6,11 @@
 mod feed;
 mod poll;
 mod session;
+pub mod signals;
 mod timers;
 
 use crate::api::Micros;
-use crate::config::Config;
+use crate::config::{Config, ConfigError};
 use crate::coordinator::{State, Target, Update};
 use crate::dispatch::{Dispatch, End, Member, News, Order, Report, Standing, executor_id};
 use crate::invariant;
@@ -20,12 +21,11 @@
 use feed::Feed;
 use poll::{Key, Poll};
 use session::{Asked, Session, Sessions};
-use signal_hook::consts::SIGTERM;
+use signals::Signals;
 use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Display;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::os::unix::net::UnixStream;
 use std::time::Duration;
 use timers::Clock;
 
@@ -62,7 +62,9 @@
     listener: Option<(Key, TcpListener)>,
     /// The listener while accepting pauses.
     paused: Option<TcpListener>,
-    signal: (Key, UnixStream),
+    signals: (Key, Signals),
+    /// Reads the configuration again.
+    load: fn() -> Result<Config, ConfigError>,
     most_sessions: usize,
     next_id: u32,
     accept_at: Option<Micros>,
@@ -81,7 +83,12 @@
 
 impl Node {
     /// Sets a dispatcher up: from here on its address takes connections.
-    pub fn new(config: Config) -> io::Result<Node> {
+    /// `load` reads the configuration again when SIGHUP asks for it.
+    pub fn new(
+        config: Config,
+        signals: Signals,
+        load: fn() -> Result<Config, ConfigError>,
+    ) -> io::Result<Node> {
         let seed = config.seed();
         let transport = config.settings.transport().map_err(context("configuration"))?;
         let (settings, names) = config.settings.settings().map_err(context("configuration"))?;
@@ -91,10 +98,7 @@
         let listen = config.listen;
         let listener = bind(listen).map_err(context(&format!("listen on {listen}")))?;
         let (listener_key, address) = (poll.add(&listener, false)?, listener.local_addr()?);
-        let (signal, write) = UnixStream::pair()?;
-        signal.set_nonblocking(true)?;
-        signal_hook::low_level::pipe::register(SIGTERM, write).map_err(context("SIGTERM"))?;
-        let signal_key = poll.add(&signal, false)?;
+        let signal_key = poll.add(&signals.stream, false)?;
         let pool = Pool::default();
         let mut clock = Clock::default();
         let now = clock.now();
@@ -109,7 +113,8 @@
             jobs: BTreeMap::new(),
             listener: Some((listener_key, listener)),
             paused: None,
-            signal: (signal_key, signal),
+            signals: (signal_key, signals),
+            load,
             most_sessions: half,
             // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
             next_id: (seed ^ (seed >> 32) ^ now) as u32,
@@ -169,8 +174,14 @@
     fn ready(&mut self, key: Key, readable: bool, writable: bool, now: Micros) {
         if self.listener.as_ref().is_some_and(|(k, _)| *k == key) {
             self.accept(now);
-        } else if key == self.signal.0 {
-            self.stop(now);
+        } else if key == self.signals.0 {
+            let (stop, reread) = self.signals.1.take();
+            if reread {
+                self.reread(now);
+            }
+            if stop {
+                self.stop(now);
+            }
         } else if self.feed.owns(key) {
             for update in self.feed.ready(now, &self.poll) {
                 self.update(now, update);
@@ -469,9 +480,20 @@
         );
     }
 
+    /// SIGHUP: follows the coordinator that the file names now. All that is open stays, and so does the rest of
+    /// the configuration, which takes a restart. A file that can't be used changes nothing.
+    fn reread(&mut self, now: Micros) {
+        let usable = |c: Config| c.settings.settings().map(|_| c.coordinator).map_err(|e| e.to_string());
+        match (self.load)().map_err(|e| e.to_string()).and_then(usable) {
+            Ok(coordinator) => {
+                log::info!("SIGHUP: configuration read again, coordinator {coordinator}");
+                self.feed.move_to(coordinator, now, &self.poll);
+            }
+            Err(e) => log::error!("SIGHUP: the old configuration stays: {}", e.replace('\n', " ")),
+        }
+    }
+
     fn stop(&mut self, now: Micros) {
-        let mut byte = [0; 16];
-        let _ = io::Read::read(&mut self.signal.1, &mut byte);
         if self.stopping.is_none() {
             log::info!("SIGTERM: {} requests open", self.dispatch.waiting());
             self.stopping = Some(now);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,6 +2,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -39,6 +40,9 @@
 /// A started dispatcher; it is killed at the end if it still runs.
 pub struct Dispatcher {
     pub child: Child,
+    /// Its configuration, and the file that holds it.
+    pub config: String,
+    pub file: PathBuf,
     pub address: SocketAddr,
     pub log: BufReader<std::process::ChildStderr>,
 }
@@ -50,20 +54,37 @@
     }
 }
 
-/// Runs the program on a configuration text.
-pub fn program(config: &str) -> Child {
+impl Dispatcher {
+    /// Sends it a signal by its name.
+    pub fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
+    /// Reads its log until a line holds the text.
+    pub fn logs(&mut self, text: &str) -> String {
+        let mut line = String::new();
+        while !line.contains(text) {
+            line.clear();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "no {text}");
+        }
+        line
+    }
+}
+
+/// Runs the program on a configuration text, from a file that is named too.
+pub fn program(config: &str) -> (Child, PathBuf) {
     static NEXT: AtomicU32 = AtomicU32::new(0);
     let n = NEXT.fetch_add(1, Ordering::Relaxed);
-    let path =
-        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("config-{}-{n}", std::process::id()));
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("config-{}-{n}", std::process::id()));
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_ottercroft"));
     command
-        .env("ROUTER_CONFIG", path)
+        .env("ROUTER_CONFIG", &path)
         .env_remove("ROUTER_LISTEN")
         .env_remove("ROUTER_NAME")
         .env_remove("RUST_LOG");
-    command.stderr(Stdio::piped()).spawn().unwrap()
+    (command.stderr(Stdio::piped()).spawn().unwrap(), path)
 }
 
 /// The program with these executors known, and its coordinator.
@@ -75,20 +96,25 @@
         r#"{{"name":"t","listen":"127.0.0.1:0","seed":"1f","limits":{{"sockets":256}},"coordinator":"{at}",
             "known":{{"index":1,"updates":[{known}]}},"settings":{SETTINGS},"more":0}}"#
     );
-    let mut child = program(&config);
-    let mut log = BufReader::new(child.stderr.take().unwrap());
-    let mut line = String::new();
-    log.read_line(&mut line).unwrap();
-    let address = line.split(" listens on ").nth(1).and_then(|l| l.split(',').next()).expect(&line);
-    let address = address.parse().unwrap();
-    (Dispatcher { child, address, log }, Coordinator { listener })
+    let (mut child, file) = program(&config);
+    let log = BufReader::new(child.stderr.take().unwrap());
+    let mut d = Dispatcher { child, config, file, address: at, log };
+    let line = d.logs(" listens on ");
+    d.address = line.split(" listens on ").nth(1).unwrap().split(',').next().unwrap().parse().unwrap();
+    (d, Coordinator { listener, address: at })
 }
 
 pub struct Coordinator {
     listener: TcpListener,
+    pub address: SocketAddr,
 }
 
 impl Coordinator {
+    pub fn new() -> Coordinator {
+        let (listener, address) = listener();
+        Coordinator { listener, address }
+    }
+
     /// The next connection, with the line that it begins with.
     pub fn accept(&self) -> (TcpStream, String) {
         let stream = patient(self.listener.accept().unwrap().0);
