Give each attempt an engine connection of its own and drop answers nobody asked for

A probe that logged every lost connection and every answer: 142 of 160 losses were answers that are good but bring more than belongs to them ("ID OK - 52" under an unknown id: 120; second copies: 22), each ending 3 to 16 attempts; only some 20 answers were spoilt. Executors' ERR came for ids they don't know, none was ill. Ruled out: sick engines (all served on new connections), resets (2 of them).

Lines at fault: executor::next judged pages and rows before the id was known; advance() called second copies a violation; Executors::connection put all of an engine's attempts on one connection; dispatch made every loss a reset, and control::judge left an engine out after two errors in a row, also where statements were at fault.

Now unknown ids and copies are dropped and counted; rows are checked as text before they are kept; an attempt has its connection while the share lasts; a part of an answer has 0.7 s; a connection that answers no probe is given up once its engine is heard elsewhere; what is lost with a connection that had worked blames no engine; errors weigh a third. Probe tags can't be known ahead, request ids are taken once. An address belongs to one engine at a time. Three stories fail without it.

--- a/src/control.rs
+++ b/src/control.rs
@@ -89,9 +89,9 @@
 const SPARED: f64 = 0.25;
 /// How strongly the price of crossing zones weighs in the draw.
 const CROSS_WEIGHT: f64 = 25.0;
-/// Share of failed outcomes (running, weight below) at which an engine is ejected: two in a row.
+/// Share of failed outcomes at which an engine is ejected: two resets, or six errors (maybe the statement's).
 const EJECT_ERRORS: f64 = 0.25;
-const ERROR_WEIGHT: f64 = 0.15;
+const ERROR_WEIGHTS: [f64; 2] = [0.05, 0.15];
 /// First ejection, and the most that doubling makes of it.
 const EJECT: [Micros; 2] = [SECOND, 8 * SECOND];
 /// Ejections are ignored while less than this share of the cores would be left; weight of ejected ones then.
@@ -558,7 +558,7 @@
         match outcome {
             Outcome::Ok => {
                 e.hear(now, GAP_WEIGHT);
-                e.errors *= 1.0 - ERROR_WEIGHT;
+                e.errors *= 1.0 - ERROR_WEIGHTS[1];
                 if e.ejected_until.is_some() {
                     (e.ejected_until, e.silent, e.ejections, e.errors) = (None, false, 0, 0.0);
                     self.actions.push(Action::Log(format!("engine {} is back", e.entry.engine)));
@@ -567,7 +567,8 @@
             // Only the list says that an engine is cold: taking each reset for a start shut most of a fleet.
             Outcome::Error | Outcome::Reset => {
                 e.hear(now, GAP_WEIGHT);
-                e.errors += (1.0 - e.errors) * ERROR_WEIGHT;
+                let weight = ERROR_WEIGHTS[usize::from(outcome == Outcome::Reset)];
+                e.errors += (1.0 - e.errors) * weight;
                 if e.errors > EJECT_ERRORS || e.ejected_until.is_some() {
                     self.eject(i, if outcome == Outcome::Reset { "resets" } else { "errors" });
                 }
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -9,8 +9,10 @@
     Readiness, Settings, SettingsError,
 };
 use crate::{Gateway, must};
+use lru::LruCache;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::num::NonZeroUsize;
 
 /// An answer has to be seen before the client leaves, also when this process or its machine stood still for a
 /// moment: all ends this much before, or this part of a shorter budget.
@@ -19,6 +21,10 @@
 /// A key rests at least this long after an attempt that was stopped or lost: the KILL has to arrive before the
 /// next request of the key does, and they may go to different executors.
 const KEY_REST: Micros = 100_000;
+/// A budget may be this much above the class's whole deadline, for rounding; more is no budget.
+const SLACK: Micros = 1_000_000;
+/// Ids remembered after their answer: some 15 s of the busiest traffic, far longer than anything is under way.
+const RECENT: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
 /// What a refusal tells a client to wait where the decisions name no time.
 const BACKOFF_MS: u64 = 200;
 
@@ -52,6 +58,8 @@
     pub class: usize,
     /// Its key, in classes that keep order.
     pub key: Option<u64>,
+    /// How long the client waits in all, as it told.
+    pub told: Micros,
     /// How long the client still waits.
     pub budget: Micros,
     /// Estimated work of all threads, in seconds.
@@ -131,8 +139,11 @@
     Error,
     /// It never reached the executor whole.
     NeverSent,
-    /// Its connection was lost; it may have run.
+    /// Its connection was lost before the executor said anything on it; it may have run.
     Lost,
+    /// Its connection became of no further use: spoilt, cut off, mute or reset. It may have run, and that says
+    /// nothing of the executor's health.
+    Spoilt,
 }
 
 /// How a probe ended.
@@ -144,8 +155,8 @@
     Down,
     /// No connection.
     Unreachable,
-    /// The connection was lost.
-    Lost,
+    /// The connection was lost, or was mute while others were not, which says nothing of the executor.
+    Unknown,
     /// Nothing came in time.
     Silent,
 }
@@ -264,11 +275,22 @@
     pub probes: u64,
 }
 
+/// What has to be known of a class here.
+#[derive(Debug, Clone, Copy)]
+struct Class {
+    /// Refusing is harmless whatever ran.
+    safe: bool,
+    /// The longest budget that can be meant.
+    most_budget: Micros,
+}
+
 /// The dispatcher's decisions, and what is open.
 pub struct Dispatch<R> {
     gateway: Gateway,
-    classes: Vec<bool>,
+    classes: Vec<Class>,
     most_held: usize,
+    /// Ids of late, so that none is taken twice.
+    recent: LruCache<u64, ()>,
     open: BTreeMap<u64, Open>,
     deadlines: BTreeSet<(Micros, u64)>,
     wakes: BinaryHeap<Reverse<(Micros, u64)>>,
@@ -281,13 +303,16 @@
     /// One that knows its settings and no executor.
     pub fn new(mut settings: Settings, most_held: usize, seed: u64) -> Result<Dispatch<R>, SettingsError> {
         settings.key_quiet = Some(settings.key_quiet.unwrap_or(0).max(KEY_REST));
-        let harmless =
-            |c: &api::Class| matches!(c.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
-        let classes = settings.classes.iter().map(harmless).collect();
+        let class = |c: &api::Class| Class {
+            safe: matches!(c.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }),
+            most_budget: c.deadline + SLACK,
+        };
+        let classes = settings.classes.iter().map(class).collect();
         Ok(Dispatch {
             gateway: Gateway::new(settings, seed)?,
             classes,
             most_held,
+            recent: LruCache::new(RECENT),
             open: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             wakes: BinaryHeap::new(),
@@ -334,12 +359,17 @@
     /// Takes a request in: it is sent, held or answered by what is returned here or later. An id that is
     /// still open is an error, as its answer could not be told from the other's.
     pub fn pick(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
-        if self.open.contains_key(&request.id) {
-            return Err("a request with this id is open");
+        let Class { safe, most_budget } = *self.classes.get(request.class).ok_or("unknown class")?;
+        if request.told == 0 || request.told > most_budget {
+            return Err("a budget that no client of this class has");
+        }
+        // Ids are new with every request. One that comes again, open or not, is nobody's retry: it could run
+        // what must not run twice, and its answer could be taken for the other's.
+        if self.recent.put(request.id, ()).is_some() || self.open.contains_key(&request.id) {
+            return Err("this id was used before");
         }
         self.tally.taken += 1;
         let grace = request.budget.saturating_sub(MARGIN.min(request.budget / MARGIN_PART)).max(1);
-        let safe = *self.classes.get(request.class).ok_or("unknown class")?;
         let open = Open {
             arrived: now,
             deadline: now + grace,
@@ -389,7 +419,7 @@
                     Echo::Up(load) => (Outcome::Ok, load),
                     Echo::Down => (Outcome::Error, None),
                     Echo::Unreachable => (Outcome::ConnectFailed, None),
-                    Echo::Lost => (Outcome::Reset, None),
+                    Echo::Unknown => (Outcome::Cancelled, None),
                     Echo::Silent => (Outcome::Timeout, None),
                 };
                 let report = load.map(|l| api::Report {
@@ -461,10 +491,11 @@
                 self.tally.never_sent += 1;
                 Outcome::ConnectFailed
             }
-            End::Lost => {
+            End::Lost | End::Spoilt => {
                 self.tally.lost += 1;
                 log::info!("request {:016x}: attempt {} lost with its connection", t.request, t.attempt);
-                Outcome::Reset
+                // A time-out is what the decisions know that may have run and blames nobody.
+                if matches!(end, End::Lost) { Outcome::Reset } else { Outcome::Timeout }
             }
         };
         let event = self.finish(now, t, outcome);
@@ -633,8 +664,16 @@
     }
 
     fn pick(d: &mut Dispatch<()>, now: Micros, id: u64) -> Vec<Order<()>> {
-        let request =
-            Request { id, class: 0, key: None, budget: BUDGET, work_s: None, memory_mb: None, group: 0 };
+        let request = Request {
+            id,
+            class: 0,
+            key: None,
+            told: BUDGET,
+            budget: BUDGET,
+            work_s: None,
+            memory_mb: None,
+            group: 0,
+        };
         d.pick(now, &request).unwrap()
     }
 
@@ -676,8 +715,16 @@
         pick(&mut d, 2_000, 1);
         pick(&mut d, 2_000, 2);
         assert_eq!(answers(&pick(&mut d, 2_000, 3)), [&Answer::Refused(BACKOFF_MS)]);
-        let again =
-            Request { id: 1, class: 0, key: None, budget: 1, work_s: None, memory_mb: None, group: 0 };
+        let again = Request {
+            id: 1,
+            class: 0,
+            key: None,
+            told: 1,
+            budget: 1,
+            work_s: None,
+            memory_mb: None,
+            group: 0,
+        };
         assert!(d.pick(2_000, &again).is_err());
         // A client that left is owed nothing, also when an answer or the end comes later.
         assert!(answers(&d.report(3_000, Report::Left(1))).is_empty());
@@ -695,7 +742,7 @@
         let mut d = dispatch();
         let keyed = |id, budget| {
             let key = Some(9);
-            Request { id, class: 0, key, budget, work_s: None, memory_mb: None, group: 0 }
+            Request { id, class: 0, key, told: budget, budget, work_s: None, memory_mb: None, group: 0 }
         };
         assert_eq!(d.pick(2_000, &keyed(1, BUDGET)).unwrap().len(), 1);
         assert!(d.pick(3_000, &keyed(2, 4 * BUDGET)).unwrap().is_empty(), "the second waits for its turn");
--- a/src/executor.rs
+++ b/src/executor.rs
@@ -89,15 +89,15 @@
 /// An answer under a request's id.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum Word {
-    /// Page 0 and the number of all pages.
+    /// Page 0 and the number of all pages, if it told a usable one.
     Ok {
         /// All pages.
-        pages: u32,
+        pages: Option<u32>,
     },
     /// A further page.
     Rows {
         /// Its number.
-        page: u32,
+        page: Option<u32>,
     },
     /// It never ran.
     Busy,
@@ -192,13 +192,15 @@
     let number = |name: &str| field(name).and_then(|v| v.parse::<u32>().ok());
     if let "UP" | "DOWN" = word {
         let tag = id.strip_prefix('p').and_then(|t| u64::from_str_radix(t, 16).ok());
-        let tag = tag.ok_or_else(|| bad(line, "tag"))?;
-        let answer = Answer::Probe { tag, up: word == "UP", gauges: field("gauges").map(gauges) };
+        // A tag of another form is of no probe of ours, as is 0.
+        let answer =
+            Answer::Probe { tag: tag.unwrap_or(0), up: word == "UP", gauges: field("gauges").map(gauges) };
         return Ok(Some((all, answer)));
     }
     let word = match word {
-        "OK" => Word::Ok { pages: number("pages").filter(|n| *n > 0).ok_or_else(|| bad(line, "pages"))? },
-        "ROWS" => Word::Rows { page: number("page").ok_or_else(|| bad(line, "page"))? },
+        // Whether these do is for whoever knows if the id is open: an answer to an unknown one is not judged.
+        "OK" => Word::Ok { pages: number("pages").filter(|n| *n > 0) },
+        "ROWS" => Word::Rows { page: number("page") },
         "BUSY" => Word::Busy,
         "ERR" => Word::Err,
         "VOID" => Word::Void,
@@ -213,19 +215,16 @@
         }
         _ => return Err(bad(line, "word")),
     };
-    if let Word::Ok { .. } | Word::Rows { .. } = word
-        && !whole_rows(body)
-    {
-        return Err(bad(line, "rows that are not whole"));
-    }
     let id = u64::from_str_radix(id, 16).map_err(|_| bad(line, "id"))?;
     Ok(Some((all, Answer::Request { id, word, body })))
 }
 
-/// Whole rows of three columns each.
-fn whole_rows(page: &[u8]) -> bool {
+/// Whole rows of three columns of text each.
+pub fn whole_rows(page: &[u8]) -> bool {
+    let text =
+        std::str::from_utf8(page).is_ok_and(|t| !t.contains(|c: char| c < ' ' && c != '\t' && c != '\n'));
     let mut rows = page.split(|b| *b == b'\n');
-    rows.next_back() == Some(&[]) && rows.all(|r| r.iter().filter(|b| **b == b'\t').count() == 2)
+    text && rows.next_back() == Some(&[]) && rows.all(|r| r.iter().filter(|b| **b == b'\t').count() == 2)
 }
 
 #[cfg(test)]
@@ -253,7 +252,10 @@
         let input = b"00ab OK pages=2 6\r\na\tb\tc\n\r\np1f UP gauges=inflight:7;x1:0.5;new:1 0\r\n\r\n";
         let (n, first) = next(input).unwrap().unwrap();
         assert!((0..n).all(|to| next(&input[..to]).unwrap().is_none()));
-        assert_eq!(first, Answer::Request { id: 0xab, word: Word::Ok { pages: 2 }, body: b"a\tb\tc\n" });
+        assert_eq!(
+            first,
+            Answer::Request { id: 0xab, word: Word::Ok { pages: Some(2) }, body: b"a\tb\tc\n" }
+        );
         let (_, second) = next(&input[n..]).unwrap().unwrap();
         let gauges = Gauges { inflight: Some(7.0), x1: Some(0.5), ..Gauges::default() };
         assert_eq!(second, Answer::Probe { tag: 0x1f, up: true, gauges: Some(gauges) });
@@ -265,16 +267,7 @@
     #[test]
     fn bad_lines_are_told_from_short_ones() {
         let long = [b'x'; LONGEST_LINE];
-        for line in [
-            "\r\n",
-            "1 OK - 0\r\n\r\n",
-            "1 WHAT - 0\r\n\r\n",
-            "1 OK pages=1 3\r\na\tb\r\n",
-            "x UP -\r\n",
-            "1 ERR - 999999\r\n",
-            "1 ERR - 1\r\nabc",
-            "1 ERR - 0\n",
-        ] {
+        for line in ["\r\n", "1 WHAT - 0\r\n\r\n", "1 ERR - 999999\r\n", "1 ERR - 1\r\nabc", "1 ERR - 0\n"] {
             assert!(next(line.as_bytes()).is_err(), "{line:?}");
         }
         assert!(next(&long).is_err());
--- a/src/net/executors.rs
+++ b/src/net/executors.rs
@@ -1,7 +1,9 @@
 //! Executors and the connections to them.
 //!
-//! A connection belongs to one executor by its uid, whatever its address becomes. A request that was given
-//! up on a connection never goes out on that one again, so that a late answer can't be taken for a new one.
+//! A connection belongs to one executor by its uid, whatever its address becomes. It carries one attempt as
+//! long as descriptors last: a spoilt answer ends its connection with all that is open there. A request that
+//! ended in any way on a connection never goes out on that one again, so that a late answer or a second copy
+//! can't be taken for a new one.
 
 use super::buffers::{Block, Inbox, Outbox, Pool};
 use super::dial;
@@ -13,6 +15,9 @@
 use crate::executor::{self, Answer, Gauges, Note, Terms};
 use crate::must;
 use crate::settings::Transport;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpStream};
@@ -21,12 +26,17 @@
 /// A result: its pages in order.
 pub type Rows = Vec<Block>;
 
-/// The most pages that a result may have: 48,000 bytes come to 8 of the usual size.
+/// The most pages and bytes that a result may have: 48,000 bytes come to 8 pages of the usual size.
 const MOST_PAGES: u32 = 256;
-/// A connection that owes word for this long gets nothing new: its machine may have vanished.
-const DOUBTFUL: Micros = 1_500_000;
-/// A killed id is remembered on its connection for this long, longer than an answer can be under way.
+const MOST_BYTES: usize = 48_000;
+/// A connection that owes word for this long gets nothing new and is probed: notes come every second.
+const DOUBTFUL: Micros = 1_200_000;
+/// An answer that has begun has to be here whole within this time.
+const PART: Micros = 700_000;
+/// An id that ended is remembered on its connection for this long, longer than an answer can be under way.
 const REMEMBERED: Micros = 60_000_000;
+/// From this attempt on a request that lost all before shares no connection: it may be why they were lost.
+const SUSPECT: u32 = 2;
 /// A probe may take this much longer than a dial.
 const PROBE_SLACK: Micros = 50_000;
 
@@ -47,6 +57,8 @@
     /// All pages; 0 until the executor said OK.
     pages: u32,
     rows: Rows,
+    /// Bytes of the rows.
+    bytes: usize,
     /// When the pull was written.
     since: Micros,
 }
@@ -76,7 +88,14 @@
     writing: Option<u64>,
     queue: VecDeque<Outgoing>,
     streams: BTreeMap<u64, Stream>,
-    killed: BTreeMap<u64, Micros>,
+    /// Ids that ended here in any way but served, and when.
+    spent: BTreeMap<u64, Micros>,
+    /// Since when an answer has been here in part.
+    part_since: Option<Micros>,
+    /// Met a silent probe, and nothing was heard on it since.
+    mute: bool,
+    /// When it is looked at next for word that it owes.
+    word_at: Option<Micros>,
     /// Probes that are out, and when they were asked for.
     probes: BTreeMap<u64, Micros>,
     watched: bool,
@@ -91,7 +110,7 @@
     }
 
     fn takes(&self, id: u64, most: usize, now: Micros) -> bool {
-        let fresh = !self.streams.contains_key(&id) && !self.killed.contains_key(&id);
+        let fresh = !self.streams.contains_key(&id) && !self.spent.contains_key(&id);
         !self.retired && self.streams.len() < most && fresh && !self.doubtful(now)
     }
 
@@ -105,6 +124,8 @@
     address: Option<SocketAddr>,
     state: State,
     conns: Vec<Key>,
+    /// When anything came from it, on any connection.
+    heard: Micros,
 }
 
 /// What falls due here.
@@ -112,6 +133,10 @@
 enum Due {
     Dial(Key),
     Probe(Key, u64),
+    /// An answer in part.
+    Part(Key),
+    /// Word on what was written.
+    Word(Key),
 }
 
 /// Counters of the connections.
@@ -121,8 +146,10 @@
     pub dials: u64,
     /// Lines that could not be used.
     pub bad_lines: u64,
-    /// Answers for what is not open any more.
+    /// Answers to what is not open, and second copies.
     pub stray: u64,
+    /// Connections that fell silent while their executor did not.
+    pub mute: u64,
 }
 
 /// All executors, and the connections to them.
@@ -135,7 +162,7 @@
     /// Where each attempt is.
     places: BTreeMap<Ticket, Key>,
     timers: Timers<Due>,
-    next_tag: u64,
+    tags: Pcg64Mcg,
     scratch: Vec<u8>,
     /// What the dispatcher has to be told, in order.
     pub reports: VecDeque<Report<Rows>>,
@@ -144,8 +171,8 @@
 }
 
 impl Executors {
-    /// None yet; `most_conns` bounds the connections in all.
-    pub fn new(transport: Transport, most_conns: usize, pool: &Pool) -> Executors {
+    /// None yet; `most_conns` bounds the connections in all, `seed` makes tags that nobody can know ahead.
+    pub fn new(transport: Transport, most_conns: usize, seed: u64, pool: &Pool) -> Executors {
         Executors {
             transport,
             most_conns,
@@ -154,7 +181,7 @@
             conns: BTreeMap::new(),
             places: BTreeMap::new(),
             timers: Timers::default(),
-            next_tag: 1,
+            tags: Pcg64Mcg::seed_from_u64(!seed),
             scratch: Vec::new(),
             reports: VecDeque::new(),
             wire: Wire::default(),
@@ -199,6 +226,7 @@
             address: t.endpoint,
             state: t.state,
             conns: Vec::new(),
+            heard: now,
         });
         if e.uid != t.uid {
             log::error!("executors {} and {} share the number {id}; {} is left out", e.uid, t.uid, t.uid);
@@ -209,7 +237,11 @@
         if e.state != t.state {
             log::info!("executor {}: {:?}, was {:?}", t.uid, t.state, e.state);
         }
-        let booted = t.boot_ms * 1000;
+        if t.state != State::Removed {
+            self.taken_over(id, t.endpoint, poll);
+        }
+        let Some(e) = self.list.get(&id) else { return };
+        let booted = t.boot_ms.saturating_mul(1000);
         for key in e.conns.clone() {
             let Some(conn) = self.conns.get_mut(&key) else { continue };
             conn.retired |= moved;
@@ -224,6 +256,24 @@
         }
     }
 
+    /// An address that is this executor's now is no other's any more: what is open there was the other's.
+    fn taken_over(&mut self, id: ExecutorId, address: Option<SocketAddr>, poll: &Poll) {
+        let others = self.list.iter().filter(|(i, e)| **i != id && e.address == address && address.is_some());
+        let others: Vec<ExecutorId> = others.map(|(i, _)| *i).collect();
+        for other in others {
+            let Some(e) = self.list.get_mut(&other) else { continue };
+            e.address = None;
+            for key in e.conns.clone() {
+                self.take_back(key);
+                let Some(conn) = self.conns.get_mut(&key) else { continue };
+                conn.retired = true;
+                if conn.idle() || !conn.up {
+                    self.lose(key, poll, "its address is another executor's");
+                }
+            }
+        }
+    }
+
     fn leaves(&mut self, id: ExecutorId, state: State, poll: &Poll) {
         let Some(e) = self.list.get_mut(&id) else { return };
         e.state = state;
@@ -278,13 +328,14 @@
         poll: &Poll,
     ) {
         let id = t.request;
-        let most = self.transport.streams_per_conn;
+        let most = if t.attempt < SUSPECT { self.transport.streams_per_conn } else { 1 };
         let Some(key) = self.connection(to, now, poll, |c| c.takes(id, most, now)) else {
             self.reports.push_back(Report::Ended(t, End::NeverSent));
             return;
         };
         let Some(conn) = self.conns.get_mut(&key) else { return };
-        conn.streams.insert(id, Stream { ticket: t, written: false, pages: 0, rows: Vec::new(), since: now });
+        let (rows, written) = (Vec::new(), false);
+        conn.streams.insert(id, Stream { ticket: t, written, pages: 0, rows, bytes: 0, since: now });
         conn.queue.push_back(Outgoing::Pull { id, job, memory_mb, priority, until });
         must!(self.places.insert(t, key).is_none(), "an attempt was started twice");
         self.write(key, now, poll);
@@ -306,7 +357,7 @@
             conn.outbox.clear();
             return self.write(key, now, poll);
         }
-        conn.killed.insert(id, now);
+        conn.spent.insert(id, now);
         conn.queue.push_back(if stream.pages > 0 { Outgoing::Discard(id) } else { Outgoing::Kill(id) });
         self.write(key, now, poll);
     }
@@ -335,8 +386,11 @@
             self.reports.push_back(Report::Probed(to, Echo::Unreachable, 0));
             return;
         };
-        let tag = self.next_tag;
-        self.next_tag += 1;
+        self.meter(key, now, poll);
+    }
+
+    fn meter(&mut self, key: Key, now: Micros, poll: &Poll) {
+        let tag = self.tags.next_u64() | 1;
         let Some(conn) = self.conns.get_mut(&key) else { return };
         conn.probes.insert(tag, now);
         conn.queue.push_back(Outgoing::Meter(tag));
@@ -355,20 +409,28 @@
         let e = self.list.get(&to)?;
         let usable =
             e.conns.iter().filter_map(|k| self.conns.get(k).map(|c| (*k, c))).filter(|(_, c)| fits(c));
-        if let Some((key, _)) = usable.min_by_key(|(_, c)| (!c.up, c.opened)) {
+        // The least shared one; among those the one heard last, so that the others can go.
+        let best = usable.min_by_key(|(_, c)| (c.streams.len(), !c.up, Reverse(c.heard)));
+        let best = best.map(|(key, c)| (key, c.streams.is_empty()));
+        if let Some((key, true)) = best {
             return Some(key);
         }
-        let address = e.address?;
-        if self.conns.len() >= self.most_conns {
-            log::warn!("executor {}: no connection left of {}", e.uid, self.most_conns);
-            return None;
+        let shared = best.map(|(key, _)| key);
+        let listed = self.list.values().filter(|e| e.state == State::Up).count().max(1);
+        let share = (self.most_conns / listed).max(2);
+        if self.conns.len() >= self.most_conns || (e.conns.len() >= share && shared.is_some()) {
+            if shared.is_none() {
+                log::warn!("executor {}: no connection left of {}", e.uid, self.most_conns);
+            }
+            return shared;
         }
+        let Some(address) = e.address else { return shared };
         let dialed = dial::dial(address).and_then(|s| poll.add(&s, true).map(|key| (s, key)));
         let (stream, key) = match dialed {
             Ok(dialed) => dialed,
             Err(err) => {
                 log::warn!("executor {}: can't dial {address}: {err}", e.uid);
-                return None;
+                return shared;
             }
         };
         self.wire.dials += 1;
@@ -388,7 +450,10 @@
                 writing: None,
                 queue: VecDeque::new(),
                 streams: BTreeMap::new(),
-                killed: BTreeMap::new(),
+                spent: BTreeMap::new(),
+                part_since: None,
+                mute: false,
+                word_at: None,
                 probes: BTreeMap::new(),
                 watched: true,
             },
@@ -413,7 +478,9 @@
             match conn.inbox.fill(&mut conn.stream) {
                 Ok(0) => return self.lose(key, poll, "closed by the executor"),
                 Ok(_) => {
-                    (conn.heard, conn.touched) = (now, now);
+                    (conn.heard, conn.touched, conn.mute) = (now, now, false);
+                    let executor = conn.executor;
+                    self.list.get_mut(&executor).into_iter().for_each(|e| e.heard = now);
                     self.read(key, now, poll);
                 }
                 Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
@@ -454,6 +521,10 @@
                         }
                         Some(s) => match advance(s, word, body, &self.pool) {
                             Step::Goes => None,
+                            Step::Copy => {
+                                self.wire.stray += 1;
+                                None
+                            }
                             Step::Noted(word) => {
                                 self.reports.push_back(Report::Noted(s.ticket, word));
                                 None
@@ -473,6 +544,10 @@
                         && let Some(s) = conn.streams.remove(&id)
                     {
                         self.places.remove(&s.ticket);
+                        // One that was served never comes again, all else may be tried again.
+                        if !matches!(end, End::Served(_)) {
+                            conn.spent.insert(id, now);
+                        }
                         self.reports.push_back(Report::Ended(s.ticket, end));
                     }
                 }
@@ -480,6 +555,12 @@
         }
         if let Some(conn) = self.conns.get_mut(&key) {
             conn.inbox.consume(consumed);
+            if conn.inbox.bytes().is_empty() {
+                conn.part_since = None;
+            } else if conn.part_since.is_none() || consumed > 0 {
+                conn.part_since = Some(now);
+                self.timers.set(now + PART, Due::Part(key));
+            }
         }
     }
 
@@ -494,6 +575,10 @@
             }
             if let Some(s) = conn.writing.take().and_then(|id| conn.streams.get_mut(&id)) {
                 (s.written, s.since) = (true, now);
+                if conn.word_at.is_none() {
+                    conn.word_at = Some(now + DOUBTFUL + 1);
+                    self.timers.set(now + DOUBTFUL + 1, Due::Word(key));
+                }
             }
             let Some(next) = conn.queue.pop_front() else { break None };
             conn.touched = now;
@@ -544,12 +629,19 @@
                 );
             }
         }
+        let spoke = conn.heard > conn.opened;
         for s in conn.streams.into_values() {
             self.places.remove(&s.ticket);
-            let end = if s.written { End::Lost } else { End::NeverSent };
+            let end = match (s.written, conn.up) {
+                (true, _) if spoke => End::Spoilt,
+                (true, _) => End::Lost,
+                // The connection came up, so its executor is there: that it never ran is all this tells.
+                (false, true) => End::Void,
+                (false, false) => End::NeverSent,
+            };
             self.reports.push_back(Report::Ended(s.ticket, end));
         }
-        let echo = if conn.up { Echo::Lost } else { Echo::Unreachable };
+        let echo = if conn.up { Echo::Unknown } else { Echo::Unreachable };
         for _ in conn.probes {
             self.reports.push_back(Report::Probed(conn.executor, echo, 0));
         }
@@ -568,22 +660,56 @@
                     let Some(conn) = self.conns.get_mut(&key) else { continue };
                     if let Some(sent) = conn.probes.remove(&tag) {
                         // Nothing new goes where a probe met silence; a new dial proves what runs.
-                        conn.retired |= conn.heard < sent;
-                        let silent = Report::Probed(conn.executor, Echo::Silent, now.saturating_sub(sent));
-                        self.reports.push_back(silent);
+                        conn.mute = conn.heard < sent;
+                        conn.retired |= conn.mute;
+                        let executor = conn.executor;
+                        let lives = self.list.get(&executor).is_some_and(|e| e.heard > sent);
+                        let echo = if lives { Echo::Unknown } else { Echo::Silent };
+                        self.reports.push_back(Report::Probed(executor, echo, now.saturating_sub(sent)));
+                    }
+                }
+                Due::Part(key) => {
+                    let since = self.conns.get(&key).and_then(|c| c.part_since);
+                    if since.is_some_and(|t| t + PART <= now) {
+                        self.wire.bad_lines += 1;
+                        self.lose(key, poll, "an answer stopped half way");
                     }
                 }
+                Due::Word(key) => self.ask_for_word(key, now, poll),
             }
         }
     }
 
+    /// Looks after a connection that owes word: it is probed, and one that answers no probe is over once its
+    /// executor has been heard elsewhere since. If nothing is heard there either, the machine is gone or cut
+    /// off, and what is out may yet be answered.
+    fn ask_for_word(&mut self, key: Key, now: Micros, poll: &Poll) {
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        conn.word_at = None;
+        let Some(since) = conn.streams.values().filter(|s| s.written).map(|s| s.since).min() else { return };
+        let owes = conn.heard.max(since);
+        let heard = self.list.get(&conn.executor).map_or(0, |e| e.heard);
+        if conn.mute && heard > owes + DOUBTFUL {
+            self.wire.mute += 1;
+            return self.lose(key, poll, "mute while its executor answers elsewhere");
+        }
+        let due = owes + DOUBTFUL + 1;
+        let asks = now >= due && !conn.mute && conn.probes.is_empty();
+        let next = due.max(now + 2 * PROBE_SLACK);
+        conn.word_at = Some(next);
+        self.timers.set(next, Due::Word(key));
+        if asks {
+            self.meter(key, now, poll);
+        }
+    }
+
     /// Closes what has been idle nearly as long as executors allow, and forgets old ids.
     pub fn sweep(&mut self, now: Micros, poll: &Poll) {
         let idle = self.transport.conn_idle - (self.transport.conn_idle / 4).min(2_000_000);
         let over = |c: &Conn| c.idle() && (c.retired || now > c.touched + idle);
         let closed: Vec<Key> = self.conns.iter().filter(|(_, c)| over(c)).map(|(k, _)| *k).collect();
         closed.into_iter().for_each(|key| self.lose(key, poll, "idle"));
-        self.conns.values_mut().for_each(|c| c.killed.retain(|_, t| now < *t + REMEMBERED));
+        self.conns.values_mut().for_each(|c| c.spent.retain(|_, t| now < *t + REMEMBERED));
         let conns = &self.conns;
         self.list.retain(|_, e| e.state != State::Removed || e.conns.iter().any(|k| conns.contains_key(k)));
     }
@@ -592,6 +718,8 @@
 /// What an answer does to its attempt.
 enum Step {
     Goes,
+    /// Said before: dropped.
+    Copy,
     Noted(Word),
     Pages(u32),
     Ended(End<Rows>),
@@ -608,10 +736,15 @@
         executor::Word::Void => Step::Ended(End::Void),
         executor::Word::Err => Step::Ended(End::Error),
         executor::Word::Ok { pages } => {
-            if s.pages > 0 || pages > MOST_PAGES {
-                return Step::Broken("a second OK, or too many pages");
+            if s.pages > 0 {
+                return Step::Copy;
+            }
+            let Some(pages) = pages.filter(|n| *n <= MOST_PAGES) else {
+                return Step::Broken("no number of pages, or too many");
+            };
+            if !keep(s, body, pool) {
+                return Step::Broken("rows that can't be read, or too many");
             }
-            keep(s, body, pool);
             s.pages = pages;
             match pages {
                 1 => Step::Ended(End::Served(std::mem::take(&mut s.rows))),
@@ -620,10 +753,16 @@
         }
         executor::Word::Rows { page } => {
             // Pages were asked for in order on one connection.
-            if s.pages == 0 || page as usize != s.rows.len() {
+            let due = s.rows.len();
+            let Some(page) = page.map(|n| n as usize).filter(|n| s.pages > 0 && *n <= due) else {
                 return Step::Broken("a page out of turn");
+            };
+            if page < due {
+                return Step::Copy;
+            }
+            if !keep(s, body, pool) {
+                return Step::Broken("rows that can't be read, or too many");
             }
-            keep(s, body, pool);
             match s.rows.len() == s.pages as usize {
                 true => Step::Ended(End::Served(std::mem::take(&mut s.rows))),
                 false => Step::Goes,
@@ -632,10 +771,16 @@
     }
 }
 
-fn keep(s: &mut Stream, page: &[u8], pool: &Pool) {
+/// Keeps a page; false if it can't be used.
+fn keep(s: &mut Stream, page: &[u8], pool: &Pool) -> bool {
+    s.bytes += page.len();
+    if s.bytes > MOST_BYTES || !executor::whole_rows(page) {
+        return false;
+    }
     let mut block = pool.block();
     must!(block.append(page) == page.len(), "a page is larger than a buffer");
     s.rows.push(block);
+    true
 }
 
 fn load(g: Gauges) -> Load {
@@ -670,7 +815,7 @@
     fn a_pull_that_waits_is_taken_back_when_its_executor_drains() {
         let (poll, pool) = (Poll::new().unwrap(), Pool::default());
         let at = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut e = Executors::new(TRANSPORT, 9, &pool);
+        let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
         listed(&mut e, &at, State::Up, 0, 1, &poll);
         let ticket = start(&mut e, 7, 2, &poll);
         assert!(e.reports.is_empty());
@@ -687,7 +832,7 @@
     fn a_new_start_ends_what_is_older_and_nothing_else() {
         let (poll, pool) = (Poll::new().unwrap(), Pool::default());
         let at = TcpListener::bind("127.0.0.1:0").unwrap();
-        let mut e = Executors::new(TRANSPORT, 2, &pool);
+        let mut e = Executors::new(TRANSPORT, 2, 7, &pool);
         listed(&mut e, &at, State::Up, 0, 1, &poll);
         let old = start(&mut e, 7, 1_000, &poll);
         let old_key = *e.conns.keys().next().unwrap();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -108,7 +108,7 @@
             names,
             dispatch,
             sessions: Sessions::default(),
-            executors: Executors::new(transport, half, &pool),
+            executors: Executors::new(transport, half, seed, &pool),
             feed: Feed::new(config.coordinator, config.known.index),
             jobs: BTreeMap::new(),
             listener: Some((listener_key, listener)),
@@ -454,7 +454,7 @@
         let w = &self.executors.wire;
         log::info!(
             "counters: taken={} served={} refused={} failed={} left={} open={} attempts={} expired={} lost={} \
-             never_sent={} probes={} dials={} conns={} clients={} clients_refused={} stray={} bad_lines={} \
+             never_sent={} probes={} dials={} conns={} clients={} clients_refused={} stray={} bad_lines={} mute={} \
              feed_dials={} feed_bad_lines={} free_buffers={} broken={}",
             t.taken,
             t.served,
@@ -473,6 +473,7 @@
             self.refused_clients,
             w.stray,
             w.bad_lines,
+            w.mute,
             self.feed.dials,
             self.feed.bad_lines,
             self.pool.free(),
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -257,7 +257,9 @@
     let get = |field: &str| s.fields.get(field).copied();
     let need = |field: &str| get(field).ok_or_else(|| wrong(field, "missing"));
     let hex = |field: &str, text: &str| match text.len() {
-        16 => u64::from_str_radix(text, 16).map_err(|_| wrong(field, "not 16 hex digits")),
+        16 if text.bytes().all(|b| b.is_ascii_digit() || (b'a'..=b'f').contains(&b)) => {
+            u64::from_str_radix(text, 16).map_err(|_| wrong(field, "not 16 hex digits"))
+        }
         _ => Err(wrong(field, "not 16 hex digits")),
     };
     let number = |field: &str| {
@@ -271,6 +273,7 @@
         id: hex("rid", need("rid")?)?,
         class,
         key: get("obj").map(|t| hex("obj", t)).transpose()?,
+        told: (budget_ms * 1e3) as Micros,
         budget: (budget_ms * 1e3) as Micros,
         work_s: number("est")?.map(|ms| ms / 1e3),
         memory_mb: number("space")?,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -98,13 +98,93 @@
     assert_eq!(other.got(), Got::Ok);
     assert_eq!(peer.command().unwrap(), ["KILL", pull[1].as_str()]);
     assert!(matches!(client.got(), Got::Error(1317, _)));
-    // The id that was given up may still be answered late; sent again it needs another connection.
-    client.ask(READ);
-    let mut again = executor.accept();
-    let pull = again.command().unwrap();
+    // The id that was given up may still be answered late, on a connection that is used again.
+    client.ask(&READ.replace("a1", "a2"));
+    let next = peer.command().unwrap();
     peer.page(&pull[1], "OK pages=1", "late\tx\ty\n");
-    again.page(&pull[1], "OK pages=1", "new\tx\ty\n");
+    peer.page(&next[1], "OK pages=1", "new\tx\ty\n");
     assert_eq!(client.got(), Got::Rows(vec![row(["new", "x", "y"])]));
+    // Ids are new with every request: one that comes again must not run again.
+    client.ask(&READ.replace("sales_7", "sales_8"));
+    assert!(matches!(client.got(), Got::Error(1105, _)));
+}
+
+// Most attempts were lost to answers that were good and brought more than belongs to them: a second copy and
+// an answer under an unknown id are dropped, and whatever else is open there goes on.
+#[test]
+fn what_nobody_asked_for_is_dropped_and_costs_nothing() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, READ);
+    let mut peer = executor.accept();
+    let pull = peer.command().unwrap();
+    peer.page("feedfacefeedface", "OK -", "no rows at all");
+    peer.page("pfeedface", "UP gauges=inflight:9", "");
+    for _ in 0..2 {
+        peer.page(&pull[1], "OK pages=2", "1\tx\ty\n");
+    }
+    assert_eq!(peer.command().unwrap()[0], "SCROLL");
+    peer.page(&pull[1], "ROWS page=1", "2\tx\ty\n");
+    assert_eq!(client.got(), Got::Rows(vec![row(["1", "x", "y"]), row(["2", "x", "y"])]));
+    peer.page(&pull[1], "ROWS page=1", "2\tx\ty\n");
+    client.ask(&READ.replace("a1", "a2"));
+    let pull = peer.command().unwrap();
+    peer.page(&pull[1], "OK pages=1", "3\tx\ty\n");
+    assert_eq!(client.got(), Got::Rows(vec![row(["3", "x", "y"])]));
+}
+
+// A spoilt answer ends its connection, and what must not run twice would fail with it: it is on another one.
+// The spoilt one is tried again, though there is no other executor, and so is one that stops half way.
+#[test]
+fn a_spoilt_answer_takes_nothing_else_along() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut load = Client::asks(d.address, LOAD);
+    let mut held = executor.accept();
+    let load_pull = held.command().unwrap();
+    let mut client = Client::asks(d.address, &READ.replace("est=10", "est=2000"));
+    for spoilt in ["OK pages=1 3000000000\r\nx", "OK pages=1 6\r\n1\t"] {
+        let mut peer = executor.accept();
+        let pull = peer.command().unwrap();
+        peer.say(&format!("{} {spoilt}", pull[1]));
+        assert!(peer.command().is_none(), "{spoilt:?} ends its connection");
+    }
+    let mut peer = executor.accept();
+    for (peer, pull) in [(&mut peer, None), (&mut held, Some(load_pull))] {
+        let pull = pull.unwrap_or_else(|| peer.command().unwrap());
+        peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    }
+    assert_eq!(client.got(), Got::Rows(vec![row(["1", "x", "y"])]));
+    assert_eq!(load.got(), Got::Rows(vec![row(["1", "x", "y"])]));
+}
+
+// A connection that stays open and brings nothing more held its requests until their time was over. Once its
+// executor is heard elsewhere, what is out there is tried again.
+#[test]
+fn a_mute_connection_is_given_up_when_its_executor_lives() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, READ);
+    let mut mute = executor.accept();
+    mute.command().unwrap();
+    // Whatever comes on other connections is answered there.
+    std::thread::spawn(move || {
+        loop {
+            let mut peer = executor.accept();
+            std::thread::spawn(move || {
+                while let Some(command) = peer.command() {
+                    peer.page(&command[1], "OK pages=1", "1\tx\ty\n");
+                }
+            });
+        }
+    });
+    for n in 2..9 {
+        let mut other = Client::asks(d.address, &READ.replace("a1", &format!("a{n}")));
+        assert_eq!(other.got(), Got::Rows(vec![row(["1", "x", "y"])]));
+        std::thread::sleep(std::time::Duration::from_millis(300));
+    }
+    client.stream.set_read_timeout(Some(std::time::Duration::from_secs(5))).unwrap();
+    assert_eq!(client.got(), Got::Rows(vec![row(["1", "x", "y"])]));
 }
 
 // A machine that vanished says nothing: the answer comes by the dispatcher's own clock, before the client's.
@@ -185,12 +265,14 @@
     let mut peer = executor.accept();
     let first = peer.command().unwrap();
     let mut stuck = Client::asks(d.address, LOAD);
-    assert_eq!(peer.command().unwrap()[0], "PULL");
+    let mut held = executor.accept();
+    assert_eq!(held.command().unwrap()[0], "PULL");
     d.signal("TERM");
     d.logs("SIGTERM");
     let mut late = Client::asks(d.address, &READ.replace("a1", "a3"));
-    let second = peer.command().unwrap();
-    for pull in [&first, &second] {
+    let mut other = executor.accept();
+    let second = other.command().unwrap();
+    for (peer, pull) in [(&mut peer, &first), (&mut other, &second)] {
         peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
     }
     assert_eq!(open.got(), Got::Rows(vec![row(["1", "x", "y"])]));
