End bad clients in time, never serve them, and let crowds make room

A probe that logged every statement: "SELECT 1" without an id got a result set from the session itself (8 times, as many as were served), an id sent again within 40 ms of its first was served when that one had just been answered, and one client repeated an unknown class 400 times as soon as it was turned away. Ruled out: budgets and estimates out of range (errors already), two requests at once (none in this log; the protocol has one at a time, so it is an error now).

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -38,10 +38,14 @@
 const ACCEPT_PAUSE: Micros = 100_000;
 /// Connections accepted in one turn at most.
 const ACCEPTS: usize = 64;
-/// A client that takes nothing off its answer for this long is let go.
-const STUCK: Micros = 30_000_000;
-/// A client that was told to go has this long to read the last bytes.
-const LINGER: Micros = 1_000_000;
+/// Clients are looked after this often: pauses, and what they owe.
+const CLIENTS: Micros = 100_000;
+/// A client that just connected has this long to say something before it may have to make room.
+const PATIENCE: Micros = 30_000;
+/// Clients too many that may wait to read that they are.
+const LINGERERS: usize = 16;
+/// Descriptors for everything but clients and engines.
+const OWN: usize = 24;
 /// After SIGTERM: how long new work is taken, when what is open is given up, and the end.
 const TAKES_ON: Micros = 700_000;
 const GIVES_UP: Micros = 3_100_000;
@@ -71,10 +75,13 @@
     /// How long ago what is read now may have come.
     behind: Micros,
     sweep_at: Micros,
+    clients_at: Micros,
     counters_at: Micros,
     stopping: Option<Micros>,
     given_up: bool,
     refused_clients: u64,
+    /// Clients closed to make room for others.
+    made_room: u64,
 }
 
 fn context<E: Display>(what: &str) -> impl Fn(E) -> io::Error + '_ {
@@ -102,29 +109,34 @@
         let pool = Pool::default();
         let mut clock = Clock::default();
         let now = clock.now();
-        let half = (config.limits.sockets / 2).saturating_sub(24).max(8);
+        // Clients hold a third of the descriptors at most as a rule; the rest of their half is for others.
+        let sockets = config.limits.sockets;
+        let (most_sessions, most_conns) =
+            ((sockets / 2).max(16), (sockets * 3 / 8).saturating_sub(OWN).max(8));
         let mut node = Node {
             poll,
             names,
             dispatch,
             sessions: Sessions::default(),
-            executors: Executors::new(transport, half, seed, &pool),
+            executors: Executors::new(transport, most_conns, seed, &pool),
             feed: Feed::new(config.coordinator, config.known.index),
             jobs: BTreeMap::new(),
             listener: Some((listener_key, listener)),
             paused: None,
             signals: (signal_key, signals),
             load,
-            most_sessions: half,
+            most_sessions,
             // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
             next_id: (seed ^ (seed >> 32) ^ now) as u32,
             accept_at: None,
             behind: 0,
             sweep_at: now + SWEEP,
+            clients_at: now + CLIENTS,
             counters_at: now + COUNTERS,
             stopping: None,
             given_up: false,
             refused_clients: 0,
+            made_room: 0,
             pool,
             clock,
         };
@@ -167,7 +179,7 @@
         let due =
             [self.dispatch.next_due(), self.executors.next_due(), self.accept_at, Some(self.feed.next_due())];
         // While stopping, a look every now and then is near enough to each of its limits.
-        let own = if self.stopping.is_some() { self.clock.last() + STOP_LOOK } else { self.sweep_at };
+        let own = if self.stopping.is_some() { self.clock.last() + STOP_LOOK } else { self.clients_at };
         due.into_iter().flatten().fold(own, Micros::min)
     }
 
@@ -210,6 +222,10 @@
             self.accept_at = None;
             self.accept_again(now);
         }
+        if self.clients_at <= now {
+            self.clients_at = now + CLIENTS;
+            self.look_after_clients(now);
+        }
         if self.sweep_at <= now {
             self.sweep_at = now + SWEEP;
             self.sweep(now);
@@ -315,12 +331,16 @@
             self.next_id = self.next_id.wrapping_add(1);
             let mut scramble = [0; 20];
             (0u32..).zip(&mut scramble).for_each(|(i, b)| *b = 33 + (id.rotate_left(i) % 90) as u8);
+            let full = self.sessions.by_key.len() >= self.most_sessions && !self.make_room(now);
+            if full && self.sessions.by_key.len() >= self.most_sessions + LINGERERS {
+                self.refused_clients += 1;
+                continue;
+            }
             match Session::new(stream, &self.poll, &self.pool, id, &scramble, now) {
                 Ok(mut s) => {
-                    if self.sessions.by_key.len() >= self.most_sessions {
+                    if full {
                         self.refused_clients += 1;
-                        s.error(&Error::new(1040, "08004", "too many connections: backoff=200"));
-                        s.closing = true;
+                        s.dismiss(&Error::new(1040, "08004", "too many connections: backoff=200"), now);
                     }
                     let key = self.sessions.insert(s);
                     // What the client wrote ahead is read now: its request came before later ones.
@@ -358,25 +378,70 @@
 
     fn read(&mut self, key: Key, now: Micros) {
         let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
-        if s.read(now) { self.advance(key, now) } else { self.hang_up(key, now) }
+        if !s.read(now) || s.leaves() {
+            return self.hang_up(key, now);
+        }
+        if s.open.is_some() && s.overruns() {
+            return self.overrun(key, now);
+        }
+        self.advance(key, now);
+    }
+
+    /// A client that sends on while its request is open gets no answer but this one, whatever comes of it.
+    fn overrun(&mut self, key: Key, now: Micros) {
+        let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
+        log::info!("client {}: sends on without waiting for its answer", s.id);
+        let open = s.open.take();
+        s.dismiss(&Error::new(1105, "HY000", "one request at a time on a connection"), now);
+        if let Some(request) = open {
+            self.left(request, now);
+        }
+        self.flush(key);
+    }
+
+    /// Closes the client that can be spared best, for another to come in; false if none can.
+    fn make_room(&mut self, now: Micros) -> bool {
+        let spare = |(k, s): (&Key, &Session)| s.spare(now, PATIENCE).map(|rank| (rank, *k));
+        let Some((_, key)) = self.sessions.by_key.iter().filter_map(spare).min() else { return false };
+        self.made_room += 1;
+        self.hang_up(key, now);
+        true
+    }
+
+    /// What time does to clients: pauses end, and who owes something for too long goes.
+    fn look_after_clients(&mut self, now: Micros) {
+        let keys: Vec<Key> = self.sessions.by_key.keys().copied().collect();
+        for key in keys {
+            let Some(s) = self.sessions.by_key.get_mut(&key) else { continue };
+            let paused = s.paused();
+            if !s.tick(now) {
+                self.hang_up(key, now);
+            } else if paused && !s.paused() {
+                self.advance(key, now);
+            } else if s.dismissed() {
+                self.flush(key);
+            }
+        }
     }
 
     /// Takes what the client wants, until a request is open or nothing is left.
     fn advance(&mut self, key: Key, now: Micros) {
         while let Some(s) = self.sessions.by_key.get_mut(&key) {
-            match s.next(&self.names) {
+            match s.next(&self.names, now) {
                 None => break,
                 Some(Asked::Close) => return self.hang_up(key, now),
                 Some(Asked::Kill(id)) => self.kill(key, id, now),
                 Some(Asked::Request(mut request, kind, statement)) => {
                     request.budget = request.budget.saturating_sub(self.behind);
                     let id = request.id;
-                    s.open = Some(id);
+                    if s.overruns() {
+                        return self.overrun(key, now);
+                    }
                     if self.jobs.contains_key(&id) {
-                        s.open = None;
-                        s.error(&Error::new(1105, "HY000", "a request with this rid is open"));
+                        s.at_fault(&Error::new(1105, "HY000", "a request with this rid is open"), now);
                         continue;
                     }
+                    s.open = Some(id);
                     self.jobs.insert(id, (key, Job { kind, statement }));
                     match self.dispatch.pick(now, &request) {
                         Ok(orders) => self.settle(now, orders),
@@ -384,7 +449,7 @@
                             self.jobs.remove(&id);
                             if let Some(s) = self.sessions.by_key.get_mut(&key) {
                                 s.open = None;
-                                s.error(&Error::new(1105, "HY000", e));
+                                s.at_fault(&Error::new(1105, "HY000", e), now);
                             }
                         }
                     }
@@ -441,12 +506,6 @@
 
     fn sweep(&mut self, now: Micros) {
         self.executors.sweep(now, &self.poll);
-        let stuck = |s: &Session| {
-            let lingers = s.closing && now > s.touched + LINGER;
-            lingers || (s.open.is_none() && !s.flushed() && now > s.touched + STUCK)
-        };
-        let gone: Vec<Key> = self.sessions.by_key.iter().filter(|(_, s)| stuck(s)).map(|(k, _)| *k).collect();
-        gone.into_iter().for_each(|key| self.hang_up(key, now));
     }
 
     fn count(&self) {
@@ -454,7 +513,7 @@
         let w = &self.executors.wire;
         log::info!(
             "counters: taken={} served={} refused={} failed={} left={} open={} attempts={} expired={} lost={} \
-             never_sent={} probes={} dials={} conns={} clients={} clients_refused={} stray={} bad_lines={} mute={} \
+             never_sent={} probes={} dials={} conns={} clients={} clients_refused={} made_room={} stray={} bad_lines={} mute={} \
              feed_dials={} feed_bad_lines={} free_buffers={} broken={}",
             t.taken,
             t.served,
@@ -471,6 +530,7 @@
             self.executors.connections(),
             self.sessions.by_key.len(),
             self.refused_clients,
+            self.made_room,
             w.stray,
             w.bad_lines,
             w.mute,
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -15,10 +15,6 @@
     next: Cell<Key>,
 }
 
-fn interest(key: Key, writable: bool) -> Event {
-    if writable { Event::all(key) } else { Event::readable(key) }
-}
-
 impl Poll {
     /// Watches nothing yet.
     pub fn new() -> io::Result<Poll> {
@@ -32,13 +28,18 @@
         let key = self.next.replace(self.next.get() + 1);
         // SAFETY: polling asks that a source is deleted from the poller before it is dropped. Every owner in
         // `net` keeps its socket beside its key and calls `remove` at the one place where it closes it.
-        unsafe { self.poller.add_with_mode(socket, interest(key, writable), PollMode::Level)? };
+        unsafe { self.poller.add_with_mode(socket, Event::new(key, true, writable), PollMode::Level)? };
         Ok(key)
     }
 
     /// Changes whether a socket is watched for writing.
     pub fn writable(&self, key: Key, socket: &impl AsFd, writable: bool) -> io::Result<()> {
-        self.poller.modify_with_mode(socket, interest(key, writable), PollMode::Level)
+        self.interest(key, socket, true, writable)
+    }
+
+    /// Changes what a socket is watched for.
+    pub fn interest(&self, key: Key, socket: &impl AsFd, readable: bool, writable: bool) -> io::Result<()> {
+        self.poller.modify_with_mode(socket, Event::new(key, readable, writable), PollMode::Level)
     }
 
     /// Watches a socket no more.
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -14,6 +14,19 @@
 
 /// The largest number that is believed in a field: a budget of eleven days, a petabyte.
 const LARGEST: f64 = 1e9;
+/// A client has this long from its connect to bring a first request whole.
+const FIRST: Micros = 2_000_000;
+/// What came of a message in part has to be whole within this time.
+const PART: Micros = 1_500_000;
+/// A client that was told to go has this long to read the last bytes, and may send on so much meanwhile.
+const LINGER: Micros = 1_000_000;
+const WASTE: usize = 256 * 1024;
+/// A client that takes nothing off its answer for this long is let go.
+const STUCK: Micros = 30_000_000;
+/// After an error of its own a client is not read for this long, twice as long after each further one; after
+/// so many in a row it has to go.
+const PAUSE: Micros = 10_000;
+const ERRORS: u32 = 8;
 
 /// What a client wants that the session can't answer by itself.
 #[derive(Debug)]
@@ -39,9 +52,21 @@
     pub open: Option<u64>,
     /// When anything last happened on it.
     pub touched: Micros,
-    /// Nothing more is read; it closes once all is written.
-    pub closing: bool,
+    /// When it connected.
+    opened: Micros,
+    /// Since when its next message has been here in part.
+    part_since: Option<Micros>,
+    /// Whether it ever brought a request or command whole, beside its login.
+    asked: bool,
+    /// Errors of its own in a row, and until when it is not read for them.
+    errors: u32,
+    paused_until: Option<Micros>,
+    /// Since when nothing more is taken from it; it closes once all is written and read.
+    closing: Option<Micros>,
+    waste: usize,
     finished: bool,
+    /// Whether it is watched for reading and for writing.
+    watched: (bool, bool),
 }
 
 impl Session {
@@ -71,23 +96,35 @@
             outbox,
             open: None,
             touched: now,
-            closing: false,
+            opened: now,
+            part_since: None,
+            asked: false,
+            errors: 0,
+            paused_until: None,
+            closing: None,
+            waste: 0,
             finished: false,
+            watched: (true, false),
         })
     }
 
     /// Reads once. False once the client is gone.
     pub fn read(&mut self, now: Micros) -> bool {
-        self.touched = now;
-        if self.closing {
+        if self.closing.is_some() {
             let mut waste = [0; 4096];
             return match self.stream.read(&mut waste) {
-                Ok(n) => n > 0,
+                Ok(n) => {
+                    self.waste += n;
+                    n > 0 && self.waste < WASTE
+                }
                 Err(e) => e.kind() == io::ErrorKind::WouldBlock,
             };
         }
+        if self.paused_until.is_some() {
+            return true;
+        }
+        self.touched = now;
         if self.inbox.full() {
-            log::warn!("client {}: sends on without waiting for its answer", self.id);
             return false;
         }
         match self.inbox.fill(&mut self.stream) {
@@ -96,20 +133,85 @@
         }
     }
 
+    /// What a client may not do while its request is open: send another. A farewell is none.
+    pub fn overruns(&self) -> bool {
+        let bytes = self.inbox.bytes();
+        bytes.len() > 5 || (bytes.len() == 5 && !matches!(bytes, [1, 0, 0, _, 1]))
+    }
+
+    /// Whether the client said farewell while its request is open.
+    pub fn leaves(&self) -> bool {
+        self.open.is_some() && matches!(self.inbox.bytes(), [1, 0, 0, _, 1])
+    }
+
+    /// Takes nothing more from the client; it goes once it has read what was answered.
+    pub fn dismiss(&mut self, error: &Error, now: Micros) {
+        self.put(|s, out| s.error(error, out));
+        self.closing.get_or_insert(now);
+    }
+
+    /// What time does to it: pauses end, and what is owed for too long ends it. False if it has to be closed.
+    pub fn tick(&mut self, now: Micros) -> bool {
+        if let Some(since) = self.closing {
+            return now < since + LINGER;
+        }
+        if self.paused_until.is_some_and(|t| t <= now) {
+            self.paused_until = None;
+        }
+        if self.open.is_some() {
+            return true;
+        }
+        let late = !self.asked && now > self.opened + FIRST;
+        if late || self.part_since.is_some_and(|t| now > t + PART) {
+            self.dismiss(&Error::new(1159, "08S01", "no whole request in time"), now);
+        }
+        self.flushed() || now < self.touched + STUCK
+    }
+
+    /// Whether it was told to go.
+    pub fn dismissed(&self) -> bool {
+        self.closing.is_some()
+    }
+
+    /// Whether it is not read for a while.
+    pub fn paused(&self) -> bool {
+        self.paused_until.is_some()
+    }
+
+    /// Whether it could be closed to make room, and how dear it is: first those told to go, then those that said
+    /// nothing for `patience`, then those longest idle. Never one with anything open, unwritten or unread.
+    pub fn spare(&self, now: Micros, patience: Micros) -> Option<(u8, Micros)> {
+        let rests = self.open.is_none() && self.flushed();
+        if let Some(since) = self.closing.filter(|t| rests && now > *t + patience) {
+            return Some((0, since));
+        }
+        let quiet = rests && self.inbox.bytes().is_empty() && self.paused_until.is_none();
+        let silent = !self.asked && now > self.opened + patience;
+        let unread =
+            || !matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+        let spare = quiet && self.closing.is_none() && (self.asked || silent) && !unread();
+        spare.then_some((1 + u8::from(self.asked), self.touched))
+    }
+
     /// The next thing that the client wants; what the session can answer by itself, it answers.
-    pub fn next(&mut self, names: &Names) -> Option<Asked> {
-        while self.open.is_none() && !self.closing {
-            let (n, asked) = match self.server.next(self.inbox.bytes()) {
-                Ok(None) => return None,
-                Ok(Some((n, command))) => (n, understand(&command, names)),
+    pub fn next(&mut self, names: &Names, now: Micros) -> Option<Asked> {
+        while self.open.is_none() && self.closing.is_none() && self.paused_until.is_none() {
+            let (n, login, asked) = match self.server.next(self.inbox.bytes()) {
+                Ok(None) => {
+                    let part = !self.inbox.bytes().is_empty();
+                    self.part_since = part.then(|| self.part_since.unwrap_or(now));
+                    return None;
+                }
+                Ok(Some((n, command))) => (n, command == Command::Login, understand(&command, names)),
                 Err(e) => {
-                    log::warn!("client {}: {e}", self.id);
-                    self.error(&e);
-                    self.closing = true;
+                    log::info!("client {}: {e}", self.id);
+                    self.dismiss(&e, now);
                     return None;
                 }
             };
             self.inbox.consume(n);
+            self.part_since = None;
+            self.asked |= !login;
             match asked {
                 Ok(Meant::Ok) => self.put(|s, out| s.ok(out)),
                 Ok(Meant::Values(values)) => {
@@ -121,12 +223,22 @@
                     });
                 }
                 Ok(Meant::Asked(asked)) => return Some(asked),
-                Err(e) => self.error(&e),
+                Err(e) => self.at_fault(&e, now),
             }
         }
         None
     }
 
+    /// Answers a mistake of the client's at once, and reads on only after a pause: some repeat it for ever.
+    pub fn at_fault(&mut self, error: &Error, now: Micros) {
+        self.errors += 1;
+        if self.errors >= ERRORS {
+            return self.dismiss(error, now);
+        }
+        self.error(error);
+        self.paused_until = Some(now + (PAUSE << self.errors));
+    }
+
     fn put(&mut self, write: impl FnOnce(&mut Server, &mut Vec<u8>)) {
         let mut bytes = Vec::new();
         write(&mut self.server, &mut bytes);
@@ -145,7 +257,7 @@
 
     /// Gives the open request its final answer.
     pub fn answer(&mut self, answer: &Answer<Vec<Block>>) {
-        self.open = None;
+        (self.open, self.errors) = (None, 0);
         match answer {
             Answer::Refused(ms) => {
                 self.error(&Error::new(1203, "42000", format!("refused, try again later: backoff={ms}")));
@@ -172,11 +284,13 @@
     /// Writes what can be written. False once the connection is gone.
     pub fn flush(&mut self, poll: &Poll) -> bool {
         let Ok(done) = self.outbox.flush(&mut self.stream) else { return false };
-        if done && self.closing && !std::mem::replace(&mut self.finished, true) {
+        if done && self.closing.is_some() && !std::mem::replace(&mut self.finished, true) {
             // The client still gets the last bytes if it was sending: the rest is read and dropped.
             let _ = self.stream.shutdown(Shutdown::Write);
         }
-        poll.writable(self.key, &self.stream, !done).is_ok()
+        let watched = (self.paused_until.is_none(), !done);
+        let same = std::mem::replace(&mut self.watched, watched) == watched;
+        same || poll.interest(self.key, &self.stream, watched.0, watched.1).is_ok()
     }
 
     /// Closes it.
@@ -223,7 +337,8 @@
     }
 }
 
-/// Values of a SELECT that reads no table: numbers and the variables that drivers ask for.
+/// Values of a SELECT that reads no table: the variables that drivers ask for, and nothing else. A number would
+/// look like a result that no executor made.
 fn constants(list: &str) -> Option<Vec<(String, String)>> {
     let value = |item: &str| {
         let words: Vec<&str> = item.split_whitespace().collect();
@@ -235,7 +350,7 @@
         let variable =
             name.strip_prefix("@@").map(|v| v.rsplit('.').next().unwrap_or(v).to_ascii_lowercase());
         let value = match variable.as_deref() {
-            None => name.parse::<u32>().ok()?.to_string(),
+            None => return None,
             Some("version_comment") => "ottercroft".into(),
             Some("max_allowed_packet") => mysql::MOST.to_string(),
             Some("autocommit" | "auto_increment_increment") => "1".into(),
