Drop engines that are gone from the decisions' table, and give free buffers a share of the memory

The pool kept 16 MB of free buffers whatever the limit, half of a machine with 32 MB. A mute connection was given up at once after a cut, before what was held up could come: it has 0.4 s now. At the limit of engine connections an idle one elsewhere makes room.

--- a/src/config.rs
+++ b/src/config.rs
@@ -47,11 +47,13 @@
 pub struct Limits {
     /// File descriptors.
     pub sockets: usize,
+    /// Memory.
+    pub memory_mb: f64,
 }
 
 impl Default for Limits {
     fn default() -> Limits {
-        Limits { sockets: 1024 }
+        Limits { sockets: 1024, memory_mb: 192.0 }
     }
 }
 
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -754,4 +754,32 @@
         let later: Vec<_> = (1..9).flat_map(|n| d.tick(4_000 + KEY_REST + n * 100_000)).collect();
         assert!(starts(&later));
     }
+
+    // Engines are replaced all day. Those that went were counted for ever, which skewed the draw, and their table
+    // grew; an attempt that is still out on one keeps its place.
+    #[test]
+    fn engines_that_went_are_forgotten_once_nothing_is_out_on_them() {
+        let mut d = dispatch();
+        pick(&mut d, 2_000, 1);
+        let member = |executor, standing| Member {
+            executor,
+            zone: 0,
+            kind: 0,
+            cell: 0,
+            standing,
+            size: 1.0,
+            started: None,
+        };
+        for n in 5..60 {
+            let change = [member(n, Standing::Gone), member(n + 1, Standing::Up)];
+            d.members(u64::from(n) * 1_000, News::Changes, &change);
+        }
+        let left: Vec<_> = d.gateway.engines.iter().map(|e| e.entry.engine).collect();
+        assert_eq!(left, [5, 60]);
+        let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()));
+        assert_eq!(answers(&d.report(70_000, end)), [&Answer::Served(())]);
+        d.members(80_000, News::Changes, &[member(61, Standing::Up)]);
+        let left: Vec<_> = d.gateway.engines.iter().map(|e| e.entry.engine).collect();
+        assert_eq!(left, [60, 61]);
+    }
 }
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -7,23 +7,29 @@
 
 /// The size of every buffer: the largest packet, line or page fits in one.
 pub const BLOCK: usize = 16 * 1024;
-/// Free buffers kept; more than these go back to the system.
-const KEPT: usize = 1024;
-
 /// Free buffers.
-#[derive(Clone, Default)]
-pub struct Pool(Rc<RefCell<Vec<Box<[u8]>>>>);
+#[derive(Clone)]
+pub struct Pool {
+    free: Rc<RefCell<Vec<Box<[u8]>>>>,
+    /// How many are kept; more than these go back to the system.
+    kept: usize,
+}
 
 impl Pool {
+    /// An empty pool that keeps free buffers up to so many bytes.
+    pub fn new(bytes: usize) -> Pool {
+        Pool { free: Rc::default(), kept: bytes / BLOCK }
+    }
+
     /// An empty buffer.
     pub fn block(&self) -> Block {
-        let bytes = self.0.borrow_mut().pop().unwrap_or_else(|| vec![0; BLOCK].into_boxed_slice());
+        let bytes = self.free.borrow_mut().pop().unwrap_or_else(|| vec![0; BLOCK].into_boxed_slice());
         Block { bytes, from: 0, to: 0, pool: self.clone() }
     }
 
     /// How many buffers are free.
     pub fn free(&self) -> usize {
-        self.0.borrow().len()
+        self.free.borrow().len()
     }
 }
 
@@ -37,8 +43,8 @@
 
 impl Drop for Block {
     fn drop(&mut self) {
-        let mut free = self.pool.0.borrow_mut();
-        if free.len() < KEPT {
+        let mut free = self.pool.free.borrow_mut();
+        if free.len() < self.pool.kept {
             free.push(std::mem::take(&mut self.bytes));
         }
     }
@@ -177,7 +183,7 @@
     // A buffer that did not come back would be a leak that grows with every connection.
     #[test]
     fn buffers_go_round() {
-        let pool = Pool::default();
+        let pool = Pool::new(4 * BLOCK);
         let mut out = Outbox::new(&pool);
         out.append(&vec![7; 3 * BLOCK]);
         let mut sink = Vec::new();
--- a/src/net/executors.rs
+++ b/src/net/executors.rs
@@ -33,6 +33,8 @@
 const DOUBTFUL: Micros = 1_200_000;
 /// An answer that has begun has to be here whole within this time.
 const PART: Micros = 700_000;
+/// A mute connection whose executor is heard elsewhere has this long to be heard too.
+const GRACE: Micros = 400_000;
 /// An id that ended is remembered on its connection for this long, longer than an answer can be under way.
 const REMEMBERED: Micros = 60_000_000;
 /// From this attempt on a request that lost all before shares no connection: it may be why they were lost.
@@ -94,6 +96,8 @@
     part_since: Option<Micros>,
     /// Met a silent probe, and nothing was heard on it since.
     mute: bool,
+    /// Mute while its executor was heard elsewhere: over by then.
+    doomed_at: Option<Micros>,
     /// When it is looked at next for word that it owes.
     word_at: Option<Micros>,
     /// Probes that are out, and when they were asked for.
@@ -418,18 +422,25 @@
         let shared = best.map(|(key, _)| key);
         let listed = self.list.values().filter(|e| e.state == State::Up).count().max(1);
         let share = (self.most_conns / listed).max(2);
-        if self.conns.len() >= self.most_conns || (e.conns.len() >= share && shared.is_some()) {
-            if shared.is_none() {
-                log::warn!("executor {}: no connection left of {}", e.uid, self.most_conns);
-            }
+        let full = self.conns.len() >= self.most_conns;
+        if shared.is_some() && (full || e.conns.len() >= share) {
             return shared;
         }
         let Some(address) = e.address else { return shared };
+        if full {
+            // Another executor may keep more than it needs just now.
+            let idle = self.conns.iter().filter(|(_, c)| c.idle()).min_by_key(|(_, c)| c.touched);
+            let Some(key) = idle.map(|(key, _)| *key) else {
+                log::warn!("executor {}: no connection left of {}", e.uid, self.most_conns);
+                return None;
+            };
+            self.lose(key, poll, "its place is needed");
+        }
         let dialed = dial::dial(address).and_then(|s| poll.add(&s, true).map(|key| (s, key)));
         let (stream, key) = match dialed {
             Ok(dialed) => dialed,
             Err(err) => {
-                log::warn!("executor {}: can't dial {address}: {err}", e.uid);
+                log::warn!("can't dial {address}: {err}");
                 return shared;
             }
         };
@@ -453,6 +464,7 @@
                 spent: BTreeMap::new(),
                 part_since: None,
                 mute: false,
+                doomed_at: None,
                 word_at: None,
                 probes: BTreeMap::new(),
                 watched: true,
@@ -478,7 +490,7 @@
             match conn.inbox.fill(&mut conn.stream) {
                 Ok(0) => return self.lose(key, poll, "closed by the executor"),
                 Ok(_) => {
-                    (conn.heard, conn.touched, conn.mute) = (now, now, false);
+                    (conn.heard, conn.touched, conn.mute, conn.doomed_at) = (now, now, false, None);
                     let executor = conn.executor;
                     self.list.get_mut(&executor).into_iter().for_each(|e| e.heard = now);
                     self.read(key, now, poll);
@@ -690,6 +702,10 @@
         let owes = conn.heard.max(since);
         let heard = self.list.get(&conn.executor).map_or(0, |e| e.heard);
         if conn.mute && heard > owes + DOUBTFUL {
+            // After a cut both come back, and what was held up may come a moment later.
+            conn.doomed_at.get_or_insert(now + GRACE);
+        }
+        if conn.doomed_at.is_some_and(|t| t <= now) {
             self.wire.mute += 1;
             return self.lose(key, poll, "mute while its executor answers elsewhere");
         }
@@ -813,7 +829,7 @@
     // while that proves that it never ran.
     #[test]
     fn a_pull_that_waits_is_taken_back_when_its_executor_drains() {
-        let (poll, pool) = (Poll::new().unwrap(), Pool::default());
+        let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
         let at = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
         listed(&mut e, &at, State::Up, 0, 1, &poll);
@@ -830,7 +846,7 @@
     // full connection takes no more, and a dial that never comes up proves that nothing ran.
     #[test]
     fn a_new_start_ends_what_is_older_and_nothing_else() {
-        let (poll, pool) = (Poll::new().unwrap(), Pool::default());
+        let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
         let at = TcpListener::bind("127.0.0.1:0").unwrap();
         let mut e = Executors::new(TRANSPORT, 2, 7, &pool);
         listed(&mut e, &at, State::Up, 0, 1, &poll);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -44,6 +44,8 @@
 const PATIENCE: Micros = 30_000;
 /// Clients too many that may wait to read that they are.
 const LINGERERS: usize = 16;
+/// Free buffers are kept up to this part of the memory.
+const KEPT_PART: f64 = 8.0;
 /// Descriptors for everything but clients and engines.
 const OWN: usize = 24;
 /// After SIGTERM: how long new work is taken, when what is open is given up, and the end.
@@ -106,7 +108,7 @@
         let listener = bind(listen).map_err(context(&format!("listen on {listen}")))?;
         let (listener_key, address) = (poll.add(&listener, false)?, listener.local_addr()?);
         let signal_key = poll.add(&signals.stream, false)?;
-        let pool = Pool::default();
+        let pool = Pool::new((config.limits.memory_mb / KEPT_PART * 1024.0 * 1024.0) as usize);
         let mut clock = Clock::default();
         let now = clock.now();
         // Clients hold a third of the descriptors at most as a rule; the rest of their half is for others.
--- a/src/state.rs
+++ b/src/state.rs
@@ -388,9 +388,37 @@
         self.engines.iter_mut().for_each(|e| e.present = named.contains(&e.entry.engine));
     }
 
+    /// Takes engines out of the table that are gone and that no open query was sent to: on a long day they would
+    /// outnumber the rest, and whatever counts engines would count them.
+    fn drop_gone(&mut self) {
+        let sent: BTreeSet<usize> =
+            self.queries.values().flat_map(|q| q.attempts.iter().map(|a| a.engine)).collect();
+        let gone = |i: usize, e: &Engine| {
+            (!e.present || e.entry.readiness == Readiness::Left) && e.out.is_empty() && !sent.contains(&i)
+        };
+        let kept: Vec<bool> = self.engines.iter().enumerate().map(|(i, e)| !gone(i, e)).collect();
+        if kept.iter().all(|k| *k) {
+            return;
+        }
+        let places: Vec<usize> = kept
+            .iter()
+            .scan(0, |next, k| {
+                *next += usize::from(*k);
+                Some(*next)
+            })
+            .collect();
+        let mut keep = kept.iter();
+        self.engines.retain(|_| keep.next().is_some_and(|k| *k));
+        for a in self.queries.values_mut().flat_map(|q| &mut q.attempts) {
+            a.engine = places[a.engine] - 1;
+        }
+        self.index = self.engines.iter().enumerate().map(|(i, e)| (e.entry.engine, i)).collect();
+    }
+
     /// Enters an engine in the table, or what changed of it; `restarted` is when it started, if it did.
     pub(crate) fn enter(&mut self, entry: Entry, restarted: Option<Micros>) -> usize {
         let Some(&i) = self.index.get(&entry.engine) else {
+            self.drop_gone();
             self.index.insert(entry.engine, self.engines.len());
             let cores = self.s.kinds[entry.kind].cores;
             self.engines.push(Engine::new(entry, cores, self.now, restarted));
