--- a/src/control.rs
+++ b/src/control.rs
@@ -567,8 +567,7 @@
             // Only the list says that an engine is cold: taking each reset for a start shut most of a fleet.
             Outcome::Error | Outcome::Reset => {
                 e.hear(now, GAP_WEIGHT);
-                let weight = ERROR_WEIGHTS[usize::from(outcome == Outcome::Reset)];
-                e.errors += (1.0 - e.errors) * weight;
+                e.errors += (1.0 - e.errors) * ERROR_WEIGHTS[usize::from(outcome == Outcome::Reset)];
                 if e.errors > EJECT_ERRORS || e.ejected_until.is_some() {
                     self.eject(i, if outcome == Outcome::Reset { "resets" } else { "errors" });
                 }
@@ -757,12 +756,13 @@
                 None => seconds(self.now),
             };
             let in_time = self.now + (expected * 1e6) as Micros <= q.deadline;
-            let bad_plan = looks > RUNAWAY * q.attempts.len() as f64 * expected && in_time;
+            let mute = a.mute(self.now, self.s.progress, SILENT_FACTOR, SILENT_LEAST);
+            let again = in_time && (mute || looks > RUNAWAY * q.attempts.len() as f64 * expected);
             if self.s.priorities && p != q.priority {
                 self.actions.push(Action::Terms { query: id, memory_mb: q.grant, priority: p });
                 self.query(id).priority = p;
             }
-            if bad_plan {
+            if again {
                 self.resend(id, n, true);
             }
         }
@@ -771,7 +771,7 @@
     fn noted(&mut self, id: QueryId, n: u32, note: Note) {
         let now = self.now;
         let Some(q) = self.queries.get_mut(&id) else { return };
-        let Some(a) = q.attempts.get_mut(n as usize) else { return };
+        let Some(a) = Attempt::word(&mut q.attempts, n, now) else { return };
         self.engines[a.engine].hear(now, GAP_WEIGHT);
         match note {
             Note::Progress(p) if p.is_finite() => {
--- a/src/state.rs
+++ b/src/state.rs
@@ -217,12 +217,27 @@
     pub(crate) outcome: Option<Outcome>,
     pub(crate) progress: f64,
     pub(crate) noted: Micros,
+    /// When any word of it came, or it was sent.
+    pub(crate) heard: Micros,
     pub(crate) cancelled: bool,
     pub(crate) spilled: bool,
     pub(crate) grant: f64,
 }
 
 impl Attempt {
+    /// The attempt among these that word came of.
+    pub(crate) fn word(all: &mut [Attempt], n: u32, now: Micros) -> Option<&mut Attempt> {
+        let a = all.get_mut(n as usize)?;
+        a.heard = now;
+        Some(a)
+    }
+
+    /// Whether so many paces of notes, and at least so long, have brought no word of it, not even that it waits:
+    /// its engine may tell of all others and never have got this one.
+    pub(crate) fn mute(&self, now: Micros, pace: Option<Micros>, paces: f64, least: Micros) -> bool {
+        pace.is_some_and(|p| now.saturating_sub(self.heard) > ((p as f64 * paces) as Micros).max(least))
+    }
+
     /// Notes how far it is; its engine, and seconds for each whole since the note before.
     pub(crate) fn progressed(&mut self, now: Micros, progress: f64) -> (usize, f64) {
         let span = (now - self.noted) as f64 / 1e6;
@@ -445,7 +460,14 @@
         let q = self.query(id);
         (q.grant, q.priority) = (grant, priority);
         let (n, class) = (q.attempts.len() as u32, q.class);
-        q.attempts.push(Attempt { engine: i, sent: now, noted: now, grant, ..Attempt::default() });
+        q.attempts.push(Attempt {
+            engine: i,
+            sent: now,
+            noted: now,
+            heard: now,
+            grant,
+            ..Attempt::default()
+        });
         self.engines[i].take((id, n), f64::from(self.s.classes[class].threads), grant);
     }
 
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -466,3 +466,34 @@
     let n = on_bound.count();
     assert!((1..32).contains(&n), "{n} of 80");
 }
+
+// An engine may swallow one request and tell of all others: what no word comes of is tried elsewhere, long before
+// its time is over, and what word comes of is left alone.
+#[test]
+fn an_attempt_that_no_word_comes_of_is_tried_elsewhere() {
+    let mut rig = Rig::new(Settings { progress: Some(500 * MS), ..settings() }, 3);
+    let sent = |all: &[Action]| {
+        let engine = |a: &Action| if let Action::Send { engine, .. } = a { Some(*engine) } else { None };
+        all.iter().find_map(engine)
+    };
+    let (lost, actions) = rig.arrive(1, 1.0);
+    let engine = sent(&actions).unwrap();
+    let told = loop {
+        let (query, actions) = rig.arrive(1, 1.0);
+        match sent(&actions) {
+            Some(e) if e == engine => break query,
+            other => drop(rig.finish(query, 0, other.unwrap(), Outcome::Ok, 1.0)),
+        }
+    };
+    let mut all = Vec::new();
+    for step in 1..=5u32 {
+        all.extend(rig.pass(500 * MS));
+        let note = Note::Progress(0.19 * f64::from(step));
+        all.extend(rig.event(Event::Noted { query: told, attempt: 0, engine, note }));
+    }
+    let again = |id| {
+        all.iter().any(|a| matches!(a, Action::Send { query, engine: e, .. } if *query == id && *e != engine))
+    };
+    assert!(again(lost) && all.contains(&Action::Cancel { query: lost, attempt: 0 }), "{all:?}");
+    assert!(!again(told));
+}
