--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -41,7 +41,7 @@
 /// Clients are looked after this often: pauses, and what they owe.
 const CLIENTS: Micros = 100_000;
 /// A client that just connected has this long to say something before it may have to make room.
-const PATIENCE: Micros = 30_000;
+const PATIENCE: Micros = 100_000;
 /// Clients too many that may wait to read that they are.
 const LINGERERS: usize = 16;
 /// Free buffers are kept up to this part of the memory.
