See retry storms and tell refused clients when to come back by a plan of slots

Need: when a room returns after an outage all clients come at once, and a refusal's fixed advice sends them back at once as well.

Change: src/storm, sans-I/O: phases with hysteresis from arrivals, answers and usable cores; a plan that promises as many returns as the warming fleet will have room for; early ones get the rest of the same wait from one look-up; a budget for repeats; a pace that the decisions' own refusals steer. Off unless our settings have retry_storms. Requests refused by it go through dispatch, which counts them and uses up their ids; a client may mark a repeat (try=2). Stand-in motores that fall over, and the lab's part on real sockets.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod chart;
 mod daemon;
 mod motor_lists;
+mod retry_storms;
 mod traffic;
 
 use clap::{Parser, Subcommand};
@@ -37,6 +38,15 @@
         #[arg(long)]
         slice: bool,
     },
+    /// An outage of all motores under many clients, with the storm module and without it
+    RetryStorms {
+        /// Clients
+        #[arg(long, default_value_t = 1_000)]
+        clients: u64,
+        /// Length of the outage, in seconds
+        #[arg(long, default_value_t = 30)]
+        outage: u64,
+    },
 }
 
 fn main() -> ExitCode {
@@ -45,6 +55,9 @@
         Command::MotorLists { swaps, seed, slice } => {
             motor_lists::prove(&cli.program, &cli.results.join("motor-lists"), swaps, seed, slice)
         }
+        Command::RetryStorms { clients, outage } => {
+            retry_storms::prove(&cli.program, &cli.results.join("retry-storms"), clients, outage)
+        }
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! - [`scripted`]: peers that say what a test has them say, step by step, and the program between them.
 //! - [`engine`]: a motor that works by itself: it answers after a while, heeds KILL and remembers all it got.
+//! - [`fragile`]: a motor with a capacity, which starts cold and falls over.
 //! - [`feed`]: a coordinator that pushes changes of the list.
 //!
 //! They stand on the protocol's pages alone and share no code with the dispatcher, so that a mistake in its
@@ -10,4 +11,5 @@
 
 pub mod engine;
 pub mod feed;
+pub mod fragile;
 pub mod scripted;
--- a/deploy/ottercroft.hcl
+++ b/deploy/ottercroft.hcl
@@ -39,3 +39,10 @@
     accepted_for = "1h"
   }
 }
+
+# Retry storms: off unless the block is there. Every key may be left out.
+retry_storms {
+  longest_wait = "1s"  # the longest wait that clients honour
+  repeats      = 0.3   # share of what passes that repeats without a promise may be
+  remembered   = 20000 # asks remembered after they were turned away
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -68,6 +68,8 @@
     pub memory_mb: Option<f64>,
     /// Its group of tables.
     pub group: u64,
+    /// The client says that it asked before.
+    pub repeated: bool,
 }
 
 /// An executor as the list has it.
@@ -252,6 +254,17 @@
     }
 }
 
+/// The fleet as the decisions see it, in cores.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Fleet {
+    /// Of all executors that the list has as up.
+    pub listed: f64,
+    /// Of those that are healthy.
+    pub usable: f64,
+    /// Of those, each counted by how warm it is.
+    pub warm: f64,
+}
+
 /// Counters since the start.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Tally {
@@ -323,6 +336,35 @@
         })
     }
 
+    /// The fleet now.
+    pub fn fleet(&self, now: Micros) -> Fleet {
+        let [listed, usable, warm] = self.gateway.fleet(now);
+        Fleet { listed, usable, warm }
+    }
+
+    /// Whether a request can be taken at all: its class, its budget, and an id that was not used.
+    fn acceptable(&mut self, request: &Request) -> Result<Class, &'static str> {
+        let class = *self.classes.get(request.class).ok_or("unknown class")?;
+        if request.told == 0 || request.told > class.most_budget {
+            return Err("a budget that no client of this class has");
+        }
+        // Ids are new with every request. One that comes again, open or not, is nobody's retry: it could run
+        // what must not run twice, and its answer could be taken for the other's.
+        if self.recent.put(request.id, ()).is_some() || self.open.contains_key(&request.id) {
+            return Err("this id was used before");
+        }
+        Ok(class)
+    }
+
+    /// Takes a request in and refuses it in the same breath, before any decision: it never ran, so that refusing
+    /// is harmless. Errors are those of [`Dispatch::pick`].
+    pub fn turn_away(&mut self, request: &Request) -> Result<(), &'static str> {
+        self.acceptable(request)?;
+        self.tally.taken += 1;
+        self.tally.refused += 1;
+        Ok(())
+    }
+
     /// Requests whose clients still wait.
     pub fn waiting(&self) -> usize {
         self.open.values().filter(|o| !o.closed).count()
@@ -362,15 +404,7 @@
     /// Takes a request in: it is sent, held or answered by what is returned here or later. An id that is
     /// still open is an error, as its answer could not be told from the other's.
     pub fn pick(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
-        let Class { safe, most_budget } = *self.classes.get(request.class).ok_or("unknown class")?;
-        if request.told == 0 || request.told > most_budget {
-            return Err("a budget that no client of this class has");
-        }
-        // Ids are new with every request. One that comes again, open or not, is nobody's retry: it could run
-        // what must not run twice, and its answer could be taken for the other's.
-        if self.recent.put(request.id, ()).is_some() || self.open.contains_key(&request.id) {
-            return Err("this id was used before");
-        }
+        let Class { safe, .. } = self.acceptable(request)?;
         self.tally.taken += 1;
         let grace = request.budget.saturating_sub(MARGIN.min(request.budget / MARGIN_PART)).max(1);
         let open = Open {
@@ -399,7 +433,7 @@
             estimate_s: request.work_s.filter(|e| e.is_finite() && *e > 0.0),
             memory_mb: request.memory_mb.filter(|e| e.is_finite() && *e > 0.0),
             group: request.group,
-            repeated: false,
+            repeated: request.repeated,
         };
         Ok(self.run(now, Event::Arrival(arrival)))
     }
@@ -688,6 +722,7 @@
             work_s: None,
             memory_mb: None,
             group: 0,
+            repeated: false,
         };
         d.pick(now, &request).unwrap()
     }
@@ -739,6 +774,7 @@
             work_s: None,
             memory_mb: None,
             group: 0,
+            repeated: false,
         };
         assert!(d.pick(2_000, &again).is_err());
         // A client that left is owed nothing, also when an answer or the end comes later.
@@ -757,7 +793,17 @@
         let mut d = dispatch();
         let keyed = |id, budget| {
             let key = Some(9);
-            Request { id, class: 0, key, told: budget, budget, work_s: None, memory_mb: None, group: 0 }
+            Request {
+                id,
+                class: 0,
+                key,
+                told: budget,
+                budget,
+                work_s: None,
+                memory_mb: None,
+                group: 0,
+                repeated: false,
+            }
         };
         assert_eq!(d.pick(2_000, &keyed(1, BUDGET)).unwrap().len(), 1);
         assert!(d.pick(3_000, &keyed(2, 4 * BUDGET)).unwrap().is_empty(), "the second waits for its turn");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`mysql`], [`executor`] and [`coordinator`] are the codecs of its protocols, [`statement`] reads queries.
 //! - [`net`] is the dispatcher on sockets: one event loop.
 //! - [`membership`] is which motores there are: lists from files beside the coordinator's feed.
+//! - [`storm`] sees retry storms, damps them and tells clients when to come back.
 //! - [`hcl`] reads our own HCL, [`options`] are the settings in it, [`cli`] is the command line.
 //! - [`config`] and [`settings`] read what it is told, [`invariant`] counts what must not happen.
 
@@ -28,6 +29,7 @@
 pub mod settings;
 mod state;
 pub mod statement;
+pub mod storm;
 
 pub use api::{Action, Event, Settings};
 pub use state::Gateway;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,12 +13,13 @@
 use crate::api::Micros;
 use crate::config::{Config, ConfigError};
 use crate::coordinator::{State, Target, Update};
-use crate::dispatch::{Dispatch, End, Member, News, Order, Report, Standing, executor_id};
+use crate::dispatch::{Answer, Dispatch, End, Member, News, Order, Report, Standing, executor_id};
 use crate::invariant;
 use crate::membership::check::Catalog;
 use crate::mysql::Error;
 use crate::options::Options;
 use crate::settings::Names;
+use crate::storm::{self, Storm, Verdict};
 use buffers::Pool;
 use executors::{Executors, Job, Rows};
 use feed::Feed;
@@ -40,6 +41,10 @@
 const SLOW_TURN: Micros = 20_000;
 /// Accepting pauses this long when descriptors have run out.
 const ACCEPT_PAUSE: Micros = 100_000;
+/// Clients honour waits up to this where nothing is said.
+const LONGEST_WAIT: Micros = 1_000_000;
+/// What a client too many is told to wait.
+const CLIENT_BACKOFF: Micros = 200_000;
 /// Connections accepted in one turn at most.
 const ACCEPTS: usize = 64;
 /// Clients are looked after this often: pauses, and what they owe.
@@ -70,6 +75,7 @@
     /// The coordinator's, unless lists from files stand instead of it.
     feed: Option<Feed>,
     lists: Option<Lists>,
+    storm: Option<Storm>,
     jobs: BTreeMap<u64, (Key, Job)>,
     listener: Option<(Key, TcpListener)>,
     /// The listener while accepting pauses.
@@ -109,6 +115,14 @@
         let transport = config.settings.transport().map_err(context("configuration"))?;
         let (settings, names) = config.settings.settings().map_err(context("configuration"))?;
         let catalog = Catalog::of(&settings, &names);
+        let storm = options.storms.map(|o| {
+            let honoured = o.longest_wait.map(|d| d.as_micros() as Micros).or(settings.max_retry_after);
+            let (longest_wait, ramp) = (honoured.unwrap_or(LONGEST_WAIT), settings.cold.ramp);
+            Storm::new(
+                storm::Terms { longest_wait, repeats: o.repeats, remembered: o.remembered, ramp },
+                seed,
+            )
+        });
         let dispatch =
             Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
         let poll = Poll::new().map_err(context("poller"))?;
@@ -131,6 +145,7 @@
             executors: Executors::new(transport, most_conns, seed, &pool),
             feed: Some(Feed::new(config.coordinator, config.known.index)),
             lists: None,
+            storm,
             jobs: BTreeMap::new(),
             listener: Some((listener_key, listener)),
             paused: None,
@@ -251,6 +266,7 @@
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
             self.look_after_clients(now);
+            self.watch_storm(now);
             self.with_lists(now, |lists, executors| lists.tick(now, &|uid| executors.busy(uid)));
         }
         if self.sweep_at <= now {
@@ -292,8 +308,18 @@
             Order::Stop(ticket) => self.executors.stop(ticket, now, &self.poll),
             Order::Boost(ticket, priority) => self.executors.boost(ticket, priority, now, &self.poll),
             Order::Probe(executor) => self.executors.probe(executor, now, &self.poll),
-            Order::Answer(request, answer) => {
-                let Some((key, _)) = self.jobs.remove(&request) else { return };
+            Order::Answer(request, mut answer) => {
+                let Some((key, job)) = self.jobs.remove(&request) else { return };
+                if let Some(storm) = &mut self.storm {
+                    match &mut answer {
+                        Answer::Served(_) => storm.served(),
+                        Answer::Failed => storm.failed(),
+                        Answer::Refused(ms) => {
+                            let wait = storm.refused(now, asker(&job), *ms * 1_000);
+                            *ms = wait.div_ceil(1_000);
+                        }
+                    }
+                }
                 if let Some(s) = self.sessions.by_key.get_mut(&key).filter(|s| s.open == Some(request)) {
                     s.answer(&answer);
                     s.touched = now;
@@ -313,6 +339,24 @@
         self.members(now, news, &e.targets);
     }
 
+    fn watch_storm(&mut self, now: Micros) {
+        let Some(storm) = &mut self.storm else { return };
+        let fleet = self.dispatch.fleet(now);
+        if let Some((phase, was)) = storm.tick(now, fleet) {
+            let (arrivals, baseline) = storm.arrivals();
+            tracing::warn!(
+                ?phase,
+                ?was,
+                arrivals_per_s = arrivals.round(),
+                baseline_per_s = baseline.map(f64::round),
+                room_per_s = storm.room(now).round(),
+                usable_cores = fleet.usable,
+                listed_cores = fleet.listed,
+                "storm phase"
+            );
+        }
+    }
+
     /// Has the lists do something, and hands some of the entries on that wait.
     fn with_lists(&mut self, now: Micros, what: impl FnOnce(&mut Lists, &Executors)) {
         let Some(lists) = &mut self.lists else { return };
@@ -386,7 +430,12 @@
                 Ok(mut s) => {
                     if full {
                         self.refused_clients += 1;
-                        s.dismiss(&Error::new(1040, "08004", "too many connections: backoff=200"), now);
+                        let wait = match &mut self.storm {
+                            Some(storm) => storm.connection_refused(CLIENT_BACKOFF),
+                            None => CLIENT_BACKOFF,
+                        };
+                        let text = format!("too many connections: backoff={}", wait.div_ceil(1_000));
+                        s.dismiss(&Error::new(1040, "08004", text), now);
                     }
                     let key = self.sessions.insert(s);
                     // What the client wrote ahead is read now: its request came before later ones.
@@ -487,8 +536,17 @@
                         s.at_fault(&Error::new(1105, "HY000", "a request with this rid is open"), now);
                         continue;
                     }
+                    let job = Job { kind, statement };
+                    let storm = self.storm.as_mut().map(|s| s.ask(now, asker(&job), request.repeated));
+                    if let Some(Verdict::Refuse(wait)) = storm {
+                        match self.dispatch.turn_away(&request) {
+                            Ok(()) => s.answer(&Answer::Refused(wait.div_ceil(1_000))),
+                            Err(e) => s.at_fault(&Error::new(1105, "HY000", e), now),
+                        }
+                        continue;
+                    }
                     s.open = Some(id);
-                    self.jobs.insert(id, (key, Job { kind, statement }));
+                    self.jobs.insert(id, (key, job));
                     match self.dispatch.pick(now, &request) {
                         Ok(orders) => self.settle(now, orders),
                         Err(e) => {
@@ -584,6 +642,19 @@
             broken = invariant::broken(),
             "counters"
         );
+        if let Some(s) = &self.storm {
+            let t = s.tally;
+            tracing::info!(
+                phase = ?s.phase(),
+                refused = t.refused,
+                early = t.early,
+                promised = t.promised,
+                kept = t.kept,
+                repeats = t.repeats,
+                remembered = s.remembered(),
+                "storm counters"
+            );
+        }
         if let Some(l) = self.lists.as_ref().map(|l| &l.tally) {
             let (taken, refused, held) = (l.taken, l.refused, l.held);
             tracing::info!(
@@ -649,6 +720,14 @@
     }
 }
 
+/// Who asks, as far as a request tells: repeats bring the same statement under a new id.
+fn asker(job: &Job) -> storm::Asker {
+    use std::hash::{DefaultHasher, Hash, Hasher};
+    let mut hasher = DefaultHasher::new();
+    (&*job.kind, &*job.statement).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Listens; a restart finds the address free.
 fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     use socket2::{Domain, Socket, Type};
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -393,6 +393,7 @@
         work_s: number("est")?.map(|ms| ms / 1e3),
         memory_mb: number("space")?,
         group: statement::table_group(s.text).unwrap_or(0),
+        repeated: number("try")?.is_some_and(|n| n > 1.0),
     };
     Ok(Meant::Asked(Asked::Request(request, method.into(), s.text.into())))
 }
--- a/src/options.rs
+++ b/src/options.rs
@@ -26,6 +26,19 @@
     pub log_format: Option<LogFormat>,
     /// Motor lists from files; none where the coordinator's feed is the only source.
     pub lists: Option<Lists>,
+    /// Retry storms; none where the decisions alone see to refusals.
+    pub storms: Option<Storms>,
+}
+
+/// Retry storms.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Storms {
+    /// The longest wait that clients honour; else what the platform's settings say, else a second.
+    pub longest_wait: Option<Duration>,
+    /// Share of what passes that repeats without a promise may be.
+    pub repeats: f64,
+    /// Asks remembered after they were turned away.
+    pub remembered: usize,
 }
 
 /// What to do at a start with neither a usable list nor a good copy.
@@ -121,7 +134,7 @@
         let text = Text::new(name, text);
         let body = text.parse().map_err(|e| vec![e])?;
         let (root, mut faults) = (Table::root(&text, &body), Vec::new());
-        root.only(&[], &["log", "motor_lists"], &mut faults);
+        root.only(&[], &["log", "motor_lists", "retry_storms"], &mut faults);
         let mut options = Options::default();
         if let Some(log) = root.block("log", &mut faults) {
             log.only(&["format"], &[], &mut faults);
@@ -129,6 +142,7 @@
             options.log_format = log.get("format", &mut faults, hcl::one_of(&formats));
         }
         options.lists = root.block("motor_lists", &mut faults).map(|t| lists(&t, &mut faults));
+        options.storms = root.block("retry_storms", &mut faults).map(|t| storms(&t, &mut faults));
         if faults.is_empty() { Ok(options) } else { Err(faults) }
     }
 }
@@ -242,6 +256,17 @@
     l
 }
 
+fn storms(t: &Table<'_>, faults: &mut Vec<Fault>) -> Storms {
+    t.only(&["longest_wait", "repeats", "remembered"], &[], faults);
+    let mut s = Storms { longest_wait: None, repeats: 0.3, remembered: 20_000 };
+    s.longest_wait = t.get("longest_wait", faults, hcl::duration(MS(100)..=MS(60_000)));
+    t.set("repeats", &mut s.repeats, faults, hcl::number(0.0..=1.0));
+    if let Some(n) = t.get("remembered", faults, hcl::whole(100..=200_000)) {
+        s.remembered = n as usize;
+    }
+    s
+}
+
 /// Where acceptances of a list stand if nothing else is said: beside it.
 pub fn accept_path(list: &Path) -> PathBuf {
     let mut name = list.file_name().unwrap_or_default().to_os_string();
@@ -274,7 +299,7 @@
             "o.hcl:3:10: motor_lists.poll: \"0.5\" where a time",
             "o.hcl:4:16: motor_lists.precedence: unknown source \"b\"",
             "o.hcl:6:3: motor_lists.source.feed: 1 to 64",
-            "o.hcl:8:1: lgo: unknown block; allowed: log, motor_lists",
+            "o.hcl:8:1: lgo: unknown block; allowed: log, motor_lists, retry_storms",
         ] {
             assert!(all.iter().any(|a| a.starts_with(t)), "{t}\nin {all:#?}");
         }
--- a/src/state.rs
+++ b/src/state.rs
@@ -488,6 +488,19 @@
         Some(i)
     }
 
+    /// Cores of engines that the list has as taking queries, of those that are healthy, and of these by how warm
+    /// they are.
+    pub(crate) fn fleet(&self, now: Micros) -> [f64; 3] {
+        let mut sums = [0.0; 3];
+        for e in self.engines.iter().filter(|e| e.present && e.entry.readiness == Readiness::Active) {
+            let healthy = !e.silent && e.ejected_until.is_none_or(|t| t <= now);
+            let usable = if healthy { e.cores } else { 0.0 };
+            let parts = [e.cores, usable, usable * self.warmth(e)];
+            sums.iter_mut().zip(parts).for_each(|(sum, part)| *sum += part);
+        }
+        sums
+    }
+
     /// Share of its capacity that an engine has: a cold one grows from `from` over the ramp.
     pub(crate) fn warmth(&self, e: &Engine) -> f64 {
         let Some(since) = e.cold_since else { return 1.0 };
--- /dev/null
+++ b/src/storm/tests.rs
@@ -0,0 +1,151 @@
+use super::*;
+use proptest::prelude::*;
+
+const S: Micros = 1_000_000;
+
+fn terms() -> Terms {
+    Terms { longest_wait: S, repeats: 0.3, remembered: 500, ramp: 10 * S }
+}
+
+const ALL: Fleet = Fleet { listed: 64.0, usable: 64.0, warm: 64.0 };
+const NONE: Fleet = Fleet { listed: 64.0, usable: 0.0, warm: 0.0 };
+
+/// Plays so many seconds of fresh requests, `a_tick` in each tenth; of what passes, `can` are served and the rest is
+/// turned away by the decisions. How many passed.
+fn play(s: &mut Storm, now: &mut Micros, seconds: f64, a_tick: u64, capacity: Fleet, can: u64) -> u64 {
+    let mut passed = 0;
+    for _ in 0..(seconds * 10.0) as u64 {
+        let mut served = 0;
+        for _ in 0..a_tick {
+            *now += 100_000 / a_tick;
+            let asker = *now;
+            match s.ask(*now, asker, false) {
+                Verdict::Pass if served < can => {
+                    (passed, served) = (passed + 1, served + 1);
+                    s.served();
+                }
+                Verdict::Pass => {
+                    passed += 1;
+                    s.refused(*now, asker, 200_000);
+                }
+                Verdict::Refuse(wait) => assert!(wait <= S + plan::SLOT, "{wait}"),
+            }
+        }
+        s.tick(*now, capacity);
+    }
+    passed
+}
+
+fn returning() -> (Storm, Micros) {
+    let (mut s, mut now) = (Storm::new(terms(), 7), S);
+    play(&mut s, &mut now, 30.0, 10, ALL, 10);
+    play(&mut s, &mut now, 5.0, 40, NONE, 0);
+    assert_eq!(s.phase(), Phase::Outage);
+    for _ in 0..8 {
+        now += 100_000;
+        s.tick(now, ALL);
+    }
+    assert_eq!(s.phase(), Phase::Returning);
+    (s, now)
+}
+
+// A calm day must not get worse: all passes, the decisions' own advice stands, nothing is remembered.
+#[test]
+fn on_a_calm_day_everything_passes() {
+    let (mut s, mut now) = (Storm::new(terms(), 7), S);
+    assert_eq!(play(&mut s, &mut now, 60.0, 10, ALL, 10), 6_000);
+    assert_eq!((s.refused(now, 1, 200_000), s.remembered(), s.tally), (200_000, 0, Tally::default()));
+}
+
+// All come back at once: what passes is what can be served, not what comes.
+#[test]
+fn at_the_return_no_more_passes_than_can_be_served() {
+    let (mut s, mut now) = returning();
+    let passed = play(&mut s, &mut now, 5.0, 100, ALL, 10);
+    assert!((300..=700).contains(&passed), "{passed} of 5,000 where 100 a second can be served");
+}
+
+// A quiet day teaches little of what can be served: were that the limit, the return of a small installation would
+// take for ever. While what passes is served, more passes; once the decisions turn it away, less does.
+#[test]
+fn the_pace_follows_what_the_decisions_can_take() {
+    let (mut s, mut now) = (Storm::new(terms(), 7), S);
+    play(&mut s, &mut now, 30.0, 1, ALL, 1);
+    play(&mut s, &mut now, 5.0, 40, NONE, 0);
+    now += S;
+    play(&mut s, &mut now, 1.0, 50, ALL, 50);
+    assert_eq!(s.phase(), Phase::Returning);
+    let first = play(&mut s, &mut now, 1.0, 50, ALL, 50);
+    play(&mut s, &mut now, 8.0, 50, ALL, 50);
+    let later = play(&mut s, &mut now, 1.0, 50, ALL, 50);
+    assert!(later >= 10 * first.max(1) || later > 400, "{first} then {later} of 500");
+    let before = s.pace;
+    play(&mut s, &mut now, 2.0, 50, ALL, 0);
+    assert!(s.phase() != Phase::Returning || s.pace < before, "{before} then {}", s.pace);
+}
+
+// Who comes early is told the same time again, and who comes at its time goes before all others.
+#[test]
+fn to_come_early_gains_nothing_and_to_come_in_time_does() {
+    let (mut s, mut now) = returning();
+    (s.tokens, s.tokens_at) = (0.0, now);
+    let Verdict::Refuse(wait) = s.ask(now, 1, false) else { panic!("no token, and it passed") };
+    let back = *s.told.peek(&1).unwrap();
+    assert_eq!(wait, (back.at - now).max(SHORTEST));
+    for step in [10_000, 20_000, 40_000] {
+        if now + step + TOLERANCE < back.at {
+            assert_eq!(s.ask(now + step, 1, false), Verdict::Refuse(back.at - now - step));
+        }
+    }
+    now = back.at.max(now);
+    // Fresh work has used up what there was.
+    s.refill(now);
+    s.tokens = 0.5;
+    assert!(back.promised);
+    assert_eq!(s.ask(now, 1, false), Verdict::Pass);
+    assert!(matches!(s.ask(now, 2, false), Verdict::Refuse(_)));
+}
+
+proptest! {
+    // Whatever is asked by whom: repeats without a promise stay within their budget, memory within its bound,
+    // no wait is longer than clients honour, and the same seed gives the same answers.
+    #[test]
+    fn repeats_stay_within_their_budget(
+        asks in prop::collection::vec((0u64..60_000, 0u64..700, any::<bool>(), 0u8..4), 1..600), seed in any::<u64>(),
+    ) {
+        let run = || {
+            let (mut s, mut now) = returning();
+            s.rng = Pcg64Mcg::seed_from_u64(seed);
+            // What passed before is not in this account.
+            s.passed.clear();
+            s.repeats = 0;
+            let (mut all, mut answers) = (Vec::new(), Vec::new());
+            for (pause, asker, marked, what) in &asks {
+                now += pause;
+                let before = s.tally.repeats;
+                let verdict = s.ask(now, *asker, *marked);
+                if verdict == Verdict::Pass {
+                    all.push((now, s.tally.repeats > before));
+                    match what {
+                        0 => s.served(),
+                        1 => s.failed(),
+                        _ => drop(s.refused(now, *asker, 200_000)),
+                    }
+                }
+                if what == &3 { s.tick(now, ALL); }
+                answers.push(verdict);
+                assert!(s.remembered() <= 500);
+                if let Verdict::Refuse(wait) = verdict {
+                    assert!(wait <= S + plan::SLOT);
+                }
+            }
+            for (i, (at, repeat)) in all.iter().enumerate().filter(|(_, (_, r))| *r) {
+                let window = all[..=i].iter().filter(|(t, _)| t + WINDOW > *at);
+                let (n, repeats) = window.fold((0, 0), |(n, r), (_, repeat)| (n + 1, r + u64::from(*repeat)));
+                assert!(repeats <= FREE_REPEATS || repeats as f64 <= 0.3 * n as f64 + 1e-9, "{repeats} of {n}, {repeat}");
+            }
+            answers
+        };
+        prop_assert_eq!(run(), run());
+    }
+}
