--- a/src/cli/lists.rs
+++ b/src/cli/lists.rs
@@ -71,6 +71,9 @@
         /// The list: the path that the settings name
         #[arg(long, value_name = "PATH")]
         list: PathBuf,
+        /// Where acceptances of it stand, if the settings name another file than the one beside it
+        #[arg(long, value_name = "FILE")]
+        to: Option<PathBuf>,
     },
 }
 
@@ -92,7 +95,7 @@
         Command::Show { list, json } => show(out, &list.path, json),
         Command::Diff { old, new, config, json } => diff(out, [&old, &new], config.as_deref(), lists, json),
         Command::Seal { file, confirm, next } => seal(out, &file, confirm, next),
-        Command::Accept { digest, list } => accept(out, &digest, &list, lists.as_ref()),
+        Command::Accept { digest, list, to } => accept(out, &digest, &list, to, lists.as_ref()),
     }
 }
 
@@ -276,7 +279,13 @@
     }
 }
 
-fn accept(out: &mut dyn Write, digest: &str, path: &Path, lists: Option<&Lists>) -> io::Result<Verdict> {
+fn accept(
+    out: &mut dyn Write,
+    digest: &str,
+    path: &Path,
+    to: Option<PathBuf>,
+    lists: Option<&Lists>,
+) -> io::Result<Verdict> {
     let hex = digest.strip_prefix("sha256:").unwrap_or(digest).to_ascii_lowercase();
     if hex.len() < keep::FEWEST_DIGITS || hex.len() > 64 || !hex.bytes().all(|b| b.is_ascii_hexdigit()) {
         let (least, shown) = (keep::FEWEST_DIGITS, Digest::SHORT);
@@ -285,7 +294,7 @@
         )));
     }
     let set = lists.and_then(|l| l.sources.iter().find(|s| s.path == path)).map(|s| s.accept.clone());
-    let at = set.unwrap_or_else(|| accept_path(path));
+    let at = to.or(set).unwrap_or_else(|| accept_path(path));
     let now = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
     keep::accept(&at, &hex, now).map_err(|e| io::Error::other(format!("{}: {e}", at.display())))?;
     writeln!(out, "accepted {hex} in {}", at.display())?;
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -694,21 +694,15 @@
         "rules":{"stopSendingWithin":2,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":3}}"#;
     const BUDGET: Micros = 4_000_000;
 
+    fn member(executor: ExecutorId, standing: Standing) -> Member {
+        let (zone, kind, cell, size) = (0, 0, 0, 1.0);
+        Member { executor, zone, kind, cell, standing, size, started: None, weight: None }
+    }
+
     fn dispatch() -> Dispatch<()> {
         let env: Env = serde_json::from_str(SETTINGS).unwrap();
         let mut d = Dispatch::new(env.settings().unwrap().0, 2, 7).unwrap();
-        let standing = Standing::Up;
-        let member = Member {
-            executor: 5,
-            zone: 0,
-            kind: 0,
-            cell: 0,
-            standing,
-            size: 1.0,
-            started: None,
-            weight: None,
-        };
-        d.members(1_000, News::Restored, &[member]);
+        d.members(1_000, News::Restored, &[member(5, Standing::Up)]);
         d
     }
 
@@ -821,16 +815,7 @@
     #[test]
     fn a_new_member_is_cold_and_a_changed_one_is_not() {
         let mut d = dispatch();
-        let member = |executor, standing, weight| Member {
-            executor,
-            zone: 0,
-            kind: 0,
-            cell: 0,
-            standing,
-            size: 1.0,
-            started: None,
-            weight,
-        };
+        let member = |executor, standing, weight| Member { weight, ..member(executor, standing) };
         for (at, standing, weight) in [
             (2_000, Standing::Up, Some(2.0)),
             (3_000, Standing::Draining, None),
@@ -848,16 +833,6 @@
     fn engines_that_went_are_forgotten_once_nothing_is_out_on_them() {
         let mut d = dispatch();
         pick(&mut d, 2_000, 1);
-        let member = |executor, standing| Member {
-            executor,
-            zone: 0,
-            kind: 0,
-            cell: 0,
-            standing,
-            size: 1.0,
-            started: None,
-            weight: None,
-        };
         for n in 5..60 {
             let change = [member(n, Standing::Gone), member(n + 1, Standing::Up)];
             d.members(u64::from(n) * 1_000, News::Changes, &change);
--- a/src/net/lists.rs
+++ b/src/net/lists.rs
@@ -9,10 +9,9 @@
 use crate::membership::members::Change;
 use crate::membership::watcher::{Followed, Handed, Rules, Watcher, Word};
 use crate::membership::{Act, Members, Sources, keep};
-use crate::options::{self, Empty, Source};
+use crate::options::{self, Empty, Source, accept_path};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
-use std::path::PathBuf;
 use std::sync::Arc;
 
 /// Faults of one list that are logged; `ottercroft lists check` shows them all.
@@ -40,7 +39,8 @@
     members: Members,
     watcher: Watcher,
     key: Key,
-    paths: BTreeMap<Arc<str>, PathBuf>,
+    /// What the command that accepts a list needs beside its digest.
+    accepts: BTreeMap<Arc<str>, String>,
     /// Entries not yet handed on, in order.
     pending: VecDeque<Target>,
     /// Counters.
@@ -96,10 +96,9 @@
         }
         let watcher = Watcher::start(followed, rules)?;
         let key = poll.add(&watcher.wake, false)?;
-        let path = |s: &Source| (s.name.as_str().into(), s.path.clone());
-        let paths = o.sources.iter().map(path).collect();
+        let accepts = o.sources.iter().map(|s| (s.name.as_str().into(), accepts(s))).collect();
         let (pending, tally) = (VecDeque::new(), Tally::default());
-        let mut lists = Lists { members, watcher, key, paths, pending, tally };
+        let mut lists = Lists { members, watcher, key, accepts, pending, tally };
         lists.enact(now, acts);
         words.into_iter().for_each(|w| lists.heard(now, w));
         if let (Some(name), Empty::Exit) = (empty.first(), o.empty) {
@@ -224,7 +223,7 @@
                 }
                 Act::Held { source, digest, losses, since, again } => {
                     self.tally.held += u64::from(!again);
-                    let path = self.paths.get(&source).map(|p| p.display().to_string()).unwrap_or_default();
+                    let list = self.accepts.get(&source).map_or("", String::as_str);
                     let loss =
                         |l: &crate::membership::members::Loss| format!("{} {:.0}%", l.room, l.share * 100.0);
                     let takes: Vec<String> = losses.iter().map(loss).collect();
@@ -233,7 +232,7 @@
                         %digest,
                         takes_away = takes.join(", "),
                         for_s = now.saturating_sub(since) / 1_000_000,
-                        "motor list held back; if it is meant: ottercroft lists accept {} --list {path}",
+                        "motor list held back; if it is meant: ottercroft lists accept {} {list}",
                         digest.short()
                     );
                 }
@@ -259,3 +258,9 @@
         }
     }
 }
+
+/// Names a list to the command that accepts it.
+fn accepts(s: &Source) -> String {
+    let list = format!("--list {}", s.path.display());
+    if s.accept == accept_path(&s.path) { list } else { format!("{list} --to {}", s.accept.display()) }
+}
