--- a/src/api.rs
+++ b/src/api.rs
@@ -168,6 +168,8 @@
     pub over_share_worth: f64,
     /// Price of an attempt that crosses zones, in points of service for each first try.
     pub cross_zone_price: f64,
+    /// Price of a probe, in points of service for each first try.
+    pub probe_price: f64,
     /// Load reports.
     pub reports: Reports,
     /// The engine list must be asked for.
@@ -538,6 +540,9 @@
     let c = &s.cold;
     need(sane(c.from) && sane(c.multiple), "cold-engine rule: negative or non-finite number")?;
     need(s.budget.is_none_or(|b| sane(b.free) && sane(b.ratio)), "attempt budget: bad number")?;
-    need(sane(s.over_share_worth) && sane(s.cross_zone_price), "worth or price: bad number")?;
+    need(
+        sane(s.over_share_worth) && sane(s.cross_zone_price) && sane(s.probe_price),
+        "worth or price: bad number",
+    )?;
     need(sane(s.most_grant), "most grant: bad number")
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -111,6 +111,10 @@
 const KNOWN_FOR: Micros = 800_000;
 const CANDIDATES: usize = 3;
 const ASK_WAIT: Micros = 40_000;
+/// Points of service that probes may cost: each query pays in what that buys at the stated price, a probe
+/// takes one out. Dear queries may empty the purse, the others spend what is over the half of it.
+const PROBE_SPEND: f64 = 0.01;
+const PURSE: f64 = 6.0;
 /// Quantile of memory needs that a grant covers, its step (ln), and the weight of what one spill tells.
 const GRANT_QUANTILE: f64 = 0.8;
 const GRANT_STEP: f64 = 0.05;
@@ -295,6 +299,8 @@
 
     fn arrival(&mut self, a: Arrival) {
         self.taken.push_back(self.now);
+        let earned = (PROBE_SPEND / self.s.probe_price.max(1e-6)).min(CANDIDATES as f64);
+        self.purse = (self.purse + earned).min(PURSE);
         let cost = self.predict(&a);
         self.overall.add(cost, LEARN);
         let m = &mut self.models[a.class];
@@ -495,20 +501,28 @@
             unknown.retain(|&u| u != i);
             wanted.push(i);
         }
-        if ask && !wanted.is_empty() {
-            for i in wanted {
-                let e = &mut self.engines[i];
-                if e.probe_sent.is_none_or(|t| self.now >= t + SECOND) {
-                    e.probe_sent = Some(self.now);
-                    self.actions.push(Action::Probe { engine: e.entry.engine });
+        let dear = self.queries[&id].cost > self.overall.value;
+        let kept = if dear { 0.0 } else { PURSE / 2.0 };
+        let mut waits = false;
+        for &i in wanted.iter().filter(|_| ask) {
+            let e = &mut self.engines[i];
+            if e.probe_sent.is_none_or(|t| self.now >= t + SECOND) {
+                if self.purse < kept + 1.0 {
+                    continue;
                 }
+                (self.purse, e.probe_sent) = (self.purse - 1.0, Some(self.now));
+                self.actions.push(Action::Probe { engine: e.entry.engine });
             }
+            waits = true;
+        }
+        if waits {
             let until = self.now + ASK_WAIT;
             self.query(id).asked_until.get_or_insert(until);
             return None;
         }
-        if known.is_empty() {
-            known = [unknown, wanted].concat();
+        // With little known all are drawn from, the unknown as loaded as their pool.
+        if choice < CANDIDATES {
+            known.extend(unknown.into_iter().chain(wanted));
         }
         self.pick(id, &known)
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -328,6 +328,8 @@
     pub(crate) models: Vec<ClassModel>,
     pub(crate) overall: Mean,
     pub(crate) tenants: Vec<f64>,
+    /// Probes that own queries have paid for.
+    pub(crate) purse: f64,
     /// When engines that are gone were looked for last.
     pub(crate) swept: Micros,
     pub(crate) engines: Vec<Engine>,
@@ -556,6 +558,7 @@
             models,
             overall: Mean::default(),
             tenants: vec![0.0; s.tenants.len()],
+            purse: 0.0,
             engines: Vec::new(),
             swept: Micros::MAX,
             index: BTreeMap::new(),
