--- a/src/control.rs
+++ b/src/control.rs
@@ -119,10 +119,12 @@
 const GRANT_QUANTILE: f64 = 0.8;
 const GRANT_STEP: f64 = 0.05;
 const SPILL_WEIGHT: f64 = 0.3;
-/// Share of the cold-engine budget used in expectation, windows saved up at most, largest query in windows.
+/// Share of the cold-engine budget used in expectation; windows of it saved up at most for one query; the
+/// largest query, as a part of it, and the least part of its class's mean that one counts as.
 const COLD_SAFETY: f64 = 0.4;
-const COLD_SAVED: f64 = 1.0;
-const COLD_LARGEST: f64 = 0.1;
+const COLD_SAVED: f64 = 4.0;
+const COLD_LARGEST: f64 = 0.3;
+const COLD_LEAST: f64 = 0.5;
 /// Queries past their aim are given up at once above this pressure.
 const GIVE_UP_PRESSURE: f64 = 0.5;
 /// One in line for its key is given up once less than this, or than it takes, is left: two ticks and a half.
@@ -307,10 +309,10 @@
         m.arrived += 1.0;
         a.estimate_s.into_iter().for_each(|e| m.estimate.add(e, LEARN));
         a.tenant.into_iter().for_each(|t| self.tenants[t] += 1.0); // a running count, see tick
-        let (admitted, luck) = (self.admit(&a, cost), self.chance());
+        let admitted = self.admit(&a, cost);
         let (homes, c) = (self.homes(a.class, a.group), &self.s.classes[a.class]);
         let aim = c.aim + (c.aim_stretch * cost / f64::from(c.threads) * 1e6) as Micros;
-        let q = Query { luck, ..Query::new(&a, self.now, cost, aim, homes, c.keep_order) };
+        let q = Query::new(&a, self.now, cost, aim, homes, c.keep_order);
         let key = q.key;
         self.queries.insert(a.query, q);
         if let Err(wait) = admitted {
@@ -399,9 +401,9 @@
         held / e.cores + SCARCE_WEIGHT * (scarce.min(1.5) - SCARCE_FROM).max(0.0)
     }
 
-    /// Threads a core that engines of its pool hold, as far as they were heard.
+    /// Threads a core that engines of its pool hold, as far as they were heard; a cold one by what it can do.
     fn crowd(&self, e: &Engine) -> f64 {
-        self.pools.get(&e.pool).map_or(self.occupancy, |p| p.part(p.held))
+        self.pools.get(&e.pool).map_or(self.occupancy, |p| p.part(p.held)) * self.warmth(e)
     }
 
     /// Threads of a query in flight, as own ones had lately; before that, as if classes held equal threads.
@@ -482,10 +484,12 @@
         // A probe is worth its price only where reports tell of load.
         let tells = self.s.reports != Reports::Off && self.tells_load != Some(false);
         let asks = tells && self.s.probes && self.engines.len() > 1;
-        let (mut known, mut unknown): (Vec<usize>, Vec<usize>) = self
-            .fit(&self.queries[&id])
-            .into_iter()
-            .partition(|&i| !asks || self.now < self.engines[i].report_at + KNOWN_FOR);
+        // Cold engines go by lots, which no probe changes.
+        let fit = self.fit(&self.queries[&id]).into_iter();
+        let (cold, fit): (Vec<usize>, Vec<usize>) =
+            fit.partition(|&i| self.cold_rate(&self.engines[i]).is_some());
+        let (mut known, mut unknown): (Vec<usize>, Vec<usize>) =
+            fit.into_iter().partition(|&i| !asks || self.now < self.engines[i].report_at + KNOWN_FOR);
         let q = &self.queries[&id];
         let asked = |e: &Engine| e.probe_sent.is_some_and(|t| self.now < t + SECOND);
         let seeks = !self.s.classes[q.class].yields_to_loads;
@@ -524,7 +528,14 @@
         if choice < CANDIDATES {
             known.extend(unknown.into_iter().chain(wanted));
         }
-        self.pick(id, &known)
+        known.extend(cold);
+        loop {
+            let i = self.pick(id, &known)?;
+            if self.wins(id, i) {
+                return Some(i);
+            }
+            known.retain(|&k| k != i);
+        }
     }
 
     // ---- The engine list, reports and health -------------------------------------------------------
@@ -846,18 +857,13 @@
         }
         let Some((i, q)) = self.draw(id, ask).map(|i| (i, &self.queries[&id])) else { return false };
         let (grant, priority) = (self.grant(q, &self.engines[i]), self.priority(q));
-        let (sent, work) = (self.now, q.cost.max(self.class_mean(q.class)));
-        let window = self.s.cold.fall as f64 / 1e6;
-        let cold = self.cold_rate(&self.engines[i]);
+        let sent = self.now;
         let terms = Action::Terms { query: id, memory_mb: grant, priority };
         self.actions.extend((self.s.grants || self.s.priorities).then_some(terms));
         self.further.extend(further.then_some(sent));
         self.record(id, i, grant, priority);
-        let e = &mut self.engines[i];
-        if let Some((_, rate)) = cold {
-            e.cold.spend(work, sent, rate, rate * window * COLD_SAVED);
-        }
-        self.actions.push(Action::Send { query: id, engine: e.entry.engine, timeout: None });
+        let engine = self.engines[i].entry.engine;
+        self.actions.push(Action::Send { query: id, engine, timeout: None });
         true
     }
 
@@ -928,9 +934,8 @@
     /// Whether the rules let an attempt of the query go to the engine now.
     fn permitted(&self, q: &Query, i: usize) -> bool {
         let e = &self.engines[i];
-        let work = q.cost.max(self.class_mean(q.class));
         // Drains: nothing from the moment the list tells of it, well inside the grace.
-        listed(e) && self.placed(q.class, e) && self.effect_allows(q, e) && self.cold_allows(work, e, q.luck)
+        listed(e) && self.placed(q.class, e) && self.effect_allows(q, e) && self.cold_allows(q, e)
     }
 
     /// Effects: unsafe only after proven non-runs; keyed inside its group and window.
@@ -947,19 +952,37 @@
         }
     }
 
-    /// Cold engines: each gateway saves up its share of the least budget; queries pass in proportion to it.
-    fn cold_allows(&self, work: f64, e: &Engine, luck: f64) -> bool {
-        let Some((rate, own)) = self.cold_rate(e) else { return true };
-        let window = self.s.cold.fall as f64 / 1e6;
-        let saved = (e.cold.level + own * self.seconds_since(e.cold.at)).min(own * window * COLD_SAVED);
-        work <= COLD_LARGEST * rate * window && saved >= work * luck
+    /// What a query counts as at a cold engine: estimates are rough.
+    fn cold_work(&self, q: &Query) -> f64 {
+        q.cost.max(COLD_LEAST * self.class_mean(q.class))
+    }
+
+    /// Cold engines take no query that would be a large part of their budget alone.
+    fn cold_allows(&self, q: &Query, e: &Engine) -> bool {
+        let most = |(rate, _)| COLD_LARGEST * rate * self.s.cold.fall as f64 / 1e6;
+        self.cold_rate(e).is_none_or(|rates| self.cold_work(q) <= most(rates))
+    }
+
+    /// Draws lots for a place at a cold engine: the chance is what this gateway's share of the least budget
+    /// has come to since the last lots there, over the query's work. So all send what is meant in the mean,
+    /// however many gateways there are and however few queries each has; what is staked is spent, won or not.
+    fn wins(&mut self, id: QueryId, i: usize) -> bool {
+        let e = &self.engines[i];
+        let Some((_, own)) = self.cold_rate(e) else { return true };
+        let (work, window) = (self.cold_work(&self.queries[&id]), own * self.s.cold.fall as f64 / 1e6);
+        let most = self.overall.value.clamp(window, window * COLD_SAVED);
+        let saved = (e.lots + own * self.seconds_since(e.lots_at)).min(most);
+        let staked = saved.min(work);
+        let e = &mut self.engines[i];
+        (e.lots, e.lots_at) = (saved - staked, self.now);
+        self.chance() * work < staked
     }
 
     /// Work a second to a cold engine by all, and by this one: at most an equal part, shares are misjudged.
     fn cold_rate(&self, e: &Engine) -> Option<(f64, f64)> {
         let (c, most) = (&self.s.cold, 1.0 / f64::from(self.s.gateways));
         let cold = c.fall > 0 && e.cold_since.is_some_and(|t| self.now < t + c.ramp);
-        let rate = COLD_SAFETY * c.multiple * c.from * e.cores;
+        let rate = COLD_SAFETY * c.multiple * self.warmth(e) * e.cores;
         cold.then_some((rate, rate * self.share.min(most)))
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -23,13 +23,6 @@
         self.level = (self.level + self.rate * dt).min(most);
         self.at = now;
     }
-
-    /// Takes `n` at a new rate, filled up to `most`; what is not there is left as a debt.
-    pub(crate) fn spend(&mut self, n: f64, now: Micros, rate: f64, most: f64) {
-        self.rate = rate;
-        self.refill(now, most);
-        self.level -= n;
-    }
 }
 
 /// Selector, condition, priority and limiter; an absent selector matches all.
@@ -161,8 +154,9 @@
     pub(crate) ejections: u32,
     pub(crate) full_until: Micros,
     pub(crate) cold_since: Option<Micros>,
-    /// Work saved up for it while cold.
-    pub(crate) cold: TokenBucket,
+    /// Work that was left when lots were drawn for a place at it while cold, last, and when that was.
+    pub(crate) lots: f64,
+    pub(crate) lots_at: Micros,
     pub(crate) probe_sent: Option<Micros>,
 }
 
@@ -183,7 +177,7 @@
     pub(crate) fn restarted(&mut self, now: Micros, cold_since: Option<Micros>) {
         (self.cold_since, self.errors, self.ejected_until, self.silent) = (cold_since, 0.0, None, false);
         (self.ejections, self.report, self.pace) = (0, Report::default(), None);
-        self.cold = TokenBucket { at: now, ..TokenBucket::default() };
+        (self.lots, self.lots_at) = (0.0, now);
     }
 
     /// Counts an attempt in.
@@ -265,8 +259,6 @@
     pub(crate) attempts: Vec<Attempt>,
     /// Until when it waits for probes.
     pub(crate) asked_until: Option<Micros>,
-    /// Uniform in 0 to 1: what part of a cold engine's budget is enough for it.
-    pub(crate) luck: f64,
     pub(crate) done: bool,
     pub(crate) streaming: bool,
     pub(crate) late: bool,
@@ -507,7 +499,7 @@
     pub(crate) fn warmth(&self, e: &Engine) -> f64 {
         let Some(since) = e.cold_since else { return 1.0 };
         let done = self.now.saturating_sub(since) as f64 / self.s.cold.ramp.max(1) as f64;
-        if done >= 1.0 { 1.0 } else { self.s.cold.from + (1.0 - self.s.cold.from) * done * done }
+        if done >= 1.0 { 1.0 } else { self.s.cold.from + (1.0 - self.s.cold.from) * done }
     }
 
     /// Seconds that a query should take, at the pace of the day.
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -56,3 +56,54 @@
     rig.arrive(1, 6.0);
     assert!(probes(&rig) >= before + 2, "{} probes for a dear query", probes(&rig) - before);
 }
+
+/// A fleet of gateways that share nothing, each with a query every 200 ms, four of five light. Eighteen of thirty
+/// engines start anew at once. Returns the work that each of these was sent, by seconds since.
+fn replaced(gateways: u32, seconds: usize) -> Vec<Vec<f64>> {
+    let s = Settings { gateways, probe_price: 0.1, reports: Reports::OnProbe, ..settings() };
+    let mut sent = vec![vec![0.0; seconds]; 18];
+    for g in 0..gateways {
+        let mut rig = Rig::seeded(s.clone(), 30, u64::from(g) + 1);
+        rig.teach(0, 30, 0.1);
+        rig.teach(1, 10, 1.0);
+        let started = Some(rig.now);
+        let entries = (1..=18).map(|e| Entry { started, ..entry(e) }).collect();
+        rig.event(Event::List { kind: ListKind::Update, entries });
+        for i in 0..5 * seconds {
+            let (class, cost) = if (i + g as usize).is_multiple_of(5) { (1, 1.0) } else { (0, 0.1) };
+            let (q, actions) = rig.arrive(class, cost);
+            rig.pass(200 * MS);
+            let Some(e) = sent_to(&actions) else { continue };
+            if e <= 18 {
+                sent[e as usize - 1][i / 5] += cost;
+            }
+            rig.finish(q, 0, e, Outcome::Ok, cost);
+        }
+    }
+    sent
+}
+
+/// Found on the days at size: a hundredth of an engine's budget is less than any query, so a hundred gateways
+/// that each saved it up sent eighteen cold engines a tenth of a thread each, while the twelve others held
+/// forty. And none of them may be pushed over by all together.
+#[test]
+fn a_hundred_gateways_use_cold_engines_and_push_none_over() {
+    let cold = settings().cold;
+    let (window, cores) = (cold.fall as f64 / 1e6, 8.0);
+    let sent = replaced(100, 6);
+    let mean = sent.iter().flatten().sum::<f64>() / (18.0 * 6.0);
+    // A part of what they can do from the first second on, in thread-seconds a second.
+    assert!(mean > 0.3 * cold.from * cores, "{mean:.2} a second of {:.2}", cold.from * cores);
+    // Two whole seconds are longer than the window.
+    let most = sent.iter().flat_map(|e| e.windows(2).map(|w| w[0] + w[1])).fold(0.0, f64::max);
+    let budget = cold.multiple * cold.from * cores * window;
+    assert!(most < budget, "{most:.2} within the window, {budget:.2} push it over");
+}
+
+/// The same for three gateways: one mechanism, whatever the size.
+#[test]
+fn three_gateways_push_no_cold_engine_over_either() {
+    let cold = settings().cold;
+    let most = replaced(3, 6).iter().flat_map(|e| e.windows(2).map(|w| w[0] + w[1])).fold(0.0, f64::max);
+    assert!(most < cold.multiple * cold.from * 8.0 * cold.fall as f64 / 1e6, "{most:.2}");
+}
