--- a/examples/one_gateway.rs
+++ b/examples/one_gateway.rs
@@ -28,6 +28,7 @@
         over_share_worth: 1.0,
         cross_zone_price: 0.0,
         probe_price: 0.0,
+        handshake_price: 0.0,
         reports: Reports::Inline,
         list_must_be_asked: false,
         probes: true,
--- a/src/api.rs
+++ b/src/api.rs
@@ -170,6 +170,8 @@
     pub cross_zone_price: f64,
     /// Price of a probe, in points of service for each first try.
     pub probe_price: f64,
+    /// Price of a new connection, in the same.
+    pub handshake_price: f64,
     /// Load reports.
     pub reports: Reports,
     /// The engine list must be asked for.
@@ -541,7 +543,7 @@
     need(sane(c.from) && sane(c.multiple), "cold-engine rule: negative or non-finite number")?;
     need(s.budget.is_none_or(|b| sane(b.free) && sane(b.ratio)), "attempt budget: bad number")?;
     need(
-        sane(s.over_share_worth) && sane(s.cross_zone_price) && sane(s.probe_price),
+        [s.over_share_worth, s.cross_zone_price, s.probe_price, s.handshake_price].into_iter().all(sane),
         "worth or price: bad number",
     )?;
     need(sane(s.most_grant), "most grant: bad number")
--- a/src/control.rs
+++ b/src/control.rs
@@ -89,6 +89,8 @@
 const SPARED: f64 = 0.25;
 /// How strongly the price of crossing zones weighs in the draw.
 const CROSS_WEIGHT: f64 = 25.0;
+/// The same for the price of a connection to an engine that nothing was sent to yet.
+const HANDSHAKE_WEIGHT: f64 = 1000.0;
 /// Share of failed outcomes at which an engine is ejected: two resets, or six errors (maybe the statement's).
 const EJECT_ERRORS: f64 = 0.25;
 const ERROR_WEIGHTS: [f64; 2] = [0.05, 0.15];
@@ -455,7 +457,9 @@
             true if c.loads => LOAD_BONUS,
             true => (HOME_BONUS * self.engines.len() as f64).max(1.0),
         };
-        let slow = e.slow.or(1.0).max(0.5) * self.distance(e);
+        let new =
+            if e.met || self.warmth(e) < 1.0 { 1.0 } else { 1.0 + HANDSHAKE_WEIGHT * self.s.handshake_price };
+        let slow = e.slow.or(1.0).max(0.5) * self.distance(e) * new;
         let sure = (1.0 - e.errors).powi(ERROR_POWERS[usize::from(c.effect == Effect::Unsafe)]);
         let w =
             capacity * home * self.spared(q.class, e) / (LOAD_FLOOR + load).powi(DRAW_POWER) / slow * sure;
@@ -523,7 +527,7 @@
                 if self.purse < kept + 1.0 {
                     continue;
                 }
-                (self.purse, e.probe_sent) = (self.purse - 1.0, Some(self.now));
+                (self.purse, e.probe_sent, e.met) = (self.purse - 1.0, Some(self.now), true);
                 self.actions.push(Action::Probe { engine: e.entry.engine });
             }
             waits = true;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -79,6 +79,7 @@
 #[serde(rename_all = "camelCase", default)]
 struct CostsIn {
     cross_zone: Option<f64>,
+    handshake: Option<f64>,
     probe: Option<f64>,
 }
 
@@ -297,6 +298,7 @@
             over_share_worth: self.over_share_worth.unwrap_or(1.0),
             cross_zone_price: self.costs.cross_zone.unwrap_or(0.0),
             probe_price: self.costs.probe.unwrap_or(0.0),
+            handshake_price: self.costs.handshake.unwrap_or(0.0),
             reports: match self.report.how.as_deref() {
                 Some("inline") => Reports::Inline,
                 Some("on_probe") => Reports::OnProbe,
--- a/src/state.rs
+++ b/src/state.rs
@@ -158,6 +158,8 @@
     pub(crate) cold: TokenBucket,
     pub(crate) lots: TokenBucket,
     pub(crate) probe_sent: Option<Micros>,
+    /// Something was sent to this process: a connection is there.
+    pub(crate) met: bool,
 }
 
 impl Engine {
@@ -176,7 +178,7 @@
     /// Forgets what held of the process before.
     pub(crate) fn restarted(&mut self, now: Micros, cold_since: Option<Micros>) {
         (self.cold_since, self.errors, self.ejected_until, self.silent) = (cold_since, 0.0, None, false);
-        (self.ejections, self.report, self.pace) = (0, Report::default(), None);
+        (self.ejections, self.report, self.pace, self.met) = (0, Report::default(), None, false);
         self.cold = TokenBucket { at: now, ..TokenBucket::default() };
         self.lots = self.cold.clone();
     }
@@ -184,6 +186,7 @@
     /// Counts an attempt in.
     pub(crate) fn take(&mut self, attempt: (QueryId, u32), threads: f64, grant: f64) {
         self.out.insert(attempt);
+        self.met = true;
         self.threads += threads;
         self.granted += grant;
     }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -161,3 +161,26 @@
     let met = (0..60).filter(|_| met_the_bad_one(&mut rig, 1)).count();
     assert!(met <= 3, "{met} of 60 sent there");
 }
+
+/// Found on the days at size: a hundred gateways that each spread a few queries a second over all engines open
+/// a connection for nearly every second query. Where connections have a price, a gateway stays with the engines
+/// it has met while these have room, each gateway with others; where they have none it spreads at once.
+#[test]
+fn thin_traffic_stays_with_engines_that_it_has_met() {
+    let reached = |handshake_price: f64, seed: u64| {
+        let s = Settings { handshake_price, reports: Reports::Off, ..priced() };
+        let mut rig = Rig::seeded(s, 30, seed);
+        for group in 0..100 {
+            let (q, actions) = rig.arrive_as(Arrival { group, ..arrival(0, 0, 0.1) });
+            rig.pass(200 * MS);
+            rig.finish(q, 0, sent_to(&actions).unwrap(), Outcome::Ok, 0.1);
+        }
+        let sent = rig.log.iter().filter_map(|(_, a)| sent_to(std::slice::from_ref(a)));
+        sent.collect::<std::collections::BTreeSet<_>>()
+    };
+    let (few, many) = (reached(0.08, 1), reached(0.0, 1));
+    assert!((2..=15).contains(&few.len()), "{} engines for a hundred queries", few.len());
+    assert!(many.len() >= 25, "{}", many.len());
+    let all: std::collections::BTreeSet<_> = (0..20).flat_map(|seed| reached(0.08, seed)).collect();
+    assert!(all.len() >= 28, "all gateways together reach {}", all.len());
+}
