--- a/src/control.rs
+++ b/src/control.rs
@@ -71,6 +71,8 @@
 const PACE_WEIGHT: f64 = 0.4;
 const PACE_MOST: f64 = 6.0;
 const PACE_PRIOR: f64 = 0.02;
+/// Idle engines that stand against reports where the rest of the fleet is unheard of: a few prove no crowd.
+const UNHEARD: f64 = 2.0;
 /// Load at which an engine's weight is halved in the draw, threads a core; keeps idle ones from herding.
 const LOAD_FLOOR: f64 = 0.25;
 /// Memory or disks in use from which an engine counts as more loaded, and how much more.
@@ -90,7 +92,7 @@
 /// How strongly the price of crossing zones weighs in the draw.
 const CROSS_WEIGHT: f64 = 25.0;
 /// The same for the price of a connection to an engine that nothing was sent to yet.
-const HANDSHAKE_WEIGHT: f64 = 1000.0;
+const HANDSHAKE_WEIGHT: f64 = 4000.0;
 /// Share of failed outcomes at which an engine is ejected: two resets, or six errors (maybe the statement's).
 const EJECT_ERRORS: f64 = 0.25;
 const ERROR_WEIGHTS: [f64; 2] = [0.05, 0.15];
@@ -709,6 +711,9 @@
         // Little heard of late stands for one thread a core, no more.
         let of_pace = |p: &mut Pool| p.held = (p.held / (p.cores + PACE_PRIOR * fleet)).exp() * p.cores;
         pools.values_mut().filter(|_| mute).for_each(of_pace);
+        let listed_now = self.engines.iter().filter(|e| listed(e)).count().max(1) as f64;
+        let unheard = UNHEARD * fleet / listed_now * (1.0 - all / fleet.max(1.0));
+        pools.values_mut().filter(|_| !mute).for_each(|p| p.cores += unheard);
         self.occupancy = pools.values().map(|p| p.held).sum::<f64>() / all.max(1.0);
         if self.occupancy > 0.05 && !saturated && self.tells_load == Some(true) {
             let part = (own / (self.occupancy * fleet)).min(1.0);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -184,3 +184,23 @@
     let all: std::collections::BTreeSet<_> = (0..20).flat_map(|seed| reached(0.08, seed)).collect();
     assert!(all.len() >= 28, "all gateways together reach {}", all.len());
 }
+
+/// Found on the days at size: a thin gateway hears of two or three engines at a time, and when these happened to
+/// be the busy ones it took the whole fleet to be full and refused what thirty others had room for.
+#[test]
+fn a_few_crowded_reports_do_not_close_a_large_fleet() {
+    let refusals = |engines: u32| {
+        let mut rig = Rig::new(priced(), engines);
+        rig.teach(0, 30, 0.2);
+        for _ in 0..20 {
+            let report = Some(Report { inflight: Some(26.0), ..Report::default() });
+            for engine in 1..=2 {
+                rig.event(Event::Probed { engine, outcome: Outcome::Ok, latency: MS, report });
+            }
+            rig.pass(100 * MS);
+        }
+        (0..40).filter(|_| refused(&rig.arrive(0, 0.5).1).is_some()).count()
+    };
+    assert!(refusals(2) > 20, "two engines that are the fleet: {}", refusals(2));
+    assert!(refusals(30) <= 4, "two of thirty: {}", refusals(30));
+}
