--- /dev/null
+++ b/examples/decision_cost.rs
@@ -0,0 +1,106 @@
+//! What a decision costs as the list and the open queries grow: processor time of an arrival and of a tick.
+
+use ottercroft::api::*;
+use ottercroft::{Event, Gateway, Settings};
+use std::time::{Duration, Instant};
+
+fn settings() -> Settings {
+    let class = |aim, worth, threads| Class {
+        aim,
+        aim_stretch: 2.0,
+        deadline: 20 * aim,
+        worth,
+        late_worth: 0.0,
+        threads,
+        effect: Effect::Safe,
+        keep_order: false,
+        loads: false,
+        yields_to_loads: false,
+        only_zones: None,
+        only_kinds: None,
+    };
+    Settings {
+        gateways: 100,
+        classes: vec![class(1_000_000, 1.0, 1), class(3_000_000, 6.0, 4)],
+        kinds: vec![Kind { cores: 8.0, memory_mb: 16_384.0 }],
+        tenants: vec![],
+        zones: 1,
+        zone: 0,
+        over_share_worth: 1.0,
+        cross_zone_price: 0.04,
+        probe_price: 0.08,
+        handshake_price: 0.08,
+        reports: Reports::OnProbe,
+        list_must_be_asked: false,
+        probes: true,
+        cancel: true,
+        second_copies: true,
+        max_attempts: 4,
+        max_retry_after: Some(1_000_000),
+        grants: true,
+        priorities: true,
+        most_grant: 0.4,
+        shortage: Shortage::Queue,
+        progress: Some(1_000_000),
+        tells_cost: false,
+        budget: None,
+        cold: ColdRule { from: 0.3, ramp: 15_000_000, multiple: 3.0, fall: 2_000_000 },
+        drain_grace: 2_000_000,
+        key_quiet: None,
+        step: 5_000,
+    }
+}
+
+/// Mean time of an arrival, and the median of a tick, with so many engines listed and queries open.
+fn measure(engines: u32, open: u64) -> Result<[Duration; 2], SettingsError> {
+    let mut gateway = Gateway::new(settings(), 42)?;
+    let (mut now, mut actions) = (1_000_000, Vec::new());
+    let entries = (1..=engines).map(|engine| Entry { engine, rating: 1.0, ..Entry::default() }).collect();
+    gateway.handle(now, Event::List { kind: ListKind::Restored, entries }, &mut actions);
+    let start = Instant::now();
+    for query in 0..open {
+        now += 10;
+        let class = usize::from(query % 5 == 0);
+        gateway.handle(
+            now,
+            Event::Arrival(Arrival {
+                query,
+                class,
+                tenant: None,
+                key: None,
+                grace: 20_000_000,
+                estimate_s: Some(0.2 + 2.0 * class as f64),
+                memory_mb: Some(100.0),
+                group: query % 50,
+                repeated: false,
+            }),
+            &mut actions,
+        );
+    }
+    let arrival = start.elapsed() / open as u32;
+    // Those that wait for probes go out now, so that all are out at engines.
+    now += 50_000;
+    gateway.handle(now, Event::Timer { token: 1 }, &mut actions);
+    let sent = actions.iter().filter(|a| matches!(a, Action::Send { .. })).count() as u64;
+    assert!(sent >= open, "{sent} of {open} are out");
+    let mut ticks = Vec::new();
+    for _ in 0..9 {
+        now += 50_000;
+        let start = Instant::now();
+        gateway.handle(now, Event::Timer { token: 0 }, &mut actions);
+        ticks.push(start.elapsed());
+    }
+    ticks.sort();
+    Ok([arrival, ticks[4]])
+}
+
+fn main() -> Result<(), SettingsError> {
+    println!("engines   open  arrival_us  tick_us");
+    for engines in [8, 30, 60, 240] {
+        for open in [10, 100, 1000] {
+            let [arrival, tick] = measure(engines, open)?.map(|t| t.as_secs_f64() * 1e6);
+            println!("{engines:7} {open:6} {arrival:11.1} {tick:8.1}");
+        }
+    }
+    Ok(())
+}
