--- a/src/config.rs
+++ b/src/config.rs
@@ -39,6 +39,9 @@
     pub known: Known,
     /// The settings, as the simulator gives them too.
     pub settings: Env,
+    /// The operators' second address: `host:port`, or a port on the client address's host.
+    #[serde(default)]
+    operator: Option<serde_json::Value>,
 }
 
 /// What a dispatcher may use.
@@ -73,9 +76,32 @@
                 listen.parse().map_err(|e| ConfigError(format!("ROUTER_LISTEN: {listen:?}: {e}")))?;
         }
         config.name = var("ROUTER_NAME").unwrap_or(config.name);
+        if let Some(operator) = var("ROUTER_OPERATOR") {
+            config.operator = Some(serde_json::Value::String(operator));
+        }
+        config.operator().map_err(|e| ConfigError(format!("ROUTER_OPERATOR or operator: {e}")))?;
         Ok(config)
     }
 
+    /// Where the operators' address listens, if anywhere. An error tells what can't be read.
+    pub fn operator(&self) -> Result<Option<SocketAddr>, String> {
+        let text = match &self.operator {
+            None | Some(serde_json::Value::Null) => return Ok(None),
+            Some(serde_json::Value::String(s)) if s.trim().is_empty() => return Ok(None),
+            Some(serde_json::Value::String(s)) => s.trim().to_string(),
+            Some(serde_json::Value::Number(n)) => n.to_string(),
+            Some(other) => return Err(format!("{other}: neither an address nor a port")),
+        };
+        if let Ok(address) = text.parse::<SocketAddr>() {
+            return Ok(Some(address));
+        }
+        let port = text.strip_prefix(':').unwrap_or(&text);
+        match port.parse::<u16>() {
+            Ok(port) => Ok(Some(SocketAddr::new(self.listen.ip(), port))),
+            Err(_) => Err(format!("{text:?}: neither an address nor a port")),
+        }
+    }
+
     /// The seed as a number; text that is not hex still makes one.
     pub fn seed(&self) -> u64 {
         let hashed = || self.seed.bytes().fold(0, |h: u64, b| h.rotate_left(7) ^ u64::from(b));
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -365,6 +365,11 @@
         Ok(())
     }
 
+    /// Executors on the list, and of these how many are avoided now: draining, silent or ejected.
+    pub fn avoided(&self, now: Micros) -> (usize, usize) {
+        self.gateway.avoided(now)
+    }
+
     /// Requests whose clients still wait.
     pub fn waiting(&self) -> usize {
         self.open.values().filter(|o| !o.closed).count()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod membership;
 pub mod mysql;
 pub mod net;
+pub mod operator;
 pub mod options;
 pub mod settings;
 mod state;
--- a/src/net/executors.rs
+++ b/src/net/executors.rs
@@ -154,6 +154,8 @@
     pub stray: u64,
     /// Connections that fell silent while their executor did not.
     pub mute: u64,
+    /// Attempts written whole.
+    pub forwards: u64,
 }
 
 /// All executors, and the connections to them.
@@ -603,6 +605,7 @@
             }
             if let Some(s) = conn.writing.take().and_then(|id| conn.streams.get_mut(&id)) {
                 (s.written, s.since) = (true, now);
+                self.wire.forwards += 1;
                 if conn.word_at.is_none() {
                     conn.word_at = Some(now + DOUBTFUL + 1);
                     self.timers.set(now + DOUBTFUL + 1, Due::Word(key));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod executors;
 mod feed;
 mod lists;
+mod operator;
 mod poll;
 mod session;
 pub mod signals;
@@ -17,6 +18,9 @@
 use crate::invariant;
 use crate::membership::check::Catalog;
 use crate::mysql::Error;
+use crate::operator::bans::Bans;
+use crate::operator::figures::{Disposition, Figures};
+use crate::operator::{self as ops, Call, Fault, Readiness};
 use crate::options::Options;
 use crate::settings::Names;
 use crate::storm::{self, Storm, Verdict};
@@ -24,6 +28,7 @@
 use executors::{Executors, Job, Rows};
 use feed::Feed;
 use lists::Lists;
+use operator::Operators;
 use poll::{Key, Poll};
 use session::{Asked, Session, Sessions};
 use signals::Signals;
@@ -31,6 +36,7 @@
 use std::fmt::Display;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
 use std::time::Duration;
 use timers::Clock;
 
@@ -62,6 +68,8 @@
 const GIVES_UP: Micros = 3_100_000;
 const ENDS: Micros = 3_400_000;
 const STOP_LOOK: Micros = 20_000;
+/// After `LEAVE`, a client that has not asked anything yet is let be this long before it may be closed.
+const LEAVE_PATIENCE: Micros = 1_000_000;
 
 /// A dispatcher that is set up and has not begun to serve.
 pub struct Node {
@@ -96,6 +104,22 @@
     refused_clients: u64,
     /// Clients closed to make room for others.
     made_room: u64,
+    /// The operators' address, where the configuration names one.
+    operators: Option<Operators>,
+    /// Since when `LEAVE` holds, until `JOIN`.
+    leaving: Option<Micros>,
+    figures: Figures,
+    bans: Bans,
+    /// Where bans are handed to the next process.
+    bans_file: PathBuf,
+    /// This dispatcher's name, the same in the next process.
+    name: String,
+    /// Where clients connect; the listener is closed while leaving, and bound here again on `JOIN`.
+    address: SocketAddr,
+    /// The last that the list said of each executor on it, by uid.
+    targets: BTreeMap<String, Target>,
+    /// When executors on the list were let back by hand, in milliseconds.
+    onlined: BTreeMap<String, u64>,
 }
 
 fn context<E: Display>(what: &str) -> impl Fn(E) -> io::Error + '_ {
@@ -112,6 +136,7 @@
         load: fn() -> Result<Config, ConfigError>,
     ) -> io::Result<Node> {
         let seed = config.seed();
+        let operator = config.operator().map_err(context("configuration: operator"))?;
         let transport = config.settings.transport().map_err(context("configuration"))?;
         let (settings, names) = config.settings.settings().map_err(context("configuration"))?;
         let catalog = Catalog::of(&settings, &names);
@@ -127,10 +152,18 @@
             Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
         let poll = Poll::new().map_err(context("poller"))?;
         let listen = config.listen;
-        let listener = bind(listen).map_err(context(&format!("listen on {listen}")))?;
+        let listener = bind_shared(listen).map_err(context(&format!("listen on {listen}")))?;
         let (listener_key, address) = (poll.add(&listener, false)?, listener.local_addr()?);
         let signal_key = poll.add(&signals.stream, false)?;
         let pool = Pool::new((config.limits.memory_mb / KEPT_PART * 1024.0 * 1024.0) as usize);
+        let operators = match operator {
+            Some(at) => Some(Operators::bind(at, &poll, &pool).map_err(context(&format!("listen on {at}")))?),
+            None => None,
+        };
+        let figures = Figures::new();
+        names.classes.keys().for_each(|c| figures.class(c));
+        let bans_file = std::env::temp_dir().join(format!("ottercroft-{}.bans", file_name(&config.name)));
+        let bans = handed_over(&bans_file, &config.name);
         let mut clock = Clock::default();
         let now = clock.now();
         // Clients hold a third of the descriptors at most as a rule; the rest of their half is for others.
@@ -163,6 +196,15 @@
             given_up: false,
             refused_clients: 0,
             made_room: 0,
+            operators,
+            leaving: None,
+            figures,
+            bans,
+            bans_file,
+            name: config.name.clone(),
+            address,
+            targets: BTreeMap::new(),
+            onlined: BTreeMap::new(),
             pool,
             clock,
         };
@@ -176,6 +218,9 @@
             node.lists = Some(lists);
         }
         tracing::info!(name = config.name, motores = known.len(), "{} listens on {address}", config.name);
+        if let Some(o) = &node.operators {
+            tracing::info!("operators' address {}", o.address()?);
+        }
         node.members(now, News::Restored, &known);
         Ok(node)
     }
@@ -212,7 +257,9 @@
     fn next_due(&self) -> Micros {
         let feed = self.feed.as_ref().map(Feed::next_due);
         let lists = self.lists.as_ref().filter(|l| l.pending()).map(|_| self.clock.last());
-        let due = [self.dispatch.next_due(), self.executors.next_due(), self.accept_at, feed, lists];
+        let operators = self.operators.as_ref().and_then(Operators::next_due);
+        let due =
+            [self.dispatch.next_due(), self.executors.next_due(), self.accept_at, feed, lists, operators];
         // While stopping, a look every now and then is near enough to each of its limits.
         let own = if self.stopping.is_some() { self.clock.last() + STOP_LOOK } else { self.clients_at };
         due.into_iter().flatten().fold(own, Micros::min)
@@ -229,6 +276,16 @@
             if stop {
                 self.stop(now);
             }
+        } else if self.operators.as_ref().is_some_and(|o| o.owns(key)) {
+            let lines = self.operators.as_mut().map(|o| o.ready(key, now, &self.poll)).unwrap_or_default();
+            for (caller, line) in lines {
+                let asked = format!("{line:?}");
+                let answer = self.call(now, line);
+                tracing::debug!(asked, answer = answer.lines().next(), "operator call");
+                if let Some(o) = &mut self.operators {
+                    o.answer(caller, &answer, &self.poll);
+                }
+            }
         } else if self.feed.as_ref().is_some_and(|f| f.owns(key)) {
             let updates = self.feed.as_mut().map(|f| f.ready(now, &self.poll));
             updates.into_iter().flatten().for_each(|update| self.update(now, update));
@@ -263,9 +320,13 @@
             self.accept_at = None;
             self.accept_again(now);
         }
+        if let Some(o) = &mut self.operators {
+            o.tick(now, &self.poll);
+        }
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
             self.look_after_clients(now);
+            self.send_all_away(now);
             self.watch_storm(now);
             self.with_lists(now, |lists, executors| lists.tick(now, &|uid| executors.busy(uid)));
         }
@@ -310,6 +371,14 @@
             Order::Probe(executor) => self.executors.probe(executor, now, &self.poll),
             Order::Answer(request, mut answer) => {
                 let Some((key, job)) = self.jobs.remove(&request) else { return };
+                self.figures.ended(
+                    &job.kind,
+                    match answer {
+                        Answer::Served(_) => Disposition::Succeeded,
+                        Answer::Failed => Disposition::Aborted,
+                        Answer::Refused(_) => Disposition::Declined,
+                    },
+                );
                 if let Some(storm) = &mut self.storm {
                     match &mut answer {
                         Answer::Served(_) => storm.served(),
@@ -325,6 +394,7 @@
                     s.touched = now;
                     self.flush(key);
                     self.advance(key, now);
+                    self.send_away(key, now);
                 }
             }
         }
@@ -385,23 +455,163 @@
                 zone: zone.copied().unwrap_or(0),
                 kind: kind.copied().unwrap_or(0),
                 cell: t.pod_group,
+                // An executor taken out by hand stays out, whatever the list says of it meanwhile.
                 standing: match t.state {
+                    State::Up if self.bans.banned(&t.uid) => Standing::Draining,
                     State::Up => Standing::Up,
                     State::Draining => Standing::Draining,
                     State::Removed => Standing::Gone,
                 },
                 size: t.capacity_hint.unwrap_or(1.0),
-                started: (t.boot_ms > 0).then_some(t.boot_ms * 1000),
+                // One let back by hand was restarted meanwhile: it is cold from then, whatever the list knew.
+                started: Some(t.boot_ms.max(self.onlined.get(&t.uid).copied().unwrap_or(0)))
+                    .filter(|ms| *ms > 0)
+                    .map(|ms| ms * 1000),
                 weight: t.weight,
             })
         };
         let restored = |t: &&Target| news != News::Restored || t.state != State::Removed;
         let members: Vec<Member> = targets.iter().filter(restored).filter_map(member).collect();
+        if news != News::Changes {
+            self.targets.clear();
+        }
+        for t in targets {
+            match t.state {
+                State::Removed => {
+                    self.onlined.remove(&t.uid);
+                    self.targets.remove(&t.uid)
+                }
+                _ => self.targets.insert(t.uid.clone(), t.clone()),
+            };
+        }
+        self.onlined.retain(|uid, _| self.targets.contains_key(uid));
         self.executors.listed(targets, news != News::Changes, now, &self.poll);
         let orders = self.dispatch.members(now, news, &members);
         self.settle(now, orders);
     }
 
+    // ---- Operators ---------------------------------------------------------------------------------
+
+    /// Carries out an operator's call; the answer to write.
+    fn call(&mut self, now: Micros, line: Result<Call, Fault>) -> String {
+        let call = match line {
+            Ok(call) => call,
+            Err(fault) => return ops::refusal(&fault),
+        };
+        match call {
+            Call::Health => self.readiness().answer(),
+            Call::Dump => format!("+OK figures\n{}.", self.dump(now)),
+            Call::Leave => {
+                if self.leaving.is_none() {
+                    tracing::warn!(clients = self.sessions.by_key.len(), open = self.jobs.len(), "LEAVE");
+                    self.leaving = Some(now);
+                    self.close_door(now);
+                }
+                self.send_all_away(now);
+                "+OK leaving".into()
+            }
+            Call::Join => {
+                if self.leaving.take().is_some() {
+                    tracing::warn!("JOIN");
+                }
+                match self.open_door(now) {
+                    Ok(()) => "+OK joined".into(),
+                    Err(e) => format!("-ERR joined, but can't listen on {}: {e}", self.address),
+                }
+            }
+            Call::Offline(id) => match self.bans.offline(&id, self.targets.contains_key(&id)) {
+                Ok(new) => {
+                    if new {
+                        tracing::warn!(motor = id, "OFFLINE: no new work for it until ONLINE");
+                        self.banned(now, &id);
+                    }
+                    format!("+OK offline {id}")
+                }
+                Err(e) => format!("-ERR {e}"),
+            },
+            Call::Online(id) => match self.bans.online(&id, self.targets.contains_key(&id)) {
+                Ok(was) => {
+                    if was {
+                        tracing::warn!(motor = id, "ONLINE: it serves again, cold");
+                        self.onlined.insert(id.clone(), now / 1000);
+                        self.banned(now, &id);
+                    }
+                    format!("+OK online {id}")
+                }
+                Err(e) => format!("-ERR {e}"),
+            },
+        }
+    }
+
+    /// While leaving, a front that asks the client port is told no: the listener is closed, after what waits at
+    /// it was taken in.
+    fn close_door(&mut self, now: Micros) {
+        self.accept(now);
+        if let Some((_, listener)) = self.listener.take() {
+            self.poll.remove(&listener);
+        }
+        self.paused = None;
+        self.accept_at = None;
+    }
+
+    /// Listens for clients again, beside any other process on the port.
+    fn open_door(&mut self, now: Micros) -> io::Result<()> {
+        if self.listener.is_some() || self.paused.is_some() || self.stopping.is_some() {
+            return Ok(());
+        }
+        let listener = bind_shared(self.address).inspect_err(|e| {
+            tracing::error!(address = %self.address, error = %e, "JOIN: can't listen");
+        })?;
+        let key = self.poll.add(&listener, false)?;
+        self.listener = Some((key, listener));
+        self.accept(now);
+        Ok(())
+    }
+
+    fn readiness(&self) -> Readiness {
+        match (self.stopping, self.leaving) {
+            (Some(_), _) => Readiness::Stopping,
+            (None, Some(_)) => Readiness::Leaving,
+            (None, None) => Readiness::Ready,
+        }
+    }
+
+    /// A ban was put on or lifted: the module hears of the executor anew, and the next process of it.
+    fn banned(&mut self, now: Micros, id: &str) {
+        if let Some(target) = self.targets.get(id).cloned() {
+            self.members(now, News::Changes, &[target]);
+        }
+        save_bans(&self.bans_file, &self.bans, &self.name);
+    }
+
+    fn dump(&self, now: Micros) -> String {
+        let f = &self.figures;
+        f.forwards.inc_by(self.executors.wire.forwards.saturating_sub(f.forwards.get()));
+        f.outstanding.set(self.jobs.len() as i64);
+        let (listed, avoided) = self.dispatch.avoided(now);
+        f.discovered.set(listed as i64);
+        f.ejected.set(avoided as i64);
+        f.text()
+    }
+
+    /// After `LEAVE`: a client that has nothing open and nothing in part is taken nothing more from; it closes
+    /// once its last answer is written, so that it connects again elsewhere.
+    fn send_away(&mut self, key: Key, now: Micros) {
+        if self.leaving.is_none() {
+            return;
+        }
+        let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
+        if s.done_with(now, LEAVE_PATIENCE) {
+            s.finish(now);
+            self.flush(key);
+        }
+    }
+
+    fn send_all_away(&mut self, now: Micros) {
+        let keys: Vec<Key> = self.sessions.by_key.keys().copied().collect();
+        keys.into_iter().for_each(|key| self.send_away(key, now));
+    }
+
     // ---- Clients -----------------------------------------------------------------------------------
 
     fn accept(&mut self, now: Micros) {
@@ -540,7 +750,10 @@
                     let storm = self.storm.as_mut().map(|s| s.ask(now, asker(&job), request.repeated));
                     if let Some(Verdict::Refuse(wait)) = storm {
                         match self.dispatch.turn_away(&request) {
-                            Ok(()) => s.answer(&Answer::Refused(wait.div_ceil(1_000))),
+                            Ok(()) => {
+                                self.figures.ended(&job.kind, Disposition::Declined);
+                                s.answer(&Answer::Refused(wait.div_ceil(1_000)));
+                            }
                             Err(e) => s.at_fault(&Error::new(1105, "HY000", e), now),
                         }
                         continue;
@@ -674,6 +887,7 @@
         let usable = |c: Config| c.settings.settings().map(|_| c.coordinator).map_err(|e| e.to_string());
         match (self.load)().map_err(|e| e.to_string()).and_then(usable) {
             Ok(coordinator) => {
+                self.figures.sighup_applied.inc();
                 tracing::info!(%coordinator, "SIGHUP: configuration read again");
                 if let Some(feed) = &mut self.feed {
                     feed.move_to(coordinator, now, &self.poll);
@@ -682,7 +896,10 @@
                     lists.look();
                 }
             }
-            Err(e) => tracing::error!(error = e.replace('\n', " "), "SIGHUP: the old configuration stays"),
+            Err(e) => {
+                self.figures.sighup_rejected.inc();
+                tracing::error!(error = e.replace('\n', " "), "SIGHUP: the old configuration stays");
+            }
         }
     }
 
@@ -728,13 +945,67 @@
     hasher.finish()
 }
 
-/// Listens; a restart finds the address free.
+/// Listens on the client address, beside a process of the next version during an upgrade (`SO_REUSEPORT`).
+fn bind_shared(address: SocketAddr) -> io::Result<TcpListener> {
+    listen(address, true)
+}
+
+/// Listens on an address of this process alone; a restart finds it free.
 fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    listen(address, false)
+}
+
+fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
     use socket2::{Domain, Socket, Type};
     let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
     socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
     socket.listen(1024)?;
     Ok(socket.into())
 }
+
+/// A dispatcher's name as a part of a file name.
+fn file_name(name: &str) -> String {
+    let safe: String =
+        name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
+    if safe.is_empty() { "dispatcher".into() } else { safe }
+}
+
+/// The bans that the process before this one handed over, if its file is there and can be used.
+fn handed_over(path: &std::path::Path, name: &str) -> Bans {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Bans::default(),
+        Err(e) => {
+            tracing::warn!(file = %path.display(), error = %e, "bans: hand-over file ignored");
+            return Bans::default();
+        }
+    };
+    match Bans::decode(&text, name) {
+        Ok(bans) => {
+            if !bans.is_empty() {
+                let ids: Vec<&str> = bans.ids().collect();
+                tracing::warn!(file = %path.display(), offline = ?ids, "bans: handed over");
+            }
+            bans
+        }
+        Err(e) => {
+            tracing::warn!(file = %path.display(), error = %e, "bans: hand-over file ignored");
+            Bans::default()
+        }
+    }
+}
+
+/// Writes the bans for the next process: whole or not at all, by a file renamed over the old.
+fn save_bans(path: &std::path::Path, bans: &Bans, name: &str) {
+    let part = path.with_extension(format!("part{}", std::process::id()));
+    let written = std::fs::write(&part, bans.encode(name)).and_then(|()| std::fs::rename(&part, path));
+    if let Err(e) = written {
+        let _ = std::fs::remove_file(&part);
+        tracing::error!(file = %path.display(), error = %e, "bans: can't hand over; the next process starts without");
+    }
+}
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -168,6 +168,18 @@
         self.flushed() || now < self.touched + STUCK
     }
 
+    /// After `LEAVE`: whether it can be let go now. Nothing is open or here in part, and it asked something
+    /// already, or had `patience` to.
+    pub fn done_with(&self, now: Micros, patience: Micros) -> bool {
+        let rests = self.open.is_none() && self.closing.is_none() && self.inbox.bytes().is_empty();
+        rests && (self.asked || now > self.opened + patience)
+    }
+
+    /// Takes nothing more from the client, without a word: it closes once what was answered is written.
+    pub fn finish(&mut self, now: Micros) {
+        self.closing.get_or_insert(now);
+    }
+
     /// Whether it was told to go.
     pub fn dismissed(&self) -> bool {
         self.closing.is_some()
--- /dev/null
+++ b/src/operator/bans.rs
@@ -0,0 +1,132 @@
+//! Executors that operators took out by hand (`OFFLINE`), and their hand-over to the next process.
+//!
+//! A ban is a mark, not a count: any number of `OFFLINE` calls are lifted by one `ONLINE`. Only executors on
+//! the list can be banned, so the set is bounded by the list and by [`MOST`].
+
+use sha2::{Digest, Sha256};
+use std::collections::BTreeSet;
+use std::fmt;
+
+/// Bans kept at the most, whatever the list.
+pub const MOST: usize = 4096;
+const HEAD: &str = "ottercroft bans 1";
+
+/// Why a call on bans is refused; told after `-ERR`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Refused {
+    /// No executor on the list has that id, and none is banned under it.
+    Unknown(String),
+    /// [`MOST`] are banned already.
+    Full,
+}
+
+impl fmt::Display for Refused {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Refused::Unknown(id) => write!(f, "no executor {id}"),
+            Refused::Full => write!(f, "{MOST} executors are offline already"),
+        }
+    }
+}
+
+/// Why a hand-over file is not taken; logged once, and then the process starts without it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Unusable {
+    /// It does not begin as a file of bans does.
+    Foreign,
+    /// Another dispatcher wrote it.
+    Other(String),
+    /// Its checksum does not match what it holds: written in part, or changed.
+    Torn,
+}
+
+impl fmt::Display for Unusable {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Unusable::Foreign => write!(f, "not a file of bans"),
+            Unusable::Other(name) => write!(f, "written by dispatcher {name:?}"),
+            Unusable::Torn => write!(f, "torn: its checksum does not match"),
+        }
+    }
+}
+
+/// The bans in force.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Bans {
+    ids: BTreeSet<String>,
+}
+
+impl Bans {
+    /// Bans an executor; `listed` tells whether the list has it. True if it was not banned before.
+    pub fn offline(&mut self, id: &str, listed: bool) -> Result<bool, Refused> {
+        if self.ids.contains(id) {
+            return Ok(false);
+        }
+        if !listed {
+            return Err(Refused::Unknown(id.to_string()));
+        }
+        if self.ids.len() >= MOST {
+            return Err(Refused::Full);
+        }
+        Ok(self.ids.insert(id.to_string()))
+    }
+
+    /// Lifts a ban. True if there was one; an executor on the list without a ban is no fault.
+    pub fn online(&mut self, id: &str, listed: bool) -> Result<bool, Refused> {
+        match self.ids.remove(id) {
+            true => Ok(true),
+            false if listed => Ok(false),
+            false => Err(Refused::Unknown(id.to_string())),
+        }
+    }
+
+    /// Whether an executor is banned.
+    pub fn banned(&self, id: &str) -> bool {
+        self.ids.contains(id)
+    }
+
+    /// How many are banned.
+    pub fn len(&self) -> usize {
+        self.ids.len()
+    }
+
+    /// Whether none is.
+    pub fn is_empty(&self) -> bool {
+        self.ids.is_empty()
+    }
+
+    /// The banned ids, in order.
+    pub fn ids(&self) -> impl Iterator<Item = &str> {
+        self.ids.iter().map(String::as_str)
+    }
+
+    /// The hand-over file of the dispatcher `name`: a head line with a checksum of the rest, an id a line.
+    pub fn encode(&self, name: &str) -> String {
+        let body: String = self.ids.iter().map(|id| format!("{id}\n")).collect();
+        format!("{HEAD} name={} sum={}\n{body}", escape(name), checksum(name, &body))
+    }
+
+    /// Reads a hand-over file that `name` wrote; anything else is [`Unusable`].
+    pub fn decode(text: &str, name: &str) -> Result<Bans, Unusable> {
+        let (head, body) = text.split_once('\n').ok_or(Unusable::Foreign)?;
+        let rest = head.strip_prefix(HEAD).and_then(|r| r.strip_prefix(" name=")).ok_or(Unusable::Foreign)?;
+        let (written_by, sum) = rest.rsplit_once(" sum=").ok_or(Unusable::Foreign)?;
+        if written_by != escape(name) {
+            return Err(Unusable::Other(written_by.to_string()));
+        }
+        if sum != checksum(name, body) {
+            return Err(Unusable::Torn);
+        }
+        let ids = body.lines().filter(|l| !l.is_empty()).take(MOST).map(str::to_string).collect();
+        Ok(Bans { ids })
+    }
+}
+
+fn escape(name: &str) -> String {
+    name.chars().map(|c| if c.is_ascii_graphic() { c } else { '_' }).collect()
+}
+
+fn checksum(name: &str, body: &str) -> String {
+    let digest = Sha256::new().chain_update(name).chain_update([0]).chain_update(body).finalize();
+    digest.iter().take(12).map(|b| format!("{b:02x}")).collect()
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -486,6 +486,15 @@
         Some(i)
     }
 
+    /// Engines on the list, and of these those that take nothing new now: leaving, silent or ejected.
+    pub(crate) fn avoided(&self, now: Micros) -> (usize, usize) {
+        let listed = self.engines.iter().filter(|e| e.present && e.entry.readiness != Readiness::Left);
+        let avoided = |e: &&Engine| {
+            e.entry.readiness != Readiness::Active || e.silent || e.ejected_until.is_some_and(|t| t > now)
+        };
+        (listed.clone().count(), listed.filter(avoided).count())
+    }
+
     /// Cores of engines that the list has as taking queries, of those that are healthy, and of these by how warm
     /// they are.
     pub(crate) fn fleet(&self, now: Micros) -> [f64; 3] {
--- /dev/null
+++ b/tests/operators.rs
@@ -0,0 +1,131 @@
+//! The operators' address on loopback: one story for each thing the operators' days need of it.
+
+use standins::scripted::*;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::Duration;
+
+const READ: &str =
+    "/* method=read,rid=00000000000000a1,budget=15000,est=10.0,space=9 */ SELECT a FROM sales_7.t";
+
+fn launch() -> Launch {
+    Launch::new(env!("CARGO_BIN_EXE_ottercroft"), env!("CARGO_TARGET_TMPDIR"))
+}
+
+/// A configuration with an operators' address and a name of its own, so that hand-over files don't meet.
+fn config(coordinator: SocketAddr, executors: &[(&str, SocketAddr)], listen: &str) -> String {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let name = format!("ops-{}-{}", std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    launch()
+        .config(coordinator, executors)
+        .replace(r#""name":"t""#, &format!(r#""name":"{name}""#))
+        .replace(r#""listen":"127.0.0.1:0""#, &format!(r#""listen":"{listen}""#))
+        .replace(r#""more":0"#, r#""operator":"127.0.0.1:0","more":0"#)
+}
+
+/// A dispatcher and where its operators' address is.
+fn serving(config: &str) -> (Dispatcher, SocketAddr) {
+    let mut d = launch().serving(config);
+    let line = d.logs("operators' address ");
+    let after = line.split("operators' address ").nth(1).unwrap();
+    (d, after.trim().parse().unwrap())
+}
+
+/// One call, and all that is answered until the close.
+fn call(at: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    let _ = BufReader::new(stream).read_to_string(&mut answer);
+    answer
+}
+
+// During an upgrade the platform starts a second process on the same client port; it must listen beside the
+// first, not exit because the address is taken (the untouched program did).
+#[test]
+fn a_second_process_listens_beside_the_first() {
+    let executor = Executor::new();
+    let coordinator = Coordinator::new();
+    let (first, first_ops) =
+        serving(&config(coordinator.address, &[("e1", executor.address)], "127.0.0.1:0"));
+    let port = first.address.to_string();
+    let (mut second, second_ops) = serving(&config(coordinator.address, &[("e1", executor.address)], &port));
+    assert_eq!(second.address, first.address);
+    assert!(second.child.try_wait().unwrap().is_none(), "the second process runs");
+    assert_eq!(call(first_ops, "HEALTH"), "+OK ready\n");
+    assert_eq!(call(second_ops, "HEALTH"), "+OK ready\n");
+    // The old one is told to stop: the new one says yes on, and the old one says no until it ends.
+    first.signal("TERM");
+    assert!(call(first_ops, "HEALTH").starts_with("-ERR"));
+    assert_eq!(call(second_ops, "HEALTH"), "+OK ready\n");
+    let _ = second.take_log();
+}
+
+// LEAVE sends clients away: HEALTH says no, an idle client is closed, and JOIN makes it yes again.
+#[test]
+fn leave_closes_idle_clients_and_join_takes_them_again() {
+    let executor = Executor::new();
+    let coordinator = Coordinator::new();
+    let (d, ops) = serving(&config(coordinator.address, &[("e1", executor.address)], "127.0.0.1:0"));
+    let mut idle = Client::asks(d.address, "SELECT 1");
+    let _ = idle.got();
+    assert_eq!(call(ops, "LEAVE"), "+OK leaving\n");
+    assert_eq!(call(ops, "HEALTH"), "-ERR leaving: not ready\n");
+    idle.stream.set_read_timeout(Some(Duration::from_secs(4))).unwrap();
+    assert_eq!(idle.stream.read(&mut [0; 64]).unwrap(), 0, "an idle client is closed after LEAVE");
+    // The front asks the client port too: it is told no by a refused connection.
+    assert!(TcpStream::connect(d.address).is_err(), "the client port is closed while leaving");
+    assert_eq!(call(ops, "JOIN"), "+OK joined\n");
+    assert_eq!(call(ops, "HEALTH"), "+OK ready\n");
+    let mut back = Client::asks(d.address, "SELECT 1");
+    assert_ne!(back.got(), Got::Closed, "after JOIN clients are served again");
+}
+
+// OFFLINE keeps new work away from an executor whatever the list says; ids nobody has are refused.
+#[test]
+fn offline_keeps_work_away_until_online() {
+    let (e1, e2) = (Executor::new(), Executor::new());
+    let coordinator = Coordinator::new();
+    let listed = [("e1", e1.address), ("e2", e2.address)];
+    let (d, ops) = serving(&config(coordinator.address, &listed, "127.0.0.1:0"));
+    assert_eq!(call(ops, "OFFLINE e1"), "+OK offline e1\n");
+    assert_eq!(call(ops, "OFFLINE e1"), "+OK offline e1\n");
+    assert!(call(ops, "OFFLINE nobody").starts_with("-ERR no executor nobody"));
+    let mut client = Client::asks(d.address, READ);
+    let mut peer = e2.accept();
+    let pull = peer.command().unwrap();
+    assert_eq!(pull[0], "PULL", "the request went to e2, the one not taken out");
+    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert!(matches!(client.got(), Got::Rows(_)));
+    let dump = call(ops, "DUMP");
+    assert!(dump.contains("dispatcher_ejected 1\n"), "{dump}");
+    assert!(dump.contains("dispatcher_discovered 2\n"), "{dump}");
+    assert!(dump.contains(r#"dispatcher_results{disposition="succeeded",service="read"} 1"#), "{dump}");
+    assert!(dump.contains("dispatcher_forwards 1\n"), "{dump}");
+    assert!(dump.starts_with("+OK") && dump.ends_with("\n.\n"), "{dump}");
+    // One call back lifts both calls out.
+    assert_eq!(call(ops, "ONLINE e1"), "+OK online e1\n");
+    assert!(call(ops, "DUMP").contains("dispatcher_ejected 0\n"));
+}
+
+// A caller that sends nothing, or half a line, delays nobody; bad lines are told why.
+#[test]
+fn silent_and_wrong_callers_delay_nobody() {
+    let executor = Executor::new();
+    let coordinator = Coordinator::new();
+    let (_d, ops) = serving(&config(coordinator.address, &[("e1", executor.address)], "127.0.0.1:0"));
+    let silent: Vec<TcpStream> = (0..40).map(|_| TcpStream::connect(ops).unwrap()).collect();
+    let mut half = TcpStream::connect(ops).unwrap();
+    half.write_all(b"HEAL").unwrap();
+    assert_eq!(call(ops, "HEALTH"), "+OK ready\n");
+    assert!(call(ops, "FROB").starts_with("-ERR unknown call"));
+    assert!(call(ops, "ONLINE").starts_with("-ERR ONLINE takes an executor id"));
+    assert!(call(ops, &"X".repeat(400)).starts_with("-ERR line longer"));
+    // The silent ones are closed in time, not held.
+    half.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    assert_eq!(half.read(&mut [0; 8]).unwrap_or(0), 0);
+    let mut lines = BufReader::new(silent.into_iter().last().unwrap()).lines();
+    assert!(lines.next().is_none_or(|l| l.is_err()));
+}
