Check the SIGHUP and open-request figures against what was done

Change: a story that refuses one file and takes one by SIGHUP and holds one request at the executor, then reads sighup_rejected, sighup_applied and outstanding (1, then 0) and the succeeded count.

--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -129,3 +129,31 @@
     let mut lines = BufReader::new(silent.into_iter().last().unwrap()).lines();
     assert!(lines.next().is_none_or(|l| l.is_err()));
 }
+
+// The figures of SIGHUP and of what is open are compared with what was done: one refused file, one taken, one
+// request that the executor holds.
+#[test]
+fn figures_of_sighup_and_open_requests_are_true() {
+    let executor = Executor::new();
+    let (old, new) = (Coordinator::new(), Coordinator::new());
+    let (mut d, ops) = serving(&config(old.address, &[("e1", executor.address)], "127.0.0.1:0"));
+    let mut client = Client::asks(d.address, READ);
+    let mut peer = executor.accept();
+    let pull = peer.command().unwrap();
+    let dump = call(ops, "DUMP");
+    assert!(dump.contains("dispatcher_outstanding 1\n"), "{dump}");
+    let moved = d.config.replace(&format!("\"{}\"", old.address), &format!("\"{}\"", new.address));
+    for (text, told) in [(&moved[..99], "the old configuration stays"), (&moved[..], "read again")] {
+        std::fs::write(&d.file, text).unwrap();
+        d.signal("HUP");
+        d.logs(told);
+    }
+    let dump = call(ops, "DUMP");
+    assert!(dump.contains("dispatcher_sighup_rejected 1\n"), "{dump}");
+    assert!(dump.contains("dispatcher_sighup_applied 1\n"), "{dump}");
+    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert!(matches!(client.got(), Got::Rows(_)));
+    let dump = call(ops, "DUMP");
+    assert!(dump.contains("dispatcher_outstanding 0\n"), "{dump}");
+    assert!(dump.contains(r#"dispatcher_results{disposition="succeeded",service="read"} 1"#), "{dump}");
+}
