Out of descriptors, close the newest idle client rather than only pause accepting

Change: on EMFILE or ENFILE the newest client with nothing open, unwritten or unread is closed (by key, which only grows), 'out of descriptors: newest idle client closed' is logged with the count, and accept goes on; with none to spare it pauses as before. A 'shed' counter joins the counter line.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -104,6 +104,8 @@
     refused_clients: u64,
     /// Clients closed to make room for others.
     made_room: u64,
+    /// Idle clients closed because descriptors ran out.
+    shed: u64,
     /// The operators' address, where the configuration names one.
     operators: Option<Operators>,
     /// Since when `LEAVE` holds, until `JOIN`.
@@ -196,6 +198,7 @@
             given_up: false,
             refused_clients: 0,
             made_room: 0,
+            shed: 0,
             operators,
             leaving: None,
             figures,
@@ -621,6 +624,7 @@
                 Ok((stream, _)) => stream,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(e) if out_of_descriptors(&e) && self.shed(now) => continue,
                 Err(e) => {
                     tracing::error!(error = %e, "accept: pausing");
                     self.pause_accepting(now);
@@ -704,6 +708,21 @@
         self.flush(key);
     }
 
+    /// Out of descriptors: closes the newest client that has nothing open, unwritten or unread, so that the one
+    /// that waits can come in; false if none can be spared.
+    fn shed(&mut self, now: Micros) -> bool {
+        let spare = |(k, s): (&Key, &Session)| s.spare(now, PATIENCE).map(|_| *k);
+        let Some(key) = self.sessions.by_key.iter().filter_map(spare).max() else { return false };
+        self.shed += 1;
+        tracing::warn!(
+            clients = self.sessions.by_key.len(),
+            shed = self.shed,
+            "out of descriptors: newest idle client closed"
+        );
+        self.hang_up(key, now);
+        true
+    }
+
     /// Closes the client that can be spared best, for another to come in; false if none can.
     fn make_room(&mut self, now: Micros) -> bool {
         let spare = |(k, s): (&Key, &Session)| s.spare(now, PATIENCE).map(|rank| (rank, *k));
@@ -846,6 +865,7 @@
             clients = self.sessions.by_key.len(),
             clients_refused = self.refused_clients,
             made_room = self.made_room,
+            shed = self.shed,
             stray = w.stray,
             bad_lines = w.bad_lines,
             mute = w.mute,
@@ -1009,3 +1029,8 @@
         tracing::error!(file = %path.display(), error = %e, "bans: can't hand over; the next process starts without");
     }
 }
+
+/// Whether an error of accept means that this process or the system has no descriptor left.
+fn out_of_descriptors(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
