Skip the drain look when no drain holds, and build the operator call line only when logged

Cause: reading the change again, send_all_away collected every client key ten times a second on every dispatcher, drain or not, and each operator call was formatted for a debug line that is off by default. Change: an early return without a drain, and the debug text built only when that level is on; the help text names ROUTER_LISTEN, ROUTER_NAME, ROUTER_OPERATOR and the on-call page.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -21,8 +21,9 @@
 
 /// A dispatcher in front of analytic query engines ("motores").
 ///
-/// Without a command it serves. ROUTER_CONFIG names the platform's JSON file, --settings our own HCL file for
-/// what only some installations have, such as motor lists from files.
+/// Without a command it serves. ROUTER_CONFIG names the platform's JSON file (ROUTER_LISTEN, ROUTER_NAME and
+/// ROUTER_OPERATOR stand over its keys; `operator` is the operators' second address, see docs/oncall.md),
+/// --settings our own HCL file for what only some installations have, such as motor lists from files.
 #[derive(Debug, Parser)]
 #[command(name = "ottercroft", version, after_help = EXIT_CODES)]
 pub struct Cli {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -282,9 +282,11 @@
         } else if self.operators.as_ref().is_some_and(|o| o.owns(key)) {
             let lines = self.operators.as_mut().map(|o| o.ready(key, now, &self.poll)).unwrap_or_default();
             for (caller, line) in lines {
-                let asked = format!("{line:?}");
+                let asked = tracing::enabled!(tracing::Level::DEBUG).then(|| format!("{line:?}"));
                 let answer = self.call(now, line);
-                tracing::debug!(asked, answer = answer.lines().next(), "operator call");
+                if let Some(asked) = asked {
+                    tracing::debug!(asked, answer = answer.lines().next(), "operator call");
+                }
                 if let Some(o) = &mut self.operators {
                     o.answer(caller, &answer, &self.poll);
                 }
@@ -611,6 +613,10 @@
     }
 
     fn send_all_away(&mut self, now: Micros) {
+        // Looked at ten times a second: nothing to collect unless a drain holds.
+        if self.leaving.is_none() {
+            return;
+        }
         let keys: Vec<Key> = self.sessions.by_key.keys().copied().collect();
         keys.into_iter().for_each(|key| self.send_away(key, now));
     }
