Pass the load that executors tell in their answers on to the decisions

Cause: at this site executors tell util and inflight in every answer and are never probed. executor::next read `gauges` for UP/DOWN only, and Dispatch::finish built every Finished with `report: None`; at the first site load comes by METER probes, so it worked there by luck. Change: Answer::Request carries its gauges; Report::Ended carries the load, and finish passes it to the decisions as the Finished report. control.rs is unchanged.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -130,6 +130,14 @@
     pub disks: Option<f64>,
 }
 
+impl Load {
+    /// The same figures as the decisions take them.
+    fn report(self) -> api::Report {
+        let Load { inflight, util, queue, memory, disks } = self;
+        api::Report { util, inflight, queue, memory, disks }
+    }
+}
+
 /// How an attempt ended; `R` is the result as the network holds it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum End<R> {
@@ -179,8 +187,8 @@
 /// What the network tells.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Report<R> {
-    /// An attempt is over.
-    Ended(Ticket, End<R>),
+    /// An attempt is over; with the executor's load report where its answer carried one.
+    Ended(Ticket, End<R>, Option<Load>),
     /// Word on an attempt.
     Noted(Ticket, Word),
     /// A probe is over, after so long.
@@ -446,7 +454,7 @@
     /// What the network has to tell.
     pub fn report(&mut self, now: Micros, report: Report<R>) -> Vec<Order<R>> {
         match report {
-            Report::Ended(ticket, end) => self.ended(now, ticket, end),
+            Report::Ended(ticket, end, load) => self.ended(now, ticket, end, load),
             Report::Noted(t, word) => {
                 let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
                 let note = match word {
@@ -464,13 +472,7 @@
                     Echo::Unknown => (Outcome::Cancelled, None),
                     Echo::Silent => (Outcome::Timeout, None),
                 };
-                let report = load.map(|l| api::Report {
-                    util: l.util,
-                    inflight: l.inflight,
-                    queue: l.queue,
-                    memory: l.memory,
-                    disks: l.disks,
-                });
+                let report = load.map(Load::report);
                 self.run(now, Event::Probed { engine, outcome, latency, report })
             }
             Report::Left(id) => match self.open.get_mut(&id) {
@@ -515,7 +517,7 @@
         attempt.outcome.is_none().then_some(attempt)
     }
 
-    fn ended(&mut self, now: Micros, t: Ticket, end: End<R>) -> Vec<Order<R>> {
+    fn ended(&mut self, now: Micros, t: Ticket, end: End<R>, load: Option<Load>) -> Vec<Order<R>> {
         // An attempt may end while the order to stop it is on its way: the stop was told, and once is enough.
         let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
         let outcome = match end {
@@ -543,7 +545,7 @@
                 if matches!(end, End::Lost) { Outcome::Reset } else { Outcome::Timeout }
             }
         };
-        let event = self.finish(now, t, outcome);
+        let event = self.finish(now, t, outcome, load);
         let whole = matches!(&event, Some(Event::Finished(f)) if f.engine == engine);
         must!(whole, "an attempt that was out has no end to tell");
         let orders = event.map_or_else(Vec::new, |e| self.run(now, e));
@@ -561,7 +563,7 @@
             let ticket = Ticket { request: id, attempt };
             self.tally.expired += 1;
             self.orders.push(Order::Stop(ticket));
-            if let Some(event) = self.finish(now, ticket, Outcome::Timeout) {
+            if let Some(event) = self.finish(now, ticket, Outcome::Timeout, None) {
                 orders.append(&mut self.run(now, event));
             }
         }
@@ -582,13 +584,14 @@
     }
 
     /// Notes an attempt's end; the event that tells of it.
-    fn finish(&mut self, now: Micros, t: Ticket, outcome: Outcome) -> Option<Event> {
+    fn finish(&mut self, now: Micros, t: Ticket, outcome: Outcome, load: Option<Load>) -> Option<Event> {
         let done = self.open.get(&t.request)?.closed;
         let attempt = self.out(t)?;
         attempt.outcome = Some(outcome);
         let latency = now.saturating_sub(attempt.sent);
         let (query, attempt, engine) = (t.request, t.attempt, attempt.engine);
-        let finished = Finished { query, attempt, engine, done, outcome, latency, bill: None, report: None };
+        let report = load.map(Load::report);
+        let finished = Finished { query, attempt, engine, done, outcome, latency, bill: None, report };
         Some(Event::Finished(finished))
     }
 
@@ -658,7 +661,7 @@
             }
             Action::Cancel { query, attempt } => {
                 let ticket = Ticket { request: query, attempt };
-                if let Some(event) = self.finish(now, ticket, Outcome::Cancelled) {
+                if let Some(event) = self.finish(now, ticket, Outcome::Cancelled, None) {
                     self.orders.push(Order::Stop(ticket));
                     events.push_back(event);
                     self.forget(query);
@@ -778,10 +781,12 @@
         assert!(d.pick(2_000, &again).is_err());
         // A client that left is owed nothing, also when an answer or the end comes later.
         assert!(answers(&d.report(3_000, Report::Left(1))).is_empty());
-        let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()));
+        let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()), None);
         assert!(answers(&d.report(4_000, end)).is_empty() && !d.open.contains_key(&1));
         // A connection may be lost with an attempt whose stop is being carried out: told twice is told once.
-        assert!(d.report(4_000, Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost)).is_empty());
+        assert!(
+            d.report(4_000, Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost, None)).is_empty()
+        );
         assert_eq!(answers(&d.give_up(5_000)), [&Answer::Failed]);
     }
 
@@ -806,7 +811,7 @@
         };
         assert_eq!(d.pick(2_000, &keyed(1, BUDGET)).unwrap().len(), 1);
         assert!(d.pick(3_000, &keyed(2, 4 * BUDGET)).unwrap().is_empty(), "the second waits for its turn");
-        let ended = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost);
+        let ended = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost, None);
         let orders = d.report(4_000, ended);
         assert_eq!(answers(&orders), [&Answer::Failed]);
         let starts = |orders: &[Order<()>]| orders.iter().any(|o| matches!(o, Order::Start { .. }));
@@ -844,7 +849,7 @@
         }
         let left: Vec<_> = d.gateway.engines.iter().map(|e| e.entry.engine).collect();
         assert_eq!(left, [5, 60]);
-        let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()));
+        let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()), None);
         assert_eq!(answers(&d.report(70_000, end)), [&Answer::Served(())]);
         d.members(80_000, News::Changes, &[member(61, Standing::Up)]);
         let left: Vec<_> = d.gateway.engines.iter().map(|e| e.entry.engine).collect();
--- a/src/executor.rs
+++ b/src/executor.rs
@@ -120,6 +120,8 @@
         word: Word,
         /// The rows, or what an error says.
         body: &'a [u8],
+        /// The executor's load report carried by the answer, where the settings name one (`gauges`).
+        gauges: Option<Gauges>,
     },
     /// Of a probe.
     Probe {
@@ -216,7 +218,7 @@
         _ => return Err(bad(line, "word")),
     };
     let id = u64::from_str_radix(id, 16).map_err(|_| bad(line, "id"))?;
-    Ok(Some((all, Answer::Request { id, word, body })))
+    Ok(Some((all, Answer::Request { id, word, body, gauges: field("gauges").map(gauges) })))
 }
 
 /// Whole rows of three columns of text each.
@@ -254,13 +256,20 @@
         assert!((0..n).all(|to| next(&input[..to]).unwrap().is_none()));
         assert_eq!(
             first,
-            Answer::Request { id: 0xab, word: Word::Ok { pages: Some(2) }, body: b"a\tb\tc\n" }
+            Answer::Request { id: 0xab, word: Word::Ok { pages: Some(2) }, body: b"a\tb\tc\n", gauges: None }
         );
         let (_, second) = next(&input[n..]).unwrap().unwrap();
         let gauges = Gauges { inflight: Some(7.0), x1: Some(0.5), ..Gauges::default() };
         assert_eq!(second, Answer::Probe { tag: 0x1f, up: true, gauges: Some(gauges) });
         let (_, note) = next(b"1 NOTE res=done,v=0.4 0\r\n\r\n").unwrap().unwrap();
-        assert_eq!(note, Answer::Request { id: 1, word: Word::Note(Some(Note::Done(0.4))), body: b"" });
+        assert_eq!(
+            note,
+            Answer::Request { id: 1, word: Word::Note(Some(Note::Done(0.4))), body: b"", gauges: None }
+        );
+        // Where answers carry load, each one of a request has it as a probe's would.
+        let (_, told) = next(b"1 OK pages=1,gauges=inflight:7;util:0.61 0\r\n\r\n").unwrap().unwrap();
+        let gauges = Gauges { inflight: Some(7.0), util: Some(0.61), ..Gauges::default() };
+        assert!(matches!(told, Answer::Request { gauges: Some(g), .. } if g == gauges));
     }
 
     // A bad line costs the connection, so each of these has to be told from a line that is not there yet.
--- a/src/net/executors.rs
+++ b/src/net/executors.rs
@@ -329,7 +329,7 @@
         for id in back {
             if let Some(s) = conn.streams.remove(&id) {
                 self.places.remove(&s.ticket);
-                self.reports.push_back(Report::Ended(s.ticket, End::NeverSent));
+                self.reports.push_back(Report::Ended(s.ticket, End::NeverSent, None));
             }
         }
     }
@@ -352,7 +352,7 @@
         let id = t.request;
         let most = if t.attempt < SUSPECT { self.transport.streams_per_conn } else { 1 };
         let Some(key) = self.connection(to, now, poll, |c| c.takes(id, most, now)) else {
-            self.reports.push_back(Report::Ended(t, End::NeverSent));
+            self.reports.push_back(Report::Ended(t, End::NeverSent, None));
             return;
         };
         let Some(conn) = self.conns.get_mut(&key) else { return };
@@ -543,7 +543,7 @@
                         self.reports.push_back(Report::Probed(conn.executor, echo, now.saturating_sub(sent)));
                     }
                 }
-                Answer::Request { id, word, body } => {
+                Answer::Request { id, word, body, gauges } => {
                     let ended = match conn.streams.get_mut(&id) {
                         None => {
                             self.wire.stray += 1;
@@ -578,7 +578,7 @@
                         if !matches!(end, End::Served(_)) {
                             conn.spent.insert(id, now);
                         }
-                        self.reports.push_back(Report::Ended(s.ticket, end));
+                        self.reports.push_back(Report::Ended(s.ticket, end, gauges.map(load)));
                     }
                 }
             }
@@ -673,7 +673,7 @@
                 (false, true) => End::Void,
                 (false, false) => End::NeverSent,
             };
-            self.reports.push_back(Report::Ended(s.ticket, end));
+            self.reports.push_back(Report::Ended(s.ticket, end, None));
         }
         let echo = if conn.up { Echo::Unknown } else { Echo::Unreachable };
         for _ in conn.probes {
@@ -870,7 +870,7 @@
         let ticket = start(&mut e, 7, 2, &poll);
         assert!(e.reports.is_empty());
         listed(&mut e, &at, State::Draining, 0, 3, &poll);
-        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent)) if t == ticket));
+        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent, _)) if t == ticket));
         let key = *e.conns.keys().next().unwrap();
         e.ready(key, false, true, 4, &poll);
         assert!(e.conns[&key].queue.is_empty() && e.conns[&key].outbox.is_empty());
@@ -891,11 +891,41 @@
         }
         let new = start(&mut e, 8, 9_000, &poll);
         let over = start(&mut e, 9, 9_000, &poll);
-        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent)) if t == over));
+        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent, _)) if t == over));
         listed(&mut e, &at, State::Up, 5, 10_000, &poll);
-        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::Lost)) if t == old));
+        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::Lost, _)) if t == old));
         assert!(e.reports.is_empty() && e.places.contains_key(&new));
         e.tick(9_000 + TRANSPORT.dial_timeout, &poll);
-        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent)) if t == new));
+        assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent, _)) if t == new));
+    }
+
+    // At a site where executors tell their load in every answer and are never probed, the decisions saw no
+    // load at all: the answer's gauges were read for probes only. An answer's report must reach the decisions.
+    #[test]
+    fn the_load_an_answer_carries_goes_on_with_its_end() {
+        use std::io::{Read, Write};
+        let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
+        let at = TcpListener::bind("127.0.0.1:0").unwrap();
+        let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
+        listed(&mut e, &at, State::Up, 0, 1, &poll);
+        let ticket = start(&mut e, 0x2a, 2, &poll);
+        let key = *e.conns.keys().next().unwrap();
+        let (mut engine, _) = at.accept().unwrap();
+        let mut seen = Vec::new();
+        while !seen.windows(4).any(|w| w == b"PULL") {
+            e.ready(key, false, true, 3, &poll);
+            let mut chunk = [0u8; 512];
+            engine.set_read_timeout(Some(std::time::Duration::from_millis(50))).unwrap();
+            if let Ok(n) = engine.read(&mut chunk) {
+                seen.extend_from_slice(&chunk[..n]);
+            }
+        }
+        engine.write_all(b"2a BUSY gauges=inflight:7;util:0.61 0\r\n\r\n").unwrap();
+        while e.reports.is_empty() {
+            e.ready(key, true, false, 4, &poll);
+        }
+        let load = Load { inflight: Some(7.0), util: Some(0.61), ..Load::default() };
+        let found = e.reports.pop_front();
+        assert!(matches!(found, Some(Report::Ended(t, End::Full, Some(l))) if t == ticket && l == load));
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -366,7 +366,7 @@
             Order::Start { ticket, executor, memory_mb, priority, until } => {
                 // The client may have left since this was decided: then nothing goes out, and that is told.
                 let Some((_, job)) = self.jobs.get(&ticket.request) else {
-                    return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent));
+                    return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent, None));
                 };
                 let job = job.clone();
                 self.executors.start(ticket, executor, job, memory_mb, priority, until, now, &self.poll);
