--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -56,6 +56,8 @@
     pub id: u64,
     /// Its class, an index.
     pub class: usize,
+    /// Its tenant (`acct`), an index; `None` where none was told or the settings name no such one.
+    pub tenant: Option<usize>,
     /// Its key, in classes that keep order.
     pub key: Option<u64>,
     /// How long the client waits in all, as it told.
@@ -440,7 +442,7 @@
         let arrival = Arrival {
             query: request.id,
             class: request.class,
-            tenant: None,
+            tenant: request.tenant,
             key: request.key,
             grace,
             estimate_s: request.work_s.filter(|e| e.is_finite() && *e > 0.0),
@@ -718,6 +720,7 @@
         let request = Request {
             id,
             class: 0,
+            tenant: None,
             key: None,
             told: BUDGET,
             budget: BUDGET,
@@ -770,6 +773,7 @@
         let again = Request {
             id: 1,
             class: 0,
+            tenant: None,
             key: None,
             told: 1,
             budget: 1,
@@ -800,6 +804,7 @@
             Request {
                 id,
                 class: 0,
+                tenant: None,
                 key,
                 told: budget,
                 budget,
