Give the loop one job and each side its own file: codecs, settings and net in rooms

Change, text moved and nothing decided anew: src/codec holds the five codecs (the operator's line codec among them), src/settings the platform's file and our HCL; net/mod.rs keeps the loop, and clients, orders, calls, connection, listen and ending stand in files of their own.

--- a/src/cli/lists.rs
+++ b/src/cli/lists.rs
@@ -1,13 +1,13 @@
 //! `ottercroft lists`: work with motor lists without a dispatcher.
 
 use super::{Common, Verdict, catalog, options, tell};
-use crate::hcl::{Fault, shown};
 use crate::membership::check::Terms;
 use crate::membership::files::Bounds;
 use crate::membership::list::{self, Digest, List, ListFile, Motor};
 use crate::membership::watcher::{self, Rules};
 use crate::membership::{Act, Guard, Members, Sources, keep};
-use crate::options::{Lists, accept_path};
+use crate::settings::hcl::{Fault, shown};
+use crate::settings::options::{Lists, accept_path};
 use clap::{Args, Subcommand};
 use serde_json::json;
 use std::collections::{BTreeMap, BTreeSet};
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -2,12 +2,12 @@
 
 pub mod lists;
 
-use crate::config::{Config, ConfigError};
-use crate::hcl::Fault;
 use crate::membership::check::Catalog;
 use crate::net::Node;
 use crate::net::signals::Signals;
-use crate::options::{LogFormat, Options};
+use crate::settings::config::{Config, ConfigError};
+use crate::settings::hcl::Fault;
+use crate::settings::options::{LogFormat, Options};
 use clap::{Args, Parser, Subcommand};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
--- a/src/coordinator.rs
+++ b/src/codec/coordinator.rs
@@ -117,6 +117,15 @@
     }
 }
 
+/// The number of an executor, from its uid alone, so that all dispatchers and every later life have the same
+/// one: the eight hex digits that a uid ends in, as in `s-00c41f7a`; of any other uid its FNV-1a hash.
+pub fn executor_id(uid: &str) -> u32 {
+    let digits = uid.rsplit_once('-').map(|(_, d)| d).filter(|d| d.len() == 8);
+    let number = digits.and_then(|d| u32::from_str_radix(d, 16).ok());
+    let hash = || uid.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
+    number.unwrap_or_else(hash)
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/src/codec/operator.rs
@@ -0,0 +1,151 @@
+//! The lines of the operators' address.
+//!
+//! A connection carries one line and gets one answer: a line that starts with `+OK` or `-ERR`; `DUMP` is
+//! answered `+OK`, the figures and a line `.`. Everything here is sans-I/O: bytes and calls in, answers out.
+
+use std::fmt;
+
+/// The longest line taken, its end included, in bytes.
+pub const LONGEST_LINE: usize = 256;
+
+/// What an operator asks.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Health,
+    /// The figures.
+    Dump,
+    /// Nothing more to this executor, by its uid.
+    Offline(String),
+    /// This executor may serve again.
+    Online(String),
+    /// Empty the dispatcher of clients.
+    Leave,
+    /// Take clients again.
+    Join,
+}
+
+/// Why a line is not a call; told after `-ERR`.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Fault {
+    /// No such call.
+    Unknown(String),
+    /// The call takes an id and none came.
+    Missing(&'static str),
+    /// More words than the call takes.
+    Extra(&'static str),
+    /// Longer than [`LONGEST_LINE`].
+    TooLong,
+    /// Bytes that are not printable text.
+    NotText,
+    /// Nothing but white space.
+    Empty,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Fault::Unknown(word) => write!(f, "unknown call {word:?}"),
+            Fault::Missing(call) => write!(f, "{call} takes an executor id"),
+            Fault::Extra(call) => write!(f, "too many words for {call}"),
+            Fault::TooLong => write!(f, "line longer than {LONGEST_LINE} bytes"),
+            Fault::NotText => write!(f, "not text"),
+            Fault::Empty => write!(f, "empty line"),
+        }
+    }
+}
+
+/// Reads what the operator writes, in pieces of any size, until one whole line has come.
+#[derive(Debug, Default)]
+pub struct Decoder {
+    pub(crate) line: Vec<u8>,
+    done: bool,
+}
+
+impl Decoder {
+    /// Takes bytes as they come. Once a line is whole, or can't become one, that is told, and nothing more
+    /// is read: a connection carries one line.
+    pub fn feed(&mut self, bytes: &[u8]) -> Option<Result<Call, Fault>> {
+        if self.done {
+            return None;
+        }
+        let end = bytes.iter().position(|&b| b == b'\n');
+        let take = end.map_or(bytes.len(), |i| i + 1);
+        if self.line.len() + take > LONGEST_LINE {
+            self.done = true;
+            return Some(Err(Fault::TooLong));
+        }
+        self.line.extend_from_slice(&bytes[..take]);
+        end.map(|_| {
+            self.done = true;
+            parse(&self.line)
+        })
+    }
+
+    /// Whether part of a line has come.
+    pub fn begun(&self) -> bool {
+        !self.line.is_empty()
+    }
+}
+
+/// Reads one line, its end (`\n` or `\r\n`) included or not. Words are split by spaces or tabs; the call's
+/// name is read in any case.
+pub fn parse(line: &[u8]) -> Result<Call, Fault> {
+    let line = line.strip_suffix(b"\n").unwrap_or(line);
+    let line = line.strip_suffix(b"\r").unwrap_or(line);
+    if line.len() >= LONGEST_LINE {
+        return Err(Fault::TooLong);
+    }
+    if line.iter().any(|&b| !(b == b' ' || b == b'\t' || b.is_ascii_graphic())) {
+        return Err(Fault::NotText);
+    }
+    let text = std::str::from_utf8(line).map_err(|_| Fault::NotText)?;
+    let mut words = text.split([' ', '\t']).filter(|w| !w.is_empty());
+    let name = words.next().ok_or(Fault::Empty)?.to_ascii_uppercase();
+    let (id, more) = (words.next(), words.next().is_some());
+    let bare = |call: Call, name: &'static str| match id {
+        Some(_) => Err(Fault::Extra(name)),
+        None => Ok(call),
+    };
+    let with_id = |make: fn(String) -> Call, name: &'static str| match (id, more) {
+        (None, _) => Err(Fault::Missing(name)),
+        (Some(_), true) => Err(Fault::Extra(name)),
+        (Some(id), false) => Ok(make(id.to_string())),
+    };
+    match name.as_str() {
+        "HEALTH" => bare(Call::Health, "HEALTH"),
+        "DUMP" => bare(Call::Dump, "DUMP"),
+        "LEAVE" => bare(Call::Leave, "LEAVE"),
+        "JOIN" => bare(Call::Join, "JOIN"),
+        "OFFLINE" => with_id(Call::Offline, "OFFLINE"),
+        "ONLINE" => with_id(Call::Online, "ONLINE"),
+        _ => Err(Fault::Unknown(name.chars().take(32).collect())),
+    }
+}
+
+/// Whether a process serves, as `HEALTH` tells it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Readiness {
+    /// It takes clients.
+    Ready,
+    /// `LEAVE` was called and `JOIN` not yet.
+    Leaving,
+    /// SIGTERM came.
+    Stopping,
+}
+
+impl Readiness {
+    /// The answer to `HEALTH`: yes only when ready.
+    pub fn answer(self) -> String {
+        match self {
+            Readiness::Ready => "+OK ready".into(),
+            Readiness::Leaving => "-ERR leaving: not ready".into(),
+            Readiness::Stopping => "-ERR stopping: not ready".into(),
+        }
+    }
+}
+
+/// The answer to a line that is not a call.
+pub fn refusal(fault: &Fault) -> String {
+    format!("-ERR {fault}")
+}
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -8,6 +8,7 @@
     self, Action, Arrival, Effect, EngineId, Entry, Event, Finished, Group, ListKind, Micros, Outcome,
     Readiness, Settings, SettingsError,
 };
+pub use crate::codec::coordinator::executor_id;
 use crate::{Gateway, must};
 use lru::LruCache;
 use std::cmp::Reverse;
@@ -31,15 +32,6 @@
 /// An executor, by a number that comes from its uid alone.
 pub type ExecutorId = EngineId;
 
-/// The number of an executor, from its uid alone, so that all dispatchers and every later life have the same
-/// one: the eight hex digits that a uid ends in, as in `s-00c41f7a`; of any other uid its FNV-1a hash.
-pub fn executor_id(uid: &str) -> ExecutorId {
-    let digits = uid.rsplit_once('-').map(|(_, d)| d).filter(|d| d.len() == 8);
-    let number = digits.and_then(|d| ExecutorId::from_str_radix(d, 16).ok());
-    let hash = || uid.bytes().fold(0x811c_9dc5, |h: u32, b| (h ^ u32::from(b)).wrapping_mul(0x0100_0193));
-    number.unwrap_or_else(hash)
-}
-
 /// One attempt of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -6,30 +6,24 @@
 //! - [`api`] is the interface: settings, events, actions and ids.
 //! - [`control`] holds every decision.
 //! - [`dispatch`] is the facade that a real dispatcher sees: pick, report, tick.
-//! - [`mysql`], [`executor`] and [`coordinator`] are the codecs of its protocols, [`statement`] reads queries.
+//! - [`codec`] holds the codecs of its protocols.
 //! - [`net`] is the dispatcher on sockets: one event loop.
 //! - [`membership`] is which motores there are: lists from files beside the coordinator's feed.
 //! - [`storm`] sees retry storms, damps them and tells clients when to come back.
-//! - [`hcl`] reads our own HCL, [`options`] are the settings in it, [`cli`] is the command line.
-//! - [`config`] and [`settings`] read what it is told, [`invariant`] counts what must not happen.
+//! - [`settings`] read what it is told: the platform's file and our own HCL; [`cli`] is the command line.
+//! - [`operator`] are the operators' figures and bans, [`invariant`] counts what must not happen.
 
 pub mod api;
 pub mod cli;
-pub mod config;
+pub mod codec;
 pub mod control;
-pub mod coordinator;
 pub mod dispatch;
-pub mod executor;
-pub mod hcl;
 pub mod invariant;
 pub mod membership;
-pub mod mysql;
 pub mod net;
 pub mod operator;
-pub mod options;
 pub mod settings;
 mod state;
-pub mod statement;
 pub mod storm;
 
 pub use api::{Action, Event, Settings};
--- a/src/membership/check.rs
+++ b/src/membership/check.rs
@@ -2,9 +2,9 @@
 
 use super::list::{List, Motor};
 use crate::api::Settings;
-use crate::dispatch::executor_id;
-use crate::hcl::{Fault, Place};
+use crate::codec::coordinator::executor_id;
 use crate::settings::Names;
+use crate::settings::hcl::{Fault, Place};
 use ipnet::IpNet;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
--- a/src/membership/list.rs
+++ b/src/membership/list.rs
@@ -19,7 +19,7 @@
 //! A file has a digest of what it says, whatever its spacing, order and comments. The seal repeats it together
 //! with the number of motores: what was torn, cut short or mixed does not match its seal.
 
-use crate::hcl::{self, Fault, Place, Table, Text};
+use crate::settings::hcl::{self, Fault, Place, Table, Text};
 use sha2::{Digest as _, Sha256};
 use std::fmt;
 use std::net::SocketAddr;
--- /dev/null
+++ b/src/net/calls.rs
@@ -0,0 +1,177 @@
+//! What operators ask, and the bans that are handed from one process to the next.
+
+use super::poll::Key;
+use super::{LEAVE_PATIENCE, Node, listen};
+use crate::api::Micros;
+use crate::codec::operator::{self as ops, Call, Fault, Readiness};
+use crate::dispatch::News;
+use crate::operator::bans::Bans;
+use std::io;
+
+impl Node {
+    /// Carries out an operator's call; the answer to write.
+    pub(super) fn call(&mut self, now: Micros, line: Result<Call, Fault>) -> String {
+        let call = match line {
+            Ok(call) => call,
+            Err(fault) => return ops::refusal(&fault),
+        };
+        match call {
+            Call::Health => self.readiness().answer(),
+            Call::Dump => format!("+OK figures\n{}.", self.dump(now)),
+            Call::Leave => {
+                if self.leaving.is_none() {
+                    tracing::warn!(clients = self.sessions.by_key.len(), open = self.jobs.len(), "LEAVE");
+                    self.leaving = Some(now);
+                    self.close_door(now);
+                }
+                self.send_all_away(now);
+                "+OK leaving".into()
+            }
+            Call::Join => {
+                if self.leaving.take().is_some() {
+                    tracing::warn!("JOIN");
+                }
+                match self.open_door(now) {
+                    Ok(()) => "+OK joined".into(),
+                    Err(e) => format!("-ERR joined, but can't listen on {}: {e}", self.address),
+                }
+            }
+            Call::Offline(id) => match self.bans.offline(&id, self.targets.contains_key(&id)) {
+                Ok(new) => {
+                    if new {
+                        tracing::warn!(motor = id, "OFFLINE: no new work for it until ONLINE");
+                        self.banned(now, &id);
+                    }
+                    format!("+OK offline {id}")
+                }
+                Err(e) => format!("-ERR {e}"),
+            },
+            Call::Online(id) => match self.bans.online(&id, self.targets.contains_key(&id)) {
+                Ok(was) => {
+                    if was {
+                        tracing::warn!(motor = id, "ONLINE: it serves again, cold");
+                        self.onlined.insert(id.clone(), now / 1000);
+                        self.banned(now, &id);
+                    }
+                    format!("+OK online {id}")
+                }
+                Err(e) => format!("-ERR {e}"),
+            },
+        }
+    }
+
+    /// While leaving, a front that asks the client port is told no: the listener is closed, after what waits at
+    /// it was taken in.
+    pub(super) fn close_door(&mut self, now: Micros) {
+        self.accept(now);
+        if let Some((_, listener)) = self.listener.take() {
+            self.poll.remove(&listener);
+        }
+        self.paused = None;
+        self.accept_at = None;
+    }
+
+    /// Listens for clients again, beside any other process on the port.
+    pub(super) fn open_door(&mut self, now: Micros) -> io::Result<()> {
+        if self.listener.is_some() || self.paused.is_some() || self.stopping.is_some() {
+            return Ok(());
+        }
+        let listener = listen::bind_shared(self.address).inspect_err(|e| {
+            tracing::error!(address = %self.address, error = %e, "JOIN: can't listen");
+        })?;
+        let key = self.poll.add(&listener, false)?;
+        self.listener = Some((key, listener));
+        self.accept(now);
+        Ok(())
+    }
+
+    pub(super) fn readiness(&self) -> Readiness {
+        match (self.stopping, self.leaving) {
+            (Some(_), _) => Readiness::Stopping,
+            (None, Some(_)) => Readiness::Leaving,
+            (None, None) => Readiness::Ready,
+        }
+    }
+
+    /// A ban was put on or lifted: the module hears of the executor anew, and the next process of it.
+    pub(super) fn banned(&mut self, now: Micros, id: &str) {
+        if let Some(target) = self.targets.get(id).cloned() {
+            self.members(now, News::Changes, &[target]);
+        }
+        save_bans(&self.bans_file, &self.bans, &self.name);
+    }
+
+    pub(super) fn dump(&self, now: Micros) -> String {
+        let f = &self.figures;
+        f.forwards.inc_by(self.executors.wire.forwards.saturating_sub(f.forwards.get()));
+        f.outstanding.set(self.jobs.len() as i64);
+        let (listed, avoided) = self.dispatch.avoided(now);
+        f.discovered.set(listed as i64);
+        f.ejected.set(avoided as i64);
+        f.text()
+    }
+
+    /// After `LEAVE`: a client that has nothing open and nothing in part is taken nothing more from; it closes
+    /// once its last answer is written, so that it connects again elsewhere.
+    pub(super) fn send_away(&mut self, key: Key, now: Micros) {
+        if self.leaving.is_none() {
+            return;
+        }
+        let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
+        if s.done_with(now, LEAVE_PATIENCE) {
+            s.finish(now);
+            self.flush(key);
+        }
+    }
+
+    pub(super) fn send_all_away(&mut self, now: Micros) {
+        // Looked at ten times a second: nothing to collect unless a drain holds.
+        if self.leaving.is_none() {
+            return;
+        }
+        let keys: Vec<Key> = self.sessions.by_key.keys().copied().collect();
+        keys.into_iter().for_each(|key| self.send_away(key, now));
+    }
+}
+
+/// A dispatcher's name as a part of a file name.
+pub(super) fn file_name(name: &str) -> String {
+    let safe: String =
+        name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
+    if safe.is_empty() { "dispatcher".into() } else { safe }
+}
+
+/// The bans that the process before this one handed over, if its file is there and can be used.
+pub(super) fn handed_over(path: &std::path::Path, name: &str) -> Bans {
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(e) if e.kind() == io::ErrorKind::NotFound => return Bans::default(),
+        Err(e) => {
+            tracing::warn!(file = %path.display(), error = %e, "bans: hand-over file ignored");
+            return Bans::default();
+        }
+    };
+    match Bans::decode(&text, name) {
+        Ok(bans) => {
+            if !bans.is_empty() {
+                let ids: Vec<&str> = bans.ids().collect();
+                tracing::warn!(file = %path.display(), offline = ?ids, "bans: handed over");
+            }
+            bans
+        }
+        Err(e) => {
+            tracing::warn!(file = %path.display(), error = %e, "bans: hand-over file ignored");
+            Bans::default()
+        }
+    }
+}
+
+/// Writes the bans for the next process: whole or not at all, by a file renamed over the old.
+fn save_bans(path: &std::path::Path, bans: &Bans, name: &str) {
+    let part = path.with_extension(format!("part{}", std::process::id()));
+    let written = std::fs::write(&part, bans.encode(name)).and_then(|()| std::fs::rename(&part, path));
+    if let Err(e) = written {
+        let _ = std::fs::remove_file(&part);
+        tracing::error!(file = %path.display(), error = %e, "bans: can't hand over; the next process starts without");
+    }
+}
--- /dev/null
+++ b/src/net/ending.rs
@@ -0,0 +1,126 @@
+//! Housekeeping: counters, SIGHUP, and the way to the end after SIGTERM.
+
+use super::poll::Key;
+use super::session::Session;
+use super::{ENDS, GIVES_UP, Node, TAKES_ON};
+use crate::api::Micros;
+use crate::invariant;
+use crate::settings::config::Config;
+
+impl Node {
+    pub(super) fn sweep(&mut self, now: Micros) {
+        self.executors.sweep(now, &self.poll);
+    }
+
+    pub(super) fn count(&self) {
+        let t = &self.dispatch.tally;
+        let w = &self.executors.wire;
+        let feed = self.feed.as_ref();
+        tracing::info!(
+            taken = t.taken,
+            served = t.served,
+            refused = t.refused,
+            failed = t.failed,
+            left = t.left,
+            open = self.dispatch.waiting(),
+            attempts = t.attempts,
+            expired = t.expired,
+            lost = t.lost,
+            never_sent = t.never_sent,
+            probes = t.probes,
+            dials = w.dials,
+            conns = self.executors.connections(),
+            clients = self.sessions.by_key.len(),
+            clients_refused = self.refused_clients,
+            made_room = self.made_room,
+            shed = self.shed,
+            stray = w.stray,
+            bad_lines = w.bad_lines,
+            mute = w.mute,
+            feed_dials = feed.map_or(0, |f| f.dials),
+            feed_bad_lines = feed.map_or(0, |f| f.bad_lines),
+            free_buffers = self.pool.free(),
+            broken = invariant::broken(),
+            "counters"
+        );
+        if let Some(s) = &self.storm {
+            let t = s.tally;
+            tracing::info!(
+                phase = ?s.phase(),
+                refused = t.refused,
+                early = t.early,
+                promised = t.promised,
+                kept = t.kept,
+                repeats = t.repeats,
+                remembered = s.remembered(),
+                "storm counters"
+            );
+        }
+        if let Some(l) = self.lists.as_ref().map(|l| &l.tally) {
+            let (taken, refused, held) = (l.taken, l.refused, l.held);
+            tracing::info!(
+                taken,
+                refused,
+                held,
+                unreadable = l.unreadable,
+                slowest_us = l.slowest,
+                "list counters"
+            );
+        }
+    }
+
+    /// SIGHUP: follows the coordinator that the file names now. All that is open stays, and so does the rest of
+    /// the configuration, which takes a restart. A file that can't be used changes nothing.
+    pub(super) fn reread(&mut self, now: Micros) {
+        let usable = |c: Config| c.settings.settings().map(|_| c.coordinator).map_err(|e| e.to_string());
+        match (self.load)().map_err(|e| e.to_string()).and_then(usable) {
+            Ok(coordinator) => {
+                self.figures.sighup_applied.inc();
+                tracing::info!(%coordinator, "SIGHUP: configuration read again");
+                if let Some(feed) = &mut self.feed {
+                    feed.move_to(coordinator, now, &self.poll);
+                }
+                if let Some(lists) = &self.lists {
+                    lists.look();
+                }
+            }
+            Err(e) => {
+                self.figures.sighup_rejected.inc();
+                tracing::error!(error = e.replace('\n', " "), "SIGHUP: the old configuration stays");
+            }
+        }
+    }
+
+    pub(super) fn stop(&mut self, now: Micros) {
+        if self.stopping.is_none() {
+            tracing::info!(open = self.dispatch.waiting(), "SIGTERM");
+            self.stopping = Some(now);
+        }
+    }
+
+    /// Whether the dispatcher is at its end; on the way there it takes less and less.
+    pub(super) fn over(&mut self, now: Micros) -> bool {
+        let Some(since) = self.stopping else { return false };
+        if now < since + TAKES_ON {
+            return false;
+        }
+        if self.listener.is_some() {
+            self.accept(now);
+            if let Some((_, listener)) = self.listener.take() {
+                self.poll.remove(&listener);
+            }
+            // The last look at what was written in time.
+            let all: Vec<Key> = self.sessions.by_key.keys().copied().collect();
+            all.into_iter().for_each(|key| self.read(key, now));
+        }
+        if now >= since + GIVES_UP && !self.given_up {
+            self.given_up = true;
+            let orders = self.dispatch.give_up(now);
+            self.settle(now, orders);
+        }
+        let done = |s: &Session| s.open.is_none() && s.flushed();
+        let idle: Vec<Key> = self.sessions.by_key.iter().filter(|(_, s)| done(s)).map(|(k, _)| *k).collect();
+        idle.into_iter().for_each(|key| self.hang_up(key, now));
+        self.sessions.by_key.is_empty() || now >= since + ENDS
+    }
+}
--- a/src/net/executors.rs
+++ b/src/net/executors.rs
@@ -5,14 +5,17 @@
 //! ended in any way on a connection never goes out on that one again, so that a late answer or a second copy
 //! can't be taken for a new one.
 
-use super::buffers::{Block, Inbox, Outbox, Pool};
+use super::buffers::{Inbox, Outbox, Pool};
+use super::connection::{Conn, DOUBTFUL, Outgoing, Step, Stream, advance};
+pub use super::connection::{Job, Rows};
 use super::dial;
 use super::poll::{Key, Poll};
+use super::room::Room;
 use super::timers::Timers;
 use crate::api::Micros;
-use crate::coordinator::{State, Target};
-use crate::dispatch::{Echo, End, ExecutorId, Load, Report, Ticket, Word, executor_id};
-use crate::executor::{self, Answer, Gauges, Note, Terms};
+use crate::codec::coordinator::{State, Target};
+use crate::codec::executor::{self, Answer, Gauges, Terms};
+use crate::dispatch::{Echo, End, ExecutorId, Load, Report, Ticket, executor_id};
 use crate::must;
 use crate::settings::Transport;
 use rand_core::{RngCore, SeedableRng};
@@ -20,17 +23,8 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, TcpStream};
-use std::rc::Rc;
+use std::net::SocketAddr;
 
-/// A result: its pages in order.
-pub type Rows = Vec<Block>;
-
-/// The most pages and bytes that a result may have: 48,000 bytes come to 8 pages of the usual size.
-const MOST_PAGES: u32 = 256;
-const MOST_BYTES: usize = 48_000;
-/// A connection that owes word for this long gets nothing new and is probed: notes come every second.
-const DOUBTFUL: Micros = 1_200_000;
 /// An answer that has begun has to be here whole within this time.
 const PART: Micros = 700_000;
 /// A mute connection whose executor is heard elsewhere has this long to be heard too.
@@ -42,87 +36,6 @@
 /// A probe may take this much longer than a dial.
 const PROBE_SLACK: Micros = 50_000;
 
-/// What an attempt needs to go out.
-#[derive(Clone)]
-pub struct Job {
-    /// The name of its class.
-    pub kind: Rc<str>,
-    /// The statement, without the comment.
-    pub statement: Rc<str>,
-}
-
-/// An attempt on its way.
-struct Stream {
-    ticket: Ticket,
-    /// Written whole.
-    written: bool,
-    /// All pages; 0 until the executor said OK.
-    pages: u32,
-    rows: Rows,
-    /// Bytes of the rows.
-    bytes: usize,
-    /// When the pull was written.
-    since: Micros,
-}
-
-enum Outgoing {
-    Pull { id: u64, job: Job, memory_mb: f64, priority: u8, until: Micros },
-    Kill(u64),
-    Boost(u64, u8),
-    Scroll(u64, u32),
-    Discard(u64),
-    Meter(u64),
-}
-
-/// One connection.
-struct Conn {
-    executor: ExecutorId,
-    stream: TcpStream,
-    up: bool,
-    opened: Micros,
-    heard: Micros,
-    touched: Micros,
-    /// Takes nothing new.
-    retired: bool,
-    inbox: Inbox,
-    outbox: Outbox,
-    /// The pull that is in the outbox.
-    writing: Option<u64>,
-    queue: VecDeque<Outgoing>,
-    streams: BTreeMap<u64, Stream>,
-    /// Ids that ended here in any way but served, and when.
-    spent: BTreeMap<u64, Micros>,
-    /// Since when an answer has been here in part.
-    part_since: Option<Micros>,
-    /// Met a silent probe, and nothing was heard on it since.
-    mute: bool,
-    /// Mute while its executor was heard elsewhere: over by then.
-    doomed_at: Option<Micros>,
-    /// When it is looked at next for word that it owes.
-    word_at: Option<Micros>,
-    /// Probes that are out, and when they were asked for.
-    probes: BTreeMap<u64, Micros>,
-    watched: bool,
-}
-
-impl Conn {
-    /// Whether word is owed for too long.
-    fn doubtful(&self, now: Micros) -> bool {
-        let streams = self.streams.values().filter(|s| s.written).map(|s| s.since);
-        let oldest = streams.chain(self.probes.values().copied()).min();
-        self.up && oldest.is_some_and(|t| now > t.max(self.heard) + DOUBTFUL)
-    }
-
-    fn takes(&self, id: u64, most: usize, now: Micros) -> bool {
-        let fresh = !self.streams.contains_key(&id) && !self.spent.contains_key(&id);
-        !self.retired && self.streams.len() < most && fresh && !self.doubtful(now)
-    }
-
-    fn idle(&self) -> bool {
-        self.streams.is_empty() && self.probes.is_empty() && self.queue.is_empty() && self.outbox.is_empty()
-    }
-}
-
 struct Executor {
     uid: String,
     address: Option<SocketAddr>,
@@ -197,11 +110,6 @@
         }
     }
 
-    /// Whether a connection has this key.
-    pub fn owns(&self, key: Key) -> bool {
-        self.conns.contains_key(&key)
-    }
-
     /// Whether work is out on an executor, or waits for a connection to it.
     pub fn busy(&self, uid: &str) -> bool {
         let conns = self.list.get(&executor_id(uid)).into_iter().flat_map(|e| &e.conns);
@@ -213,11 +121,6 @@
         self.conns.len()
     }
 
-    /// When [`Executors::tick`] has something to do next.
-    pub fn next_due(&self) -> Option<Micros> {
-        self.timers.next_due()
-    }
-
     // ---- The list ----------------------------------------------------------------------------------
 
     /// News of the list: an address that moved or a process that started anew ends what was open before it,
@@ -681,39 +584,6 @@
         }
     }
 
-    /// Dials and probes that took too long.
-    pub fn tick(&mut self, now: Micros, poll: &Poll) {
-        while let Some(due) = self.timers.due(now) {
-            match due {
-                Due::Dial(key) => {
-                    if self.conns.get(&key).is_some_and(|c| !c.up) {
-                        self.lose(key, poll, "no connection in time");
-                    }
-                }
-                Due::Probe(key, tag) => {
-                    let Some(conn) = self.conns.get_mut(&key) else { continue };
-                    if let Some(sent) = conn.probes.remove(&tag) {
-                        // Nothing new goes where a probe met silence; a new dial proves what runs.
-                        conn.mute = conn.heard < sent;
-                        conn.retired |= conn.mute;
-                        let executor = conn.executor;
-                        let lives = self.list.get(&executor).is_some_and(|e| e.heard > sent);
-                        let echo = if lives { Echo::Unknown } else { Echo::Silent };
-                        self.reports.push_back(Report::Probed(executor, echo, now.saturating_sub(sent)));
-                    }
-                }
-                Due::Part(key) => {
-                    let since = self.conns.get(&key).and_then(|c| c.part_since);
-                    if since.is_some_and(|t| t + PART <= now) {
-                        self.wire.bad_lines += 1;
-                        self.lose(key, poll, "an answer stopped half way");
-                    }
-                }
-                Due::Word(key) => self.ask_for_word(key, now, poll),
-            }
-        }
-    }
-
     /// Looks after a connection that owes word: it is probed, and one that answers no probe is over once its
     /// executor has been heard elsewhere since. If nothing is heard there either, the machine is gone or cut
     /// off, and what is out may yet be answered.
@@ -755,72 +625,46 @@
     }
 }
 
-/// What an answer does to its attempt.
-enum Step {
-    Goes,
-    /// Said before: dropped.
-    Copy,
-    Noted(Word),
-    Pages(u32),
-    Ended(End<Rows>),
-    Broken(&'static str),
-}
+impl Room for Executors {
+    fn owns(&self, key: Key) -> bool {
+        self.conns.contains_key(&key)
+    }
 
-fn advance(s: &mut Stream, word: executor::Word, body: &[u8], pool: &Pool) -> Step {
-    match word {
-        executor::Word::Note(None) => Step::Goes,
-        executor::Word::Note(Some(Note::Done(x))) => Step::Noted(Word::Progress(x)),
-        executor::Word::Note(Some(Note::Spills(x))) => Step::Noted(Word::Spills(x)),
-        executor::Word::Note(Some(Note::Waits)) => Step::Noted(Word::Waits),
-        executor::Word::Busy => Step::Ended(End::Full),
-        executor::Word::Void => Step::Ended(End::Void),
-        executor::Word::Err => Step::Ended(End::Error),
-        executor::Word::Ok { pages } => {
-            if s.pages > 0 {
-                return Step::Copy;
-            }
-            let Some(pages) = pages.filter(|n| *n <= MOST_PAGES) else {
-                return Step::Broken("no number of pages, or too many");
-            };
-            if !keep(s, body, pool) {
-                return Step::Broken("rows that can't be read, or too many");
-            }
-            s.pages = pages;
-            match pages {
-                1 => Step::Ended(End::Served(std::mem::take(&mut s.rows))),
-                n => Step::Pages(n),
-            }
-        }
-        executor::Word::Rows { page } => {
-            // Pages were asked for in order on one connection.
-            let due = s.rows.len();
-            let Some(page) = page.map(|n| n as usize).filter(|n| s.pages > 0 && *n <= due) else {
-                return Step::Broken("a page out of turn");
-            };
-            if page < due {
-                return Step::Copy;
-            }
-            if !keep(s, body, pool) {
-                return Step::Broken("rows that can't be read, or too many");
-            }
-            match s.rows.len() == s.pages as usize {
-                true => Step::Ended(End::Served(std::mem::take(&mut s.rows))),
-                false => Step::Goes,
-            }
-        }
+    fn next_due(&self) -> Option<Micros> {
+        self.timers.next_due()
     }
-}
 
-/// Keeps a page; false if it can't be used.
-fn keep(s: &mut Stream, page: &[u8], pool: &Pool) -> bool {
-    s.bytes += page.len();
-    if s.bytes > MOST_BYTES || !executor::whole_rows(page) {
-        return false;
+    fn tick(&mut self, now: Micros, poll: &Poll) {
+        while let Some(due) = self.timers.due(now) {
+            match due {
+                Due::Dial(key) => {
+                    if self.conns.get(&key).is_some_and(|c| !c.up) {
+                        self.lose(key, poll, "no connection in time");
+                    }
+                }
+                Due::Probe(key, tag) => {
+                    let Some(conn) = self.conns.get_mut(&key) else { continue };
+                    if let Some(sent) = conn.probes.remove(&tag) {
+                        // Nothing new goes where a probe met silence; a new dial proves what runs.
+                        conn.mute = conn.heard < sent;
+                        conn.retired |= conn.mute;
+                        let executor = conn.executor;
+                        let lives = self.list.get(&executor).is_some_and(|e| e.heard > sent);
+                        let echo = if lives { Echo::Unknown } else { Echo::Silent };
+                        self.reports.push_back(Report::Probed(executor, echo, now.saturating_sub(sent)));
+                    }
+                }
+                Due::Part(key) => {
+                    let since = self.conns.get(&key).and_then(|c| c.part_since);
+                    if since.is_some_and(|t| t + PART <= now) {
+                        self.wire.bad_lines += 1;
+                        self.lose(key, poll, "an answer stopped half way");
+                    }
+                }
+                Due::Word(key) => self.ask_for_word(key, now, poll),
+            }
+        }
     }
-    let mut block = pool.block();
-    must!(block.append(page) == page.len(), "a page is larger than a buffer");
-    s.rows.push(block);
-    true
 }
 
 fn load(g: Gauges) -> Load {
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -2,8 +2,9 @@
 
 use super::dial;
 use super::poll::{Key, Poll};
+use super::room::Room;
 use crate::api::Micros;
-use crate::coordinator::{self, Line, Update};
+use crate::codec::coordinator::{self, Line, Update};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
@@ -54,20 +55,6 @@
         }
     }
 
-    /// Whether its connection has this key.
-    pub fn owns(&self, key: Key) -> bool {
-        self.conn.as_ref().is_some_and(|(k, _)| *k == key)
-    }
-
-    /// When [`Feed::tick`] has something to do next.
-    pub fn next_due(&self) -> Micros {
-        match &self.conn {
-            Some(_) if self.up => self.heard + SILENCE,
-            Some(_) => self.heard + DIAL,
-            None => self.retry_at,
-        }
-    }
-
     /// The coordinator is at another address from now on; its numbering goes on from the last event held.
     pub fn move_to(&mut self, address: SocketAddr, now: Micros, poll: &Poll) {
         if address == self.address {
@@ -80,27 +67,6 @@
         self.tick(now, poll);
     }
 
-    /// Connects when it is time, and gives a silent connection up.
-    pub fn tick(&mut self, now: Micros, poll: &Poll) {
-        if now < self.next_due() {
-            return;
-        }
-        if self.conn.is_some() {
-            self.lose(now, poll, "silent");
-            if now < self.retry_at {
-                return;
-            }
-        }
-        self.dials += 1;
-        // Half a line that a lost connection left behind is no line.
-        self.line.clear();
-        (self.up, self.told, self.heard) = (false, false, now);
-        match dial::dial(self.address).and_then(|s| poll.add(&s, true).map(|key| (key, s))) {
-            Ok(conn) => self.conn = Some(conn),
-            Err(e) => self.lose(now, poll, &e.to_string()),
-        }
-    }
-
     /// The socket is ready: what is new, in order.
     pub fn ready(&mut self, now: Micros, poll: &Poll) -> Vec<Update> {
         let mut updates = Vec::new();
@@ -178,3 +144,37 @@
         self.retry_at = now + if std::mem::take(&mut self.told) { 0 } else { PAUSE };
     }
 }
+
+impl Room for Feed {
+    fn owns(&self, key: Key) -> bool {
+        self.conn.as_ref().is_some_and(|(k, _)| *k == key)
+    }
+
+    fn next_due(&self) -> Option<Micros> {
+        Some(match &self.conn {
+            Some(_) if self.up => self.heard + SILENCE,
+            Some(_) => self.heard + DIAL,
+            None => self.retry_at,
+        })
+    }
+
+    fn tick(&mut self, now: Micros, poll: &Poll) {
+        if self.next_due().is_some_and(|due| now < due) {
+            return;
+        }
+        if self.conn.is_some() {
+            self.lose(now, poll, "silent");
+            if now < self.retry_at {
+                return;
+            }
+        }
+        self.dials += 1;
+        // Half a line that a lost connection left behind is no line.
+        self.line.clear();
+        (self.up, self.told, self.heard) = (false, false, now);
+        match dial::dial(self.address).and_then(|s| poll.add(&s, true).map(|key| (key, s))) {
+            Ok(conn) => self.conn = Some(conn),
+            Err(e) => self.lose(now, poll, &e.to_string()),
+        }
+    }
+}
--- /dev/null
+++ b/src/net/listen.rs
@@ -0,0 +1,27 @@
+//! Listening sockets.
+
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+
+/// Listens on the client address, beside a process of the next version during an upgrade (`SO_REUSEPORT`).
+pub fn bind_shared(address: SocketAddr) -> io::Result<TcpListener> {
+    listen(address, true)
+}
+
+/// Listens on an address of this process alone; a restart finds it free.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    listen(address, false)
+}
+
+fn listen(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    use socket2::{Domain, Socket, Type};
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+    socket.set_reuse_address(true)?;
+    if shared {
+        socket.set_reuse_port(true)?;
+    }
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
--- a/src/net/lists.rs
+++ b/src/net/lists.rs
@@ -3,13 +3,13 @@
 
 use super::poll::{Key, Poll};
 use crate::api::Micros;
-use crate::coordinator::Target;
-use crate::hcl::Fault;
+use crate::codec::coordinator::Target;
 use crate::membership::check::Catalog;
 use crate::membership::members::Change;
 use crate::membership::watcher::{Followed, Handed, Rules, Watcher, Word};
 use crate::membership::{Act, Members, Sources, keep};
-use crate::options::{self, Empty, Source, accept_path};
+use crate::settings::hcl::Fault;
+use crate::settings::options::{self, Empty, Source, accept_path};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::sync::Arc;
@@ -200,7 +200,7 @@
 
     fn fault(&self, source: &str, f: &Fault) {
         let file = format_args!("{}:{}:{}", f.file, f.line, f.column);
-        tracing::error!(source, %file, field = crate::hcl::shown(&f.field), what = f.what, "motor list fault");
+        tracing::error!(source, %file, field = crate::settings::hcl::shown(&f.field), what = f.what, "motor list fault");
     }
 
     fn enact(&mut self, now: Micros, acts: Vec<Act>) {
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -6,8 +6,9 @@
 
 use super::buffers::{Outbox, Pool};
 use super::poll::{Key, Poll};
+use super::room::Room;
 use crate::api::Micros;
-use crate::operator::{Call, Decoder, Fault};
+use crate::codec::operator::{Call, Decoder, Fault};
 use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -42,7 +43,7 @@
 impl Operators {
     /// Listens on `address`.
     pub fn bind(address: SocketAddr, poll: &Poll, pool: &Pool) -> io::Result<Operators> {
-        let listener = super::bind(address)?;
+        let listener = super::listen::bind(address)?;
         let key = poll.add(&listener, false)?;
         Ok(Operators { listener, key, pool: pool.clone(), callers: BTreeMap::new(), dropped: 0 })
     }
@@ -52,11 +53,6 @@
         self.listener.local_addr()
     }
 
-    /// Whether a key is its own.
-    pub fn owns(&self, key: Key) -> bool {
-        key == self.key || self.callers.contains_key(&key)
-    }
-
     /// Something happened on one of its keys; the lines that became whole, with the key to answer on.
     pub fn ready(&mut self, key: Key, now: Micros, poll: &Poll) -> Vec<(Key, Result<Call, Fault>)> {
         if key == self.key {
@@ -95,19 +91,6 @@
         self.flush(key, poll);
     }
 
-    /// Closes callers that took too long.
-    pub fn tick(&mut self, now: Micros, poll: &Poll) {
-        let late: Vec<Key> =
-            self.callers.iter().filter(|(_, c)| now >= c.came + PATIENCE).map(|(k, _)| *k).collect();
-        self.dropped += late.len() as u64;
-        late.into_iter().for_each(|k| self.close(k, poll));
-    }
-
-    /// When [`Operators::tick`] has something to do next.
-    pub fn next_due(&self) -> Option<Micros> {
-        self.callers.values().map(|c| c.came + PATIENCE).min()
-    }
-
     fn accept(&mut self, now: Micros, poll: &Poll) {
         for _ in 0..ACCEPTS {
             let stream = match self.listener.accept() {
@@ -165,3 +148,20 @@
         }
     }
 }
+
+impl Room for Operators {
+    fn owns(&self, key: Key) -> bool {
+        key == self.key || self.callers.contains_key(&key)
+    }
+
+    fn next_due(&self) -> Option<Micros> {
+        self.callers.values().map(|c| c.came + PATIENCE).min()
+    }
+
+    fn tick(&mut self, now: Micros, poll: &Poll) {
+        let late: Vec<Key> =
+            self.callers.iter().filter(|(_, c)| now >= c.came + PATIENCE).map(|(k, _)| *k).collect();
+        self.dropped += late.len() as u64;
+        late.into_iter().for_each(|k| self.close(k, poll));
+    }
+}
--- /dev/null
+++ b/src/net/room.rs
@@ -0,0 +1,16 @@
+//! A side of the dispatcher with sockets and timers of its own.
+
+use super::poll::{Key, Poll};
+use crate::api::Micros;
+
+/// What the loop has to know of a side to schedule it; what happens there is the side's own.
+pub trait Room {
+    /// Whether a key is one of its sockets.
+    fn owns(&self, key: Key) -> bool;
+
+    /// When [`Room::tick`] has something to do next; `None` if never.
+    fn next_due(&self) -> Option<Micros>;
+
+    /// Does what is due.
+    fn tick(&mut self, now: Micros, poll: &Poll);
+}
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -3,10 +3,10 @@
 use super::buffers::{Block, Inbox, Outbox, Pool};
 use super::poll::{Key, Poll};
 use crate::api::Micros;
+use crate::codec::mysql::{self, Command, Error, Server};
+use crate::codec::statement;
 use crate::dispatch::{Answer, Request};
-use crate::mysql::{self, Command, Error, Server};
 use crate::settings::Names;
-use crate::statement;
 use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::{Shutdown, TcpStream};
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -1,6 +1,6 @@
 use super::bans::{Bans, Refused, Unusable};
 use super::figures::{Disposition, Figures};
-use super::*;
+use crate::codec::operator::*;
 use proptest::prelude::*;
 
 fn call() -> impl Strategy<Value = Call> {
--- a/src/config.rs
+++ b/src/settings/config.rs
@@ -1,6 +1,6 @@
 //! The configuration of one dispatcher: the file that `ROUTER_CONFIG` names, and the variables beside it.
 
-use crate::coordinator::Known;
+use crate::codec::coordinator::Known;
 use crate::settings::{self, Env};
 use serde::Deserialize;
 use std::fmt;
--- a/src/options.rs
+++ b/src/settings/options.rs
@@ -2,9 +2,9 @@
 //!
 //! All of it is off unless the file says otherwise. Every fault of the file is told, with its place.
 
-use crate::hcl::{self, Fault, Table, Text};
 use crate::membership::check::Terms;
 use crate::membership::{FEED, Guard};
+use crate::settings::hcl::{self, Fault, Table, Text};
 use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
