Stand-ins: a link that is cut, silent, late, at a trickle or reorders, and runs with an end

Need: several processes have to be tested with faults between any two of them, and it has to be seen when a motor's work is over for whatever reason.

Change: standins::link passes connections on as the weather allows and heals; a motor ends what was open on a connection that ended, as the protocol has it, and tells when; a client that gives up dialing and reading after a time.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -24,6 +24,8 @@
     pub at: SystemTime,
     /// When it had its answer; none while it runs, or if it was killed or cut off.
     pub answered: Option<SystemTime>,
+    /// When it was over in any way; none while it runs.
+    pub ended: Option<SystemTime>,
 }
 
 impl Pull {
@@ -126,6 +128,8 @@
 struct Back {
     to: Mutex<TcpStream>,
     killed: Mutex<BTreeSet<String>>,
+    /// The connection is over, and with it all that was open on it.
+    over: AtomicBool,
 }
 
 fn connection(stream: TcpStream, all: &Arc<Shared>) {
@@ -142,7 +146,14 @@
     // An answer in two pieces would wait for the acknowledgement of the first, some 40 ms.
     stream.set_nodelay(true)?;
     let mut from = BufReader::new(stream.try_clone()?);
-    let back = Arc::new(Back { to: Mutex::new(stream), killed: Mutex::default() });
+    let back =
+        Arc::new(Back { to: Mutex::new(stream), killed: Mutex::default(), over: AtomicBool::new(false) });
+    let done = serve(&mut from, all, &back);
+    back.over.store(true, Ordering::SeqCst);
+    done
+}
+
+fn serve(from: &mut BufReader<TcpStream>, all: &Arc<Shared>, back: &Arc<Back>) -> io::Result<()> {
     let mut line = String::new();
     while from.read_line(&mut line)? > 0 {
         let at = SystemTime::now();
@@ -162,7 +173,7 @@
                 from.read_exact(&mut statement)?;
                 let statement = String::from_utf8_lossy(&statement[..length]).into_owned();
                 let (id, fields) = (id.to_string(), fields.to_string());
-                run(Pull { id, fields, statement, at, answered: None }, all, &back);
+                run(Pull { id, fields, statement, at, answered: None, ended: None }, all, back);
             }
             ["KILL", id] => {
                 lock(&back.killed).insert(id.to_string());
@@ -187,10 +198,11 @@
     thread::spawn(move || {
         let mut killed = false;
         while !killed && Instant::now() < end {
-            thread::sleep(end.saturating_duration_since(Instant::now()).min(Duration::from_millis(20)));
-            killed = lock(&back.killed).contains(&pull.id);
+            thread::sleep(end.saturating_duration_since(Instant::now()).min(Duration::from_millis(5)));
+            killed = lock(&back.killed).contains(&pull.id) || back.over.load(Ordering::SeqCst);
         }
         all.running.fetch_sub(1, Ordering::SeqCst);
+        lock(&all.pulls)[place].ended = Some(SystemTime::now());
         if killed {
             return;
         }
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,7 @@
 //! - [`scripted`]: peers that say what a test has them say, step by step, and the program between them.
 //! - [`engine`]: a motor that works by itself: it answers after a while, heeds KILL and remembers all it got.
 //! - [`fragile`]: a motor with a capacity, which starts cold and falls over.
+//! - [`link`]: a way between two processes that can be cut, silent, slow, late, and healed.
 //! - [`feed`]: a coordinator that pushes changes of the list.
 //!
 //! They stand on the protocol's pages alone and share no code with the dispatcher, so that a mistake in its
@@ -12,4 +13,5 @@
 pub mod engine;
 pub mod feed;
 pub mod fragile;
+pub mod link;
 pub mod scripted;
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -327,6 +327,22 @@
         client
     }
 
+    /// Connects, logs in and asks, none of it for longer than a time; `None` if nobody takes it.
+    pub fn dials(to: SocketAddr, sql: &str, connect: Duration, answer: Duration) -> Option<Client> {
+        let mut stream = TcpStream::connect_timeout(&to, connect).ok()?;
+        stream.set_read_timeout(Some(answer)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let mut login = (0x200u32 | 0x8000 | 0x8).to_le_bytes().to_vec();
+        login.extend_from_slice(&[0; 28]);
+        login.extend_from_slice(b"app\0\0main\0");
+        stream.write_all(&[packet(1, &login), query(sql)].concat()).ok()?;
+        let mut client = Client { stream, id: 0 };
+        let (_, greeting) = client.packet()?;
+        let at = greeting.iter().position(|b| *b == 0)? + 1;
+        client.id = u32::from_le_bytes(greeting.get(at..at + 4)?.try_into().ok()?);
+        (client.got() == Got::Ok).then_some(client)
+    }
+
     /// The same, and logs in.
     pub fn asks(to: SocketAddr, sql: &str) -> Client {
         let mut client = Client::says(to, sql);
