Have another dispatcher take over work in hand, exactly once, where peers are named

Need: the issue "Work in hand survives the loss of its dispatcher".

Change: src/takeover decides, sans-I/O: a request is known over all tries by `ask`; a load is on record before it goes to the decisions, a read beside it; a try that finds its ask on record waits for what comes of that; a lease that is over lets go of reads and sends nothing more. dispatch can hold a request with its deadline until the fleet has spoken, and tells what becomes of one whose client left. net/hands.rs carries out, net/peers.rs has the sockets in the one loop.

--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -46,6 +46,8 @@
 pub struct Request {
     /// Its id, never used twice.
     pub id: u64,
+    /// The name that its client keeps over all tries (`ask`); only heeded where there are peers.
+    pub ask: Option<u64>,
     /// Its class, an index.
     pub class: usize,
     /// Its tenant (`acct`), an index; `None` where none was told or the settings name no such one.
@@ -226,6 +228,9 @@
     Probe(ExecutorId),
     /// The one final answer of a request.
     Answer(u64, Answer<R>),
+    /// A request whose client had left is over: its result, if it was served all the same, and whether it is
+    /// certain that it never ran. Only told where that is followed.
+    Past(u64, Option<R>, bool),
 }
 
 #[derive(Debug)]
@@ -238,22 +243,33 @@
 }
 
 #[derive(Debug)]
-struct Open {
+struct Open<R> {
     arrived: Micros,
     deadline: Micros,
     /// Refusing it is harmless whatever ran.
     safe: bool,
     /// Answered, or the client has left.
     closed: bool,
+    /// The client has left.
+    left: bool,
+    /// What was served after that.
+    late: Option<R>,
+    /// Attempts that others made before.
+    before: usize,
     memory_mb: f64,
     priority: u8,
     attempts: Vec<Attempt>,
 }
 
-impl Open {
+impl<R> Open<R> {
     fn over(&self) -> bool {
         self.closed && self.attempts.iter().all(|a| a.outcome.is_some())
     }
+
+    /// No attempt can have run.
+    fn never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
+    }
 }
 
 /// The fleet as the decisions see it, in cores.
@@ -308,7 +324,12 @@
     most_held: usize,
     /// Ids of late, so that none is taken twice.
     recent: LruCache<u64, ()>,
-    open: BTreeMap<u64, Open>,
+    open: BTreeMap<u64, Open<R>>,
+    /// Requests that wait for word of the fleet before the decisions get them.
+    held: BTreeMap<u64, Request>,
+    /// What becomes of requests whose clients left is told.
+    follows: bool,
+    most_attempts: usize,
     deadlines: BTreeSet<(Micros, u64)>,
     wakes: BinaryHeap<Reverse<(Micros, u64)>>,
     orders: Vec<Order<R>>,
@@ -325,12 +346,16 @@
             most_budget: c.deadline + SLACK,
         };
         let classes = settings.classes.iter().map(class).collect();
+        let most_attempts = settings.max_attempts as usize;
         Ok(Dispatch {
             gateway: Gateway::new(settings, seed)?,
             classes,
             most_held,
             recent: LruCache::new(RECENT),
             open: BTreeMap::new(),
+            held: BTreeMap::new(),
+            follows: false,
+            most_attempts,
             deadlines: BTreeSet::new(),
             wakes: BinaryHeap::new(),
             orders: Vec::new(),
@@ -411,14 +436,74 @@
     /// Takes a request in: it is sent, held or answered by what is returned here or later. An id that is
     /// still open is an error, as its answer could not be told from the other's.
     pub fn pick(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
+        self.adopt(now, request, 0)
+    }
+
+    /// The same for a request that a lost dispatcher had in hand and tried so often already.
+    pub fn adopt(
+        &mut self,
+        now: Micros,
+        request: &Request,
+        before: usize,
+    ) -> Result<Vec<Order<R>>, &'static str> {
+        let full = self.take(now, request, before)?;
+        Ok(if full { std::mem::take(&mut self.orders) } else { self.run(now, arrival(request)) })
+    }
+
+    /// Takes a request in that the decisions get later, by [`Dispatch::admit`]; it has its deadline meanwhile.
+    pub fn hold(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
+        if !self.take(now, request, 0)? {
+            self.held.insert(request.id, request.clone());
+        }
+        Ok(std::mem::take(&mut self.orders))
+    }
+
+    /// A request that was held goes to the decisions.
+    pub fn admit(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        let Some(request) = self.held.remove(&id) else { return Vec::new() };
+        match self.open.get(&id).filter(|o| !o.closed).map(|o| o.deadline) {
+            Some(deadline) if now < deadline => {
+                let mut event = arrival(&request);
+                if let Event::Arrival(a) = &mut event {
+                    a.grace = deadline - now;
+                }
+                self.run(now, event)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// A request that was held has its answer.
+    pub fn answer_held(&mut self, id: u64, answer: Answer<R>) -> Vec<Order<R>> {
+        if self.held.remove(&id).is_some() && self.open.get(&id).is_some_and(|o| !o.closed) {
+            self.answer(id, answer);
+            self.forget(id);
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    /// The right to act on a request is lost: what is out of it is called off, and its client told.
+    pub fn let_go(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        self.expire(now, id)
+    }
+
+    /// From now on [`Order::Past`] tells what becomes of requests whose clients left.
+    pub fn follow_left(&mut self) {
+        self.follows = true;
+    }
+
+    /// Takes a request in; whether it was refused at once, as too many are open.
+    fn take(&mut self, now: Micros, request: &Request, before: usize) -> Result<bool, &'static str> {
         let Class { safe, .. } = self.acceptable(request)?;
         self.tally.taken += 1;
-        let grace = request.budget.saturating_sub(MARGIN.min(request.budget / MARGIN_PART)).max(1);
         let open = Open {
             arrived: now,
-            deadline: now + grace,
+            deadline: now + grace(request),
             safe,
             closed: false,
+            left: false,
+            late: None,
+            before,
             memory_mb: 0.0,
             priority: 1,
             attempts: Vec::new(),
@@ -429,20 +514,8 @@
         if full {
             self.answer(request.id, Answer::Refused(BACKOFF_MS));
             self.forget(request.id);
-            return Ok(std::mem::take(&mut self.orders));
         }
-        let arrival = Arrival {
-            query: request.id,
-            class: request.class,
-            tenant: request.tenant,
-            key: request.key,
-            grace,
-            estimate_s: request.work_s.filter(|e| e.is_finite() && *e > 0.0),
-            memory_mb: request.memory_mb.filter(|e| e.is_finite() && *e > 0.0),
-            group: request.group,
-            repeated: request.repeated,
-        };
-        Ok(self.run(now, Event::Arrival(arrival)))
+        Ok(full)
     }
 
     /// What the network has to tell.
@@ -471,14 +544,16 @@
             }
             Report::Left(id) => match self.open.get_mut(&id) {
                 Some(o) if !o.closed => {
-                    o.closed = true;
+                    (o.closed, o.left) = (true, true);
+                    self.held.remove(&id);
                     self.tally.left += 1;
                     let (waited, left) = (now.saturating_sub(o.arrived), o.deadline.saturating_sub(now));
                     let (waited, left) = (waited / 1000, left / 1000);
                     let request = format_args!("{id:016x}");
                     tracing::info!(request, waited_ms = waited, left_ms = left, "client left");
-                    let orders = self.run(now, Event::HungUp { query: id });
+                    let mut orders = self.run(now, Event::HungUp { query: id });
                     self.forget(id);
+                    orders.append(&mut self.orders);
                     orders
                 }
                 _ => Vec::new(),
@@ -516,8 +591,10 @@
         let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
         let outcome = match end {
             End::Served(result) => {
-                if self.open.get(&t.request).is_some_and(|o| !o.closed) {
-                    self.answer(t.request, Answer::Served(result));
+                match self.open.get_mut(&t.request) {
+                    Some(o) if !o.closed => self.answer(t.request, Answer::Served(result)),
+                    Some(o) if o.left && self.follows => o.late = Some(result),
+                    _ => {}
                 }
                 Outcome::Ok
             }
@@ -542,8 +619,9 @@
         let event = self.finish(now, t, outcome, load);
         let whole = matches!(&event, Some(Event::Finished(f)) if f.engine == engine);
         must!(whole, "an attempt that was out has no end to tell");
-        let orders = event.map_or_else(Vec::new, |e| self.run(now, e));
+        let mut orders = event.map_or_else(Vec::new, |e| self.run(now, e));
         self.forget(t.request);
+        orders.append(&mut self.orders);
         orders
     }
 
@@ -563,14 +641,15 @@
         }
         orders.append(&mut self.close(now, id));
         self.forget(id);
+        orders.append(&mut self.orders);
         orders
     }
 
     /// Ends a request whose answer the decisions did not give.
     fn close(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
         let Some(open) = self.open.get(&id).filter(|o| !o.closed) else { return Vec::new() };
-        let never_ran = open.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran));
-        let harmless = open.safe || never_ran;
+        let harmless = open.safe || open.never_ran();
+        self.held.remove(&id);
         self.answer(id, if harmless { Answer::Refused(BACKOFF_MS) } else { Answer::Failed });
         let orders = self.run(now, Event::HungUp { query: id });
         self.forget(id);
@@ -609,6 +688,10 @@
             && let Some(open) = self.open.remove(&id)
         {
             self.deadlines.remove(&(open.deadline, id));
+            if open.left && self.follows {
+                let never_ran = open.never_ran();
+                self.orders.push(Order::Past(id, open.late, never_ran));
+            }
         }
     }
 
@@ -642,6 +725,24 @@
                     must!(false, "a send for a request that is over");
                     return;
                 };
+                if open.before + open.attempts.len() >= self.most_attempts && open.before > 0 {
+                    // With those of the dispatcher that was lost there were enough.
+                    let (attempt, outcome) = (open.attempts.len() as u32, Some(Outcome::Moot));
+                    open.attempts.push(Attempt { engine, sent: now, outcome, priority: open.priority });
+                    let (done, latency, bill, report) = (false, 0, None, None);
+                    let outcome = Outcome::Moot;
+                    events.push_back(Event::Finished(Finished {
+                        query,
+                        attempt,
+                        engine,
+                        done,
+                        outcome,
+                        latency,
+                        bill,
+                        report,
+                    }));
+                    return;
+                }
                 self.tally.attempts += 1;
                 let ticket = Ticket { request: query, attempt: open.attempts.len() as u32 };
                 open.attempts.push(Attempt { engine, sent: now, outcome: None, priority: open.priority });
@@ -685,6 +786,26 @@
     }
 }
 
+/// How long a request may take here, so that its answer is seen before its client leaves.
+fn grace(request: &Request) -> Micros {
+    request.budget.saturating_sub(MARGIN.min(request.budget / MARGIN_PART)).max(1)
+}
+
+/// A request as the decisions get it.
+fn arrival(request: &Request) -> Event {
+    Event::Arrival(Arrival {
+        query: request.id,
+        class: request.class,
+        tenant: request.tenant,
+        key: request.key,
+        grace: grace(request),
+        estimate_s: request.work_s.filter(|e| e.is_finite() && *e > 0.0),
+        memory_mb: request.memory_mb.filter(|e| e.is_finite() && *e > 0.0),
+        group: request.group,
+        repeated: request.repeated,
+    })
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -711,6 +832,7 @@
     fn pick(d: &mut Dispatch<()>, now: Micros, id: u64) -> Vec<Order<()>> {
         let request = Request {
             id,
+            ask: None,
             class: 0,
             tenant: None,
             key: None,
@@ -764,6 +886,7 @@
         assert_eq!(answers(&pick(&mut d, 2_000, 3)), [&Answer::Refused(BACKOFF_MS)]);
         let again = Request {
             id: 1,
+            ask: None,
             class: 0,
             tenant: None,
             key: None,
@@ -795,6 +918,7 @@
             let key = Some(9);
             Request {
                 id,
+                ask: None,
                 class: 0,
                 tenant: None,
                 key,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`codec`] holds the codecs of its protocols.
 //! - [`net`] is the dispatcher on sockets: one event loop.
 //! - [`membership`] is which motores there are: lists from files beside the coordinator's feed.
+//! - [`takeover`] has work in hand survive its dispatcher, where our settings name peers.
 //! - [`storm`] sees retry storms, damps them and tells clients when to come back.
 //! - [`settings`] read what it is told: the platform's file and our own HCL; [`cli`] is the command line.
 //! - [`operator`] are the operators' figures and bans, [`invariant`] counts what must not happen.
@@ -25,6 +26,7 @@
 pub mod settings;
 mod state;
 pub mod storm;
+pub mod takeover;
 
 pub use api::{Action, Event, Settings};
 pub use state::Gateway;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -9,6 +9,7 @@
 use crate::dispatch::{Answer, Report};
 use crate::operator::figures::Disposition;
 use crate::storm::Verdict;
+use crate::takeover::Gate;
 use std::io;
 
 impl Node {
@@ -173,11 +174,24 @@
                         continue;
                     }
                     s.open = Some(id);
+                    let gate = self.gate(now, &request, &job);
                     self.jobs.insert(id, (key, job));
-                    match self.dispatch.pick(now, &request) {
+                    let taken = match gate {
+                        Gate::Go => self.dispatch.pick(now, &request),
+                        Gate::Hold => self.dispatch.hold(now, &request),
+                        Gate::Answer(reply) => {
+                            let held = self.dispatch.hold(now, &request);
+                            held.map(|mut orders| {
+                                orders.extend(self.dispatch.answer_held(id, self.answer_of(reply)));
+                                orders
+                            })
+                        }
+                    };
+                    match taken {
                         Ok(orders) => self.settle(now, orders),
                         Err(e) => {
                             self.jobs.remove(&id);
+                            self.off_hands_unasked(now, id);
                             if let Some(s) = self.sessions.by_key.get_mut(&key) {
                                 s.open = None;
                                 s.at_fault(&Error::new(1105, "HY000", e), now);
@@ -214,6 +228,7 @@
         self.jobs.remove(&request);
         let orders = self.dispatch.report(now, Report::Left(request));
         self.settle(now, orders);
+        self.client_left(now, request);
     }
 
     pub(super) fn hang_up(&mut self, key: Key, now: Micros) {
--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -43,6 +43,7 @@
             broken = invariant::broken(),
             "counters"
         );
+        self.count_hands();
         if let Some(s) = &self.storm {
             let t = s.tally;
             tracing::info!(
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,10 +8,12 @@
 mod ending;
 mod executors;
 mod feed;
+mod hands;
 mod listen;
 mod lists;
 mod operator;
 mod orders;
+mod peers;
 mod poll;
 mod room;
 mod session;
@@ -31,6 +33,7 @@
 use buffers::Pool;
 use executors::{Executors, Job, Rows};
 use feed::Feed;
+use hands::{Classes, Hands};
 use lists::Lists;
 use operator::Operators;
 use poll::{Key, Poll};
@@ -89,6 +92,8 @@
     feed: Option<Feed>,
     lists: Option<Lists>,
     storm: Option<Storm>,
+    /// Work in hand on the record of a fleet, where our settings name peers.
+    hands: Option<Hands>,
     jobs: BTreeMap<u64, (Key, Job)>,
     listener: Option<(Key, TcpListener)>,
     /// The listener while accepting pauses.
@@ -155,7 +160,8 @@
                 seed,
             )
         });
-        let dispatch =
+        let classes = options.peers.as_ref().map(|_| Classes::of(&settings, &names));
+        let mut dispatch =
             Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
         let poll = Poll::new().map_err(context("poller"))?;
         let listen_at = config.listen;
@@ -174,6 +180,14 @@
         let bans = calls::handed_over(&bans_file, &config.name);
         let mut clock = Clock::default();
         let now = clock.now();
+        let hands = match (&options.peers, classes) {
+            (Some(o), Some(classes)) => {
+                dispatch.follow_left();
+                let hands = Hands::start(o, classes, seed, now, &poll);
+                Some(hands.map_err(context(&format!("peers: listen on {}", o.listen)))?)
+            }
+            _ => None,
+        };
         // Clients hold a third of the descriptors at most as a rule; the rest of their half is for others.
         let sockets = config.limits.sockets;
         let (most_sessions, most_conns) =
@@ -187,6 +201,7 @@
             feed: Some(Feed::new(config.coordinator, config.known.index)),
             lists: None,
             storm,
+            hands,
             jobs: BTreeMap::new(),
             listener: Some((listener_key, listener)),
             paused: None,
@@ -230,6 +245,9 @@
         if let Some(o) = &node.operators {
             tracing::info!("operators' address {}", o.address()?);
         }
+        if let Some(h) = &node.hands {
+            tracing::info!("peers' address {}", h.peers.address()?);
+        }
         node.members(now, News::Restored, &known);
         Ok(node)
     }
@@ -248,6 +266,7 @@
             let woke = self.clock.now();
             // What came while this process did not look came at any time since it last did.
             self.behind = (woke - now).saturating_sub(wait) + worked;
+            self.keep_hands(woke);
             for event in events.iter() {
                 self.ready(event.key, event.readable, event.writable, woke);
             }
@@ -258,6 +277,7 @@
             }
             worked = busy;
         }
+        self.leave_fleet(self.clock.last());
         self.count();
         tracing::info!("stopped");
         Ok(())
@@ -266,8 +286,9 @@
     /// The sides that have sockets and timers of their own.
     fn rooms(&self) -> impl Iterator<Item = &dyn Room> {
         let feed = self.feed.as_ref().map(|f| f as &dyn Room);
+        let hands = self.hands.as_ref().map(|h| h as &dyn Room);
         let operators = self.operators.as_ref().map(|o| o as &dyn Room);
-        std::iter::once(&self.executors as &dyn Room).chain(feed).chain(operators)
+        std::iter::once(&self.executors as &dyn Room).chain(feed).chain(operators).chain(hands)
     }
 
     fn next_due(&self) -> Micros {
@@ -307,6 +328,11 @@
             updates.into_iter().flatten().for_each(|update| self.update(now, update));
         } else if self.lists.as_ref().is_some_and(|l| l.owns(key)) {
             self.with_lists(now, |lists, _| lists.ready(now));
+        } else if self.hands.as_ref().is_some_and(|h| h.owns(key)) {
+            if let Some(h) = &mut self.hands {
+                h.peers.ready(key, now, &self.poll);
+            }
+            self.move_hands(now);
         } else if self.executors.owns(key) {
             self.executors.ready(key, readable, writable, now, &self.poll);
             self.settle(now, Vec::new());
@@ -339,6 +365,10 @@
         if let Some(o) = &mut self.operators {
             o.tick(now, &self.poll);
         }
+        if let Some(h) = &mut self.hands {
+            h.tick(now, &self.poll);
+        }
+        self.keep_hands(now);
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
             self.look_after_clients(now);
--- a/src/net/orders.rs
+++ b/src/net/orders.rs
@@ -33,13 +33,18 @@
                     return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent, None));
                 };
                 let job = job.clone();
+                if !self.may_send(now, ticket, executor) {
+                    return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent, None));
+                }
                 self.executors.start(ticket, executor, job, memory_mb, priority, until, now, &self.poll);
             }
             Order::Stop(ticket) => self.executors.stop(ticket, now, &self.poll),
             Order::Boost(ticket, priority) => self.executors.boost(ticket, priority, now, &self.poll),
+            Order::Past(request, served, never_ran) => self.past(now, request, served, never_ran),
             Order::Probe(executor) => self.executors.probe(executor, now, &self.poll),
             Order::Answer(request, mut answer) => {
                 let Some((key, job)) = self.jobs.remove(&request) else { return };
+                self.off_hands(now, request, &answer);
                 self.figures.ended(
                     &job.kind,
                     match answer {
--- a/src/net/session.rs
+++ b/src/net/session.rs
@@ -398,6 +398,8 @@
     let budget_ms = number("budget")?.ok_or_else(|| wrong("budget", "missing"))?;
     let request = Request {
         id: hex("rid", need("rid")?)?,
+        // Ours, and optional: one that can't be read is none, as for a dispatcher that does not know it.
+        ask: get("ask").and_then(|t| hex("ask", t).ok()),
         class,
         // A tenant the settings do not name is counted as none: its shares are not known.
         tenant: get("acct").and_then(|t| names.tenants.get(t).copied()),
--- a/src/settings/options.rs
+++ b/src/settings/options.rs
@@ -6,6 +6,7 @@
 use crate::membership::{FEED, Guard};
 use crate::settings::hcl::{self, Fault, Table, Text};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
@@ -28,6 +29,41 @@
     pub lists: Option<Lists>,
     /// Retry storms; none where the decisions alone see to refusals.
     pub storms: Option<Storms>,
+    /// Other dispatchers; none where every dispatcher is alone.
+    pub peers: Option<Peers>,
+}
+
+/// Other dispatchers, with which work in hand is kept on record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Peers {
+    /// Which of the peers this one is, by its name.
+    pub me: String,
+    /// Where it listens for the others.
+    pub listen: SocketAddr,
+    /// All peers, this one included, by name: the same names at all of them.
+    pub peers: Vec<(String, SocketAddr)>,
+    /// How long a lease lasts without a renewal.
+    pub lease: Duration,
+    /// How much longer the others wait before they say that it is over.
+    pub margin: Duration,
+    /// The log's tick.
+    pub tick: Duration,
+    /// How long what need not be agreed first may wait.
+    pub batch: Duration,
+    /// Without a leader for this long, a fleet whose majority has started anew is given up.
+    pub give_up: Duration,
+    /// How long after its deadline what must not run twice is remembered.
+    pub remember: Duration,
+    /// Requests on record at most.
+    pub most_records: usize,
+    /// Requests of lost peers taken in hand at once, at most.
+    pub most_taken_over: usize,
+    /// The longest statement on record, in bytes.
+    pub most_statement: u64,
+    /// The largest result kept for a client that comes back, in bytes.
+    pub most_result: u64,
+    /// The longest message of a peer, in bytes.
+    pub most_frame: u64,
 }
 
 /// Retry storms.
@@ -134,7 +170,7 @@
         let text = Text::new(name, text);
         let body = text.parse().map_err(|e| vec![e])?;
         let (root, mut faults) = (Table::root(&text, &body), Vec::new());
-        root.only(&[], &["log", "motor_lists", "retry_storms"], &mut faults);
+        root.only(&[], &["log", "motor_lists", "retry_storms", "peers"], &mut faults);
         let mut options = Options::default();
         if let Some(log) = root.block("log", &mut faults) {
             log.only(&["format"], &[], &mut faults);
@@ -143,6 +179,7 @@
         }
         options.lists = root.block("motor_lists", &mut faults).map(|t| lists(&t, &mut faults));
         options.storms = root.block("retry_storms", &mut faults).map(|t| storms(&t, &mut faults));
+        options.peers = root.block("peers", &mut faults).map(|t| peers(&t, &mut faults));
         if faults.is_empty() { Ok(options) } else { Err(faults) }
     }
 }
@@ -267,6 +304,82 @@
     s
 }
 
+fn peers(t: &Table<'_>, faults: &mut Vec<Fault>) -> Peers {
+    let keys = [
+        "me",
+        "listen",
+        "lease",
+        "margin",
+        "tick",
+        "batch",
+        "give_up",
+        "remember",
+        "max_records",
+        "max_taken_over",
+        "max_statement",
+        "max_result",
+        "max_frame",
+    ];
+    t.only(&keys, &["peer"], faults);
+    let mut p = Peers {
+        me: t.need("me", faults, hcl::string).unwrap_or_default(),
+        listen: t.need("listen", faults, hcl::parsed("10.0.0.1:7100")).unwrap_or(([127, 0, 0, 1], 0).into()),
+        peers: Vec::new(),
+        lease: MS(1_000),
+        margin: MS(100),
+        tick: MS(30),
+        batch: MS(10),
+        give_up: MS(10_000),
+        remember: MS(30_000),
+        most_records: 100_000,
+        most_taken_over: 1_000,
+        most_statement: 4 << 10,
+        most_result: 4 << 10,
+        most_frame: 64 << 20,
+    };
+    t.set("lease", &mut p.lease, faults, hcl::duration(MS(200)..=MS(60_000)));
+    t.set("margin", &mut p.margin, faults, hcl::duration(MS(10)..=MS(60_000)));
+    t.set("tick", &mut p.tick, faults, hcl::duration(MS(5)..=MS(5_000)));
+    t.set("batch", &mut p.batch, faults, hcl::duration(MS(1)..=MS(1_000)));
+    t.set("give_up", &mut p.give_up, faults, hcl::duration(MS(1_000)..=MS(600_000)));
+    t.set("remember", &mut p.remember, faults, hcl::duration(MS(1_000)..=MS(3_600_000)));
+    t.set("max_statement", &mut p.most_statement, faults, hcl::size(0..=64 << 10));
+    t.set("max_result", &mut p.most_result, faults, hcl::size(0..=64 << 10));
+    t.set("max_frame", &mut p.most_frame, faults, hcl::size(64 << 10..=1 << 30));
+    if let Some(n) = t.get("max_records", faults, hcl::whole(100..=1_000_000)) {
+        p.most_records = n as usize;
+    }
+    if let Some(n) = t.get("max_taken_over", faults, hcl::whole(0..=100_000)) {
+        p.most_taken_over = n as usize;
+    }
+    // A leader has to be found well within a lease, or all lose theirs with it.
+    if p.lease < p.tick * 25 {
+        faults.push(t.fault("lease", "shorter than 25 ticks: it would end while a leader is being elected"));
+    }
+    for (names, b) in t.blocks("peer", 1, faults) {
+        b.only(&["address"], &[], faults);
+        let name = names[0].to_string();
+        if p.peers.iter().any(|(n, _)| *n == name) {
+            faults.push(b.fault("", "a second peer of this name"));
+        }
+        if let Some(at) = b.need("address", faults, hcl::parsed("10.0.0.1:7100")) {
+            if p.peers.iter().any(|(_, a)| *a == at) {
+                faults.push(b.fault("address", "another peer has this address"));
+            }
+            p.peers.push((name, at));
+        }
+    }
+    // Places come from the names, so that they are alike at all peers, whatever the order in the files.
+    p.peers.sort();
+    if !p.peers.iter().any(|(n, _)| *n == p.me) {
+        faults.push(t.fault("me", "no peer block has this name"));
+    }
+    if !(3..=9).contains(&p.peers.len()) {
+        faults.push(t.fault("", format!("{} peer blocks; 3 to 9 are allowed", p.peers.len())));
+    }
+    p
+}
+
 /// Where acceptances of a list stand if nothing else is said: beside it.
 pub fn accept_path(list: &Path) -> PathBuf {
     let mut name = list.file_name().unwrap_or_default().to_os_string();
@@ -287,6 +400,32 @@
         assert!(l.terms.sealed && l.without.is_empty() && !l.terms.loopback);
     }
 
+    const PEERS: &str = "peers {\n  me = \"b\"\n  listen = \"10.0.0.2:7100\"\n  peer \"c\" { address = \"10.0.0.3:7100\" }\n  \
+                         peer \"a\" { address = \"10.0.0.1:7100\" }\n  peer \"b\" { address = \"10.0.0.2:7100\" }\n}\n";
+
+    // Places in the fleet come from the names: files that list the peers in another order must not differ.
+    #[test]
+    fn peers_are_in_the_order_of_their_names() {
+        let p = Options::parse("o", PEERS).unwrap().peers.unwrap();
+        let names: Vec<&str> = p.peers.iter().map(|(n, _)| n.as_str()).collect();
+        assert_eq!((names, p.me.as_str(), p.lease), (vec!["a", "b", "c"], "b", MS(1_000)));
+        assert_eq!(Options::parse("o", "").unwrap().peers, None, "off unless the block is there");
+    }
+
+    // A lease that ends while a leader is elected takes everybody's with it; a fleet of two survives nobody.
+    #[test]
+    fn a_fleet_that_could_not_work_is_refused_with_the_reason() {
+        let all = |text: &str| -> String {
+            Options::parse("o", text).unwrap_err().iter().map(|f| f.to_string() + "\n").collect()
+        };
+        let short = PEERS.replacen('{', "{\n  lease = \"500ms\"\n  tick = \"30ms\"", 1);
+        assert!(all(&short).contains("peers.lease: shorter than 25 ticks"), "{}", all(&short));
+        let two = PEERS.replace("  peer \"c\" { address = \"10.0.0.3:7100\" }\n", "");
+        assert!(all(&two).contains("2 peer blocks; 3 to 9 are allowed"), "{}", all(&two));
+        assert!(all(&PEERS.replace("me = \"b\"", "me = \"x\"")).contains("no peer block has this name"));
+        assert!(all(&PEERS.replace("10.0.0.3", "10.0.0.1")).contains("another peer has this address"));
+    }
+
     // A setting that is wrong by a letter or a unit must not be a setting that silently is not there.
     #[test]
     fn a_wrong_key_unit_or_name_is_told_with_its_place() {
@@ -299,7 +438,7 @@
             "o.hcl:3:10: motor_lists.poll: \"0.5\" where a time",
             "o.hcl:4:16: motor_lists.precedence: unknown source \"b\"",
             "o.hcl:6:3: motor_lists.source.feed: 1 to 64",
-            "o.hcl:8:1: lgo: unknown block; allowed: log, motor_lists, retry_storms",
+            "o.hcl:8:1: lgo: unknown block; allowed: log, motor_lists, retry_storms, peers",
         ] {
             assert!(all.iter().any(|a| a.starts_with(t)), "{t}\nin {all:#?}");
         }
--- /dev/null
+++ b/src/takeover/tests.rs
@@ -0,0 +1,225 @@
+use super::*;
+use fleet::Terms;
+use fleet::ledger::Limits;
+
+const MS: Micros = 1_000;
+
+/// Three dispatchers whose messages pass at once, but for those of peers that are gone.
+struct Three {
+    all: BTreeMap<Peer, Takeover>,
+    now: Micros,
+    moves: Vec<(Peer, Move)>,
+}
+
+impl Three {
+    fn formed() -> Three {
+        let now = 1_000_000 * MS;
+        let terms = |me| Terms {
+            me,
+            peers: vec![1, 2, 3],
+            lease: 1_000 * MS,
+            margin: 100 * MS,
+            tick: 30 * MS,
+            batch: 10 * MS,
+            give_up: 10_000 * MS,
+            limits: Limits { records: 100, remember: 30_000 * MS },
+        };
+        let bounds = Bounds {
+            statement: 100,
+            result: 100,
+            adopted: 10,
+            attempts: 4,
+            backoff_ms: 1_000,
+            fetch: 200 * MS,
+        };
+        let one = |me| (me, Takeover::new(Fleet::new(terms(me), u64::from(me), now), bounds));
+        let mut three = Three { all: (1..=3).map(one).collect(), now, moves: Vec::new() };
+        three.pass(40_000);
+        assert!(three.all.values().all(|t| t.fleet.holds(three.now).is_some()));
+        three.moves.clear();
+        three
+    }
+
+    fn pass(&mut self, ms: u64) {
+        let end = self.now + ms * MS;
+        while self.now < end {
+            self.now += 5 * MS;
+            for t in self.all.values_mut() {
+                t.tick(self.now);
+            }
+            for _ in 0..12 {
+                for from in 1..=3 {
+                    let Some(t) = self.all.get_mut(&from) else { continue };
+                    t.flush(self.now);
+                    self.moves.extend(t.moves.drain(..).map(|m| (from, m)));
+                    for (to, message) in std::mem::take(&mut t.fleet.messages) {
+                        if let Some(other) = self.all.get_mut(&to) {
+                            other.hears(self.now, from, message);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    fn asks(&mut self, at: Peer, rid: u64, ask: u64, repeats: bool, again: bool) -> Gate {
+        let record = Record {
+            rid,
+            class: 0,
+            tenant: None,
+            key: None,
+            group: 0,
+            work_s: None,
+            memory_mb: None,
+            repeats,
+            statement: Some("SELECT 1".into()),
+            deadline: self.now + 8_000 * MS,
+            tried: Vec::new(),
+        };
+        let now = self.now;
+        self.at(at).arrives(now, Try { ask: Some(ask), again, record })
+    }
+
+    fn at(&mut self, p: Peer) -> &mut Takeover {
+        self.all.get_mut(&p).unwrap()
+    }
+
+    fn moved(&self, what: &Move) -> Vec<Peer> {
+        self.moves.iter().filter(|(_, m)| m == what).map(|(p, _)| *p).collect()
+    }
+}
+
+fn rows() -> Pages {
+    vec![b"a\tb\tc\n".to_vec()]
+}
+
+// A load goes to the decisions only once it is agreed; its owner dies, and whoever is asked for it again says
+// at once that it may have run. It is never handed to the decisions a second time.
+#[test]
+fn a_load_of_a_dead_dispatcher_is_never_run_again() {
+    let mut three = Three::formed();
+    assert_eq!(three.asks(1, 10, 5, false, false), Gate::Hold);
+    assert!(three.moves.is_empty());
+    three.pass(50);
+    assert_eq!(three.moved(&Move::Admit(10)), [1]);
+    three.all.remove(&1);
+    // Its client is back before anybody knows: it waits for the record.
+    assert_eq!(three.asks(2, 11, 5, false, true), Gate::Hold);
+    three.pass(2_000);
+    assert_eq!(three.moved(&Move::Answer(11, Reply::Failed)), [2]);
+    assert_eq!(three.asks(3, 12, 5, false, true), Gate::Answer(Reply::Failed));
+    assert!(three.moves.iter().all(|(p, m)| *p == 1 || !matches!(m, Move::Admit(_) | Move::Adopt(_))));
+}
+
+// A read of a dead dispatcher is taken over by one other, and its result waits there for the client, who may
+// come to any.
+#[test]
+fn a_read_of_a_dead_dispatcher_is_answered_wherever_its_client_comes_back() {
+    for back_at in [2, 3] {
+        let mut three = Three::formed();
+        assert_eq!(three.asks(1, 10, 5, true, false), Gate::Go, "what may repeat does not wait");
+        three.pass(100);
+        three.all.remove(&1);
+        three.pass(2_000);
+        let adopted: Vec<Peer> = three
+            .moves
+            .iter()
+            .filter(|(_, m)| matches!(m, Move::Adopt(r) if r.rid == 10))
+            .map(|(p, _)| *p)
+            .collect();
+        assert_eq!(adopted.len(), 1, "exactly one takes it over");
+        let (now, by) = (three.now, adopted[0]);
+        assert!(three.at(by).keeps_result(10));
+        three.at(by).answered(now, 10, Reply::Served(rows()));
+        match three.asks(back_at, 11, 5, true, true) {
+            Gate::Answer(reply) => assert_eq!((reply, by), (Reply::Served(rows()), back_at)),
+            gate => {
+                assert_eq!(gate, Gate::Hold);
+                three.pass(500);
+                assert_eq!(three.moved(&Move::Answer(11, Reply::Served(rows()))), [back_at]);
+            }
+        }
+    }
+}
+
+// The client lost its connection and not its dispatcher: the load goes on, and its result is on record for the
+// next try, wherever that comes.
+#[test]
+fn a_load_whose_client_was_cut_off_is_answered_from_the_record() {
+    let mut three = Three::formed();
+    three.asks(1, 10, 5, false, false);
+    three.pass(50);
+    let now = three.now;
+    three.at(1).left(now, 10);
+    assert_eq!(three.asks(2, 11, 5, false, true), Gate::Hold);
+    three.pass(300);
+    assert!(three.moved(&Move::Answer(11, Reply::Failed)).is_empty(), "it waits while the load runs");
+    let now = three.now;
+    three.at(1).over(now, 10, Past::Served(rows()));
+    three.pass(300);
+    assert_eq!(three.moved(&Move::Answer(11, Reply::Served(rows()))), [2]);
+    assert_eq!(three.asks(3, 12, 5, false, true), Gate::Answer(Reply::Served(rows())));
+}
+
+// A dispatcher that stood still for longer than its lease may send nothing more of what it had in hand, and
+// lets its reads go; without a lease it takes reads, which may repeat, and refuses loads with a time.
+#[test]
+fn a_dispatcher_without_a_lease_lets_go() {
+    let mut three = Three::formed();
+    three.asks(1, 10, 5, true, false);
+    three.asks(1, 20, 6, false, false);
+    three.pass(100);
+    let later = three.now + 1_500 * MS;
+    let mut one = three.all.remove(&1).unwrap();
+    one.tick(later);
+    assert!(!one.may_send(later, 10) && !one.may_send(later, 20));
+    assert_eq!(one.moves, [Move::LetGo(10)]);
+    three.all.insert(1, one);
+    three.now = later;
+    assert_eq!(three.asks(1, 30, 7, true, false), Gate::Go);
+    assert_eq!(three.asks(1, 31, 8, false, false), Gate::Answer(Reply::Refused(1_000)));
+}
+
+// Two tries of one ask at one dispatcher: the second never runs beside the first and gets the same answer.
+#[test]
+fn a_second_try_waits_for_the_first() {
+    let mut three = Three::formed();
+    three.asks(1, 10, 5, true, false);
+    assert_eq!(three.asks(1, 11, 5, true, true), Gate::Hold);
+    let now = three.now;
+    three.at(1).answered(now, 10, Reply::Served(rows()));
+    three.pass(20);
+    assert_eq!(three.moved(&Move::Answer(11, Reply::Served(rows()))), [1]);
+    // The first's client leaves: the second takes its place.
+    three.asks(1, 20, 6, true, false);
+    three.asks(1, 21, 6, true, true);
+    let now = three.now;
+    three.at(1).left(now, 20);
+    three.pass(100);
+    assert_eq!(three.moved(&Move::Admit(21)), [1]);
+}
+
+// Nothing is kept of what is over.
+#[test]
+fn what_is_over_leaves_nothing() {
+    let mut three = Three::formed();
+    for n in 0..50 {
+        let (rid, ask, at) = (100 + n, 1_000 + n, 1 + (n % 3) as Peer);
+        three.asks(at, rid, ask, n % 2 == 0, n % 4 == 0);
+        three.pass(30);
+        let now = three.now;
+        match n % 3 {
+            0 => three.at(at).answered(now, rid, Reply::Served(rows())),
+            1 => three.at(at).answered(now, rid, Reply::Refused(5)),
+            _ => {
+                three.at(at).left(now, rid);
+                three.at(at).over(now, rid, Past::NeverRan);
+            }
+        }
+    }
+    three.pass(45_000);
+    for t in three.all.values() {
+        assert!(t.local.is_empty() && t.asks.is_empty(), "{:?}", t.local);
+        assert_eq!((t.fleet.ledger().unwrap().len(), t.adopted), (0, 0));
+    }
+}
