--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms
+.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms prove-takeover prove-takeover-slice
 
 build:
 	cargo build --release --locked
@@ -24,3 +24,10 @@
 # The part on real sockets: some minutes.
 prove-retry-storms: build
 	cargo run --release --locked --quiet -p lab -- retry-storms
+
+# Fleets under faults: about half an hour with four fleets beside each other.
+prove-takeover: build
+	cargo run --release --locked --quiet -p lab -- takeover
+
+prove-takeover-slice: build
+	cargo run --release --locked --quiet -p lab -- takeover --slice
--- a/crates/lab/src/daemon.rs
+++ b/crates/lab/src/daemon.rs
@@ -92,6 +92,26 @@
         line.and_then(|l| l.trim().trim_end_matches(" kB").parse().ok()).unwrap_or(0)
     }
 
+    /// Processor time used so far, in seconds; clock ticks are hundredths on Linux.
+    pub fn cpu_s(&self) -> f64 {
+        let stat =
+            std::fs::read_to_string(format!("/proc/{}/stat", self.process.child.id())).unwrap_or_default();
+        let rest = stat.rsplit_once(')').map_or("", |(_, r)| r);
+        let ticks =
+            |n: usize| rest.split_whitespace().nth(n).and_then(|t| t.parse::<f64>().ok()).unwrap_or(0.0);
+        (ticks(11) + ticks(12)) / 100.0
+    }
+
+    /// Sends it a signal by its name.
+    pub fn signal(&self, name: &str) {
+        self.process.signal(name);
+    }
+
+    /// Ends it at once, with all that it has in hand.
+    pub fn kill(self) {
+        drop(self);
+    }
+
     /// Tells it to end, by SIGTERM.
     pub fn end(&self) {
         self.process.signal("TERM");
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -5,6 +5,7 @@
 mod daemon;
 mod motor_lists;
 mod retry_storms;
+mod takeover;
 mod traffic;
 
 use clap::{Parser, Subcommand};
@@ -38,6 +39,21 @@
         #[arg(long)]
         slice: bool,
     },
+    /// Dispatchers of one fleet under faults: what becomes of the work that they had in hand
+    Takeover {
+        /// Episodes, each with faults of its own
+        #[arg(long, default_value_t = 1_000)]
+        runs: u32,
+        /// Fleets beside each other
+        #[arg(long, default_value_t = 4)]
+        lanes: u32,
+        /// For the faults
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// A short run for CI: nothing is kept
+        #[arg(long)]
+        slice: bool,
+    },
     /// An outage of all motores under many clients, with the storm module and without it
     RetryStorms {
         /// Clients
@@ -55,6 +71,9 @@
         Command::MotorLists { swaps, seed, slice } => {
             motor_lists::prove(&cli.program, &cli.results.join("motor-lists"), swaps, seed, slice)
         }
+        Command::Takeover { runs, lanes, seed, slice } => {
+            takeover::prove(&cli.program, &cli.results.join("takeover"), runs, lanes, seed, slice)
+        }
         Command::RetryStorms { clients, outage } => {
             retry_storms::prove(&cli.program, &cli.results.join("retry-storms"), clients, outage)
         }
--- /dev/null
+++ b/crates/lab/src/takeover/faults.rs
@@ -0,0 +1,103 @@
+//! What goes wrong in an episode, drawn from a seed: the same seed draws the same faults.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use standins::link::Weather;
+use std::time::Duration;
+
+/// What is done to one dispatcher.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum Kind {
+    /// Killed at once, and started anew later.
+    Kill,
+    /// Stopped, and let go on later.
+    Pause,
+    /// All its links to peers end, and are reset when tried.
+    CutPeers,
+    /// All its links to peers fall silent.
+    SilentPeers,
+    /// Its links to peers fall silent one way: it hears nothing and is heard.
+    Deaf,
+    /// Its links to peers are late.
+    LatePeers,
+    /// Its links to peers trickle.
+    SlowPeers,
+    /// Messages to and from its peers change places.
+    ShuffledPeers,
+    /// Its links to half the motores end.
+    CutMotores,
+    /// It is killed, and so is the next one as soon as it is back.
+    KillTwo,
+}
+
+/// All kinds, as the tables name them.
+pub const KINDS: [(Kind, &str); 10] = [
+    (Kind::Kill, "kill -9 and restart"),
+    (Kind::Pause, "paused"),
+    (Kind::CutPeers, "cut from peers"),
+    (Kind::SilentPeers, "black-holed from peers"),
+    (Kind::Deaf, "deaf to peers"),
+    (Kind::LatePeers, "peers late"),
+    (Kind::SlowPeers, "peers at a trickle"),
+    (Kind::ShuffledPeers, "peers' messages reordered"),
+    (Kind::CutMotores, "cut from half the motores"),
+    (Kind::KillTwo, "one killed after the other"),
+];
+
+/// A fault: to whom, how bad, for how long.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Fault {
+    /// What.
+    pub kind: Kind,
+    /// Which dispatcher, by place from 0.
+    pub who: usize,
+    /// The weather on links, where the kind has any.
+    pub weather: Weather,
+    /// When it begins, from the episode's start.
+    pub from: Duration,
+    /// How long it lasts.
+    pub length: Duration,
+}
+
+/// Draws the fault of an episode of a fleet.
+pub fn draw(seed: u64, episode: u32, dispatchers: usize) -> Fault {
+    let mut rng = StdRng::seed_from_u64(seed ^ u64::from(episode).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+    // Kills are what this is about: they come as often as all else together.
+    let kind = match rng.random_bool(0.4) {
+        true => Kind::Kill,
+        false => KINDS.choose(&mut rng).map_or(Kind::Kill, |k| k.0),
+    };
+    let weather = match kind {
+        Kind::CutPeers | Kind::CutMotores => Weather::Cut,
+        Kind::SilentPeers | Kind::Deaf => Weather::Silent,
+        Kind::LatePeers => Weather::Late(rng.random_range(20..400)),
+        Kind::SlowPeers => Weather::Trickle(rng.random_range(16..256)),
+        Kind::ShuffledPeers => Weather::Shuffled,
+        _ => Weather::Clear,
+    };
+    Fault {
+        kind,
+        who: rng.random_range(0..dispatchers),
+        weather,
+        from: Duration::from_millis(rng.random_range(100..600)),
+        length: Duration::from_millis(rng.random_range(300..2_200)),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // A failing episode has to be seen again: its faults come from the seed alone.
+    #[test]
+    fn the_same_seed_draws_the_same_faults() {
+        let all = |seed| -> Vec<Fault> { (0..50).map(|n| draw(seed, n, 5)).collect() };
+        assert_eq!(all(3), all(3));
+        assert_ne!(all(3), all(4));
+        for (kind, _) in KINDS {
+            assert!((0..400).any(|n| draw(3, n, 5).kind == kind), "{kind:?} is never drawn");
+        }
+    }
+}
