Stand-ins: a motor forgets connections that ended, so that long measurements keep descriptors

At fault: Engine kept a clone of every stream for its death and never dropped one whose connection had ended.

Change: streams are kept by number and removed when their connection ends.

--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -1,6 +1,6 @@
 //! A motor that works by itself.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -41,7 +41,7 @@
 struct Shared {
     work: Box<Work>,
     pulls: Mutex<Vec<Pull>>,
-    streams: Mutex<Vec<TcpStream>>,
+    streams: Mutex<BTreeMap<u64, TcpStream>>,
     running: AtomicU64,
     closed: AtomicBool,
     echo: bool,
@@ -110,7 +110,7 @@
     /// Dies: what is open is cut off, and nothing is taken any more.
     pub fn die(&self) {
         self.shared.closed.store(true, Ordering::SeqCst);
-        for s in lock(&self.shared.streams).drain(..) {
+        for s in std::mem::take(&mut *lock(&self.shared.streams)).into_values() {
             let _ = s.shutdown(Shutdown::Both);
         }
         // The listener wakes to see that it is over.
@@ -134,12 +134,16 @@
 
 fn connection(stream: TcpStream, all: &Arc<Shared>) {
     let Ok(for_death) = stream.try_clone() else { return };
-    lock(&all.streams).push(for_death);
+    static NEXT: AtomicU64 = AtomicU64::new(0);
+    let number = NEXT.fetch_add(1, Ordering::Relaxed);
+    lock(&all.streams).insert(number, for_death);
     if let Err(e) = commands(stream, all)
         && all.echo
     {
         println!("connection over: {e}");
     }
+    // Kept no longer than it lasts: a long measurement ran out of descriptors.
+    lock(&all.streams).remove(&number);
 }
 
 fn commands(stream: TcpStream, all: &Arc<Shared>) -> io::Result<()> {
