Take motores out for work in an order that the dispatchers agree on

Today an operator bans one on each dispatcher by hand.

Change: crates/fleet plan: the queue and each machine's step as agreed state; what does not follow from where a machine is changes nothing, and Begin names the version of the plan it was judged on, so that two leaders can't both begin one. net/upkeep.rs: DRAIN PLAN, STATUS, ABORT, MEND at the operators' address (an unknown call without peers, as before), what is held back here, who is idle, and the leader's next step. One that is cut off leaves alone what may have begun since; one that starts leaves all alone until it is told.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms prove-takeover prove-takeover-slice
+.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms prove-takeover prove-takeover-slice prove-maintenance prove-maintenance-slice
 
 build:
 	cargo build --release --locked
@@ -31,3 +31,10 @@
 
 prove-takeover-slice: build
 	cargo run --release --locked --quiet -p lab -- takeover --slice
+
+# Motores taken out for work under faults: about half an hour.
+prove-maintenance: build
+	cargo run --release --locked --quiet -p lab -- maintenance
+
+prove-maintenance-slice: build
+	cargo run --release --locked --quiet -p lab -- maintenance --slice
--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -5,6 +5,7 @@
 
 use crate::group::Group;
 use crate::ledger::{Command, Effect, End, Holder, Ledger, Limits, Record};
+use crate::plan;
 use crate::wire::{Founding, Message};
 use crate::{Life, Micros, Peer, life, peer_of};
 use rand_core::{RngCore, SeedableRng};
@@ -68,6 +69,8 @@
     Joined(u64),
     /// Another leads now.
     Leader(Option<Peer>),
+    /// The plan of machines that are taken out for work has changed.
+    Plan,
     /// The fleet has lost its majority, and with it its record; it is founded anew.
     GivenUp(u64),
 }
@@ -244,6 +247,22 @@
         self.flush_by(now + self.terms.batch);
     }
 
+    /// Moves the plan of machines that are taken out for work. False if nothing can be agreed now.
+    pub fn plan(&mut self, now: Micros, command: plan::Command) -> bool {
+        if self.holds(now).is_none() {
+            return false;
+        }
+        self.queue.push(Command::Plan(command));
+        self.flush_by(now);
+        true
+    }
+
+    /// For how long no leader has been heard of; `None` while there is one.
+    pub fn without_word(&self, now: Micros) -> Option<Micros> {
+        let led = self.group.as_ref().is_some_and(|g| g.leader().is_some());
+        (!led).then(|| now.saturating_sub(self.leaderless.unwrap_or(now)))
+    }
+
     /// Asks the owner of a request for its result.
     pub fn fetch(&mut self, ask: u64) {
         if let Some((_, owner)) = self.ledger().and_then(|l| l.open(ask)) {
@@ -577,6 +596,7 @@
                 }
                 self.news.push_back(News::Claimed { ask, from, by, mine });
             }
+            Effect::Plan => self.news.push_back(News::Plan),
             Effect::Closed(ask, end) => {
                 self.mine.remove(&ask);
                 self.news.push_back(News::Closed(ask, end));
@@ -587,6 +607,7 @@
     /// The record came whole: what it says of this peer stands instead of what was missed.
     fn restored(&mut self, now: Micros) {
         let Some(ledger) = self.group.as_ref().map(Group::ledger) else { return };
+        self.news.push_back(News::Plan);
         let alive: BTreeSet<Holder> = ledger.alive().collect();
         self.renewed = alive.iter().map(|h| (*h, now)).collect();
         let Some((holder, _)) = self.lease else { return };
--- a/crates/fleet/src/ledger.rs
+++ b/crates/fleet/src/ledger.rs
@@ -4,6 +4,7 @@
 //! the record first owns it; all others are told that it is taken. What must not run twice stays on record
 //! after its end, so that a try that comes back is answered and not run.
 
+use crate::plan::{self, Plan};
 use crate::{Life, Micros, peer_of};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -76,6 +77,8 @@
     Close(Holder, u64, End),
     /// Time passes, by the leader's clock: what is past its time goes.
     Sweep(Micros),
+    /// Moves the plan of machines that are taken out for work.
+    Plan(plan::Command),
 }
 
 /// What a command did.
@@ -106,6 +109,8 @@
     },
     /// The request is over.
     Closed(u64, End),
+    /// The plan has changed.
+    Plan,
 }
 
 /// What bounds the record; the same at every peer, so it comes with the founding.
@@ -150,6 +155,7 @@
     #[serde(skip)]
     times: BTreeSet<(Micros, u64)>,
     swept: Micros,
+    plan: Plan,
 }
 
 /// Lives remembered at most, so that terms never start anew for one that returns.
@@ -166,6 +172,7 @@
             owned: BTreeMap::new(),
             times: BTreeSet::new(),
             swept: 0,
+            plan: Plan::default(),
         }
     }
 
@@ -210,6 +217,11 @@
         self.owned.get(&holder).into_iter().flatten().copied()
     }
 
+    /// The plan of machines that are taken out for work.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
     /// The last batch of a life that was applied.
     pub fn batch(&self, life: Life) -> u64 {
         self.batches.get(&life).copied().unwrap_or(0)
@@ -268,6 +280,7 @@
                     self.close(ask, end, out);
                 }
             }
+            Command::Plan(command) => out.extend(self.plan.apply(command).then_some(Effect::Plan)),
             Command::Sweep(now) => {
                 self.swept = self.swept.max(now);
                 while let Some(&(at, ask)) = self.times.first().filter(|(at, _)| *at <= now) {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,6 +8,7 @@
 //!
 //! - [`ledger`]: the record itself: commands in, effects out.
 //! - [`group`]: the replicated log: how a fleet is founded, joined again after a restart, and written to.
+//! - [`plan`]: machines that are taken out for work, one after the other.
 //! - [`log`]: the log in memory, with snapshots of the ledger.
 //! - [`wire`]: the frames between peers.
 //! - [`fleet`]: the whole for one dispatcher: leases, batches, news.
@@ -16,6 +17,7 @@
 pub mod group;
 pub mod ledger;
 pub mod log;
+pub mod plan;
 pub mod wire;
 
 pub use fleet::{Fleet, News, Terms};
--- /dev/null
+++ b/crates/fleet/tests/plan.rs
@@ -0,0 +1,179 @@
+//! The plan of machines taken out for work, under any order of asks, faults, aborts and leaders that know it late.
+
+use fleet::plan::{Budget, Command, Machine, Plan, Step, lead, may_begin};
+use fleet::{Holder, Micros, life};
+use proptest::prelude::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Micros = 1_000;
+
+fn budget(at_once: usize) -> Budget {
+    Budget {
+        machines: 4,
+        headroom: 1.3,
+        at_once,
+        drain_limit: 2_000 * MS,
+        out_limit: 3_000 * MS,
+        ramp: 1_000 * MS,
+    }
+}
+
+fn machines() -> BTreeMap<String, Machine> {
+    let one = |n: usize| (format!("m{n}"), Machine { hall: n % 2, cores: 8.0, up: true, started: 0 });
+    (0..8).map(one).collect()
+}
+
+fn holder(p: u8) -> Holder {
+    Holder { life: life(p, 1), term: 1 }
+}
+
+fn rank(step: &Step) -> u8 {
+    match step {
+        Step::Waits => 0,
+        Step::Drains(..) => 1,
+        Step::Out(_) => 2,
+        Step::Warms(_) => 4,
+        Step::Done => 5,
+        Step::Failed(_) => 3,
+        Step::Aborted => 6,
+    }
+}
+
+/// A world in which machines come back or not; returns how many were serviced.
+fn world(seed: u64, at_once: usize) -> usize {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed);
+    let mut draw = |below: u64| rng.next_u64() % below;
+    let (budget, mut machines, mut plan) = (budget(at_once), machines(), Plan::default());
+    let alive: BTreeSet<Holder> = (1..=3).map(holder).collect();
+    let (mut now, mut back): (Micros, BTreeMap<String, Option<Micros>>) = (1_000_000 * MS, BTreeMap::new());
+    let mut stale = plan.clone();
+    // One that was cut off: what it knew, since when, and how many asks there were.
+    let mut cut: Option<(Plan, Micros, u32)> = None;
+    let (mut asks, mut done) = (0_u32, BTreeSet::new());
+    for round in 0..600 {
+        now += 50 * MS;
+        let mut commands = Vec::new();
+        if round % 100 == 0 {
+            let ids: Vec<String> = (0..3).map(|n| format!("m{}", (draw(8) + n * 3) % 8)).collect();
+            commands.push(Command::Ask(ids));
+        }
+        match draw(300) {
+            0 => commands.push(Command::Abort),
+            1..=3 => commands.push(Command::Mend(format!("m{}", draw(8)), now)),
+            _ => {}
+        }
+        // Idle dispatchers say so, some late, some never: then the limit ends the wait.
+        for (id, step) in plan.steps() {
+            if matches!(step, Step::Drains(..)) && draw(4) == 0 {
+                commands.push(Command::Idle(holder(1 + draw(3) as u8), id.into()));
+            }
+        }
+        // The leader, or one that was and knows the plan as it stood some time ago.
+        let view = if draw(5) == 0 { stale.clone() } else { plan.clone() };
+        let busy = 8.0 * draw(5) as f64;
+        commands.extend(lead(&view, &machines, busy, &alive, &budget, now));
+        if draw(10) == 0 {
+            stale = plan.clone();
+        }
+        if cut.is_none() && draw(40) == 0 {
+            cut = Some((plan.clone(), now, asks));
+        } else if draw(60) == 0 {
+            cut = None;
+        }
+        for command in commands {
+            let before = plan.clone();
+            let begins = match &command {
+                Command::Begin(id, ..) => Some(id.clone()),
+                _ => None,
+            };
+            let asked = matches!(command, Command::Ask(_));
+            if !plan.apply(command) {
+                assert_eq!(before, plan);
+                continue;
+            }
+            asks += u32::from(asked);
+            if begins.is_some() {
+                let missing = |p: &Plan| p.steps().filter(|(_, s)| s.missing()).count();
+                assert!(missing(&plan) <= budget.at_once, "seed {seed}: {plan:?}");
+                let serving = machines
+                    .iter()
+                    .filter(|(id, m)| m.up && !plan.step(id).is_some_and(Step::missing))
+                    .count();
+                assert!(serving >= budget.machines, "seed {seed}: the budget is broken: {plan:?}");
+            }
+            if !asked {
+                for (id, step) in plan.steps() {
+                    let was = before.step(id).map_or(0, rank);
+                    assert!(rank(step) >= was, "seed {seed}: {id} went back: {before:?} {plan:?}");
+                }
+            }
+        }
+        for (id, step) in plan.steps() {
+            match step {
+                Step::Out(_) if !back.contains_key(id) => {
+                    if let Some(m) = machines.get_mut(id) {
+                        m.up = false;
+                    }
+                    let never = draw(10) == 0;
+                    back.insert(id.into(), (!never).then(|| now + draw(2_000) * MS));
+                }
+                Step::Done => {
+                    done.insert((asks, id.to_string()));
+                }
+                _ => {}
+            }
+        }
+        for (id, at) in &back {
+            let mended = plan.step(id).is_some_and(|s| matches!(s, Step::Warms(_)));
+            if (at.is_some_and(|t| t <= now) || mended)
+                && let Some(m) = machines.get_mut(id).filter(|m| !m.up)
+            {
+                (m.up, m.started) = (true, now);
+            }
+        }
+        back.retain(|id, _| plan.step(id).is_some_and(|s| matches!(s, Step::Out(_) | Step::Failed(_))));
+        // Whatever has begun since it was cut off, a dispatcher without word leaves alone.
+        if let Some((known, since, then)) = &cut
+            && *then == asks
+        {
+            let held = known.held_back(&budget, Some(now - since));
+            let stopped = known.stopped().is_some() || plan.stopped().is_some();
+            for (id, step) in plan.steps().filter(|(_, s)| s.banned()) {
+                let waited = known.step(id) == Some(&Step::Waits);
+                assert!(stopped || !waited || held.contains(id), "seed {seed}: {id} {step:?} held {held:?}");
+            }
+        }
+    }
+    done.len()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+
+    // The budget holds, no machine goes through a step twice, and one that is cut off never sends to a machine
+    // that has been taken out since, whatever happens.
+    #[test]
+    fn any_plan_keeps_its_budget(seed: u64, at_once in 1_usize..3) {
+        world(seed, at_once);
+    }
+}
+
+// Without faults every machine that was asked for is serviced, one after the other.
+#[test]
+fn plans_come_to_their_end() {
+    assert!((0..20).map(|seed| world(seed, 1)).sum::<usize>() > 40);
+}
+
+#[test]
+fn what_holds_a_machine_up_is_told() {
+    let (machines, budget) = (machines(), budget(1));
+    let mut plan = Plan::default();
+    assert!(plan.apply(Command::Ask(vec!["m1".into(), "m2".into()])));
+    assert!(!plan.apply(Command::Ask(vec!["m2".into()])), "planned already");
+    assert_eq!(may_begin(&plan, &machines, 10.0, &budget), Ok("m1".into()));
+    assert!(may_begin(&plan, &machines, 50.0, &budget).is_err(), "56 cores are left, 65 are needed");
+    let few: BTreeMap<String, Machine> = machines.into_iter().take(4).collect();
+    assert!(may_begin(&plan, &few, 1.0, &budget).is_err(), "three would be left");
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 
 mod chart;
 mod daemon;
+mod maintenance;
 mod motor_lists;
 mod retry_storms;
 mod takeover;
@@ -39,6 +40,21 @@
         #[arg(long)]
         slice: bool,
     },
+    /// Motores taken out for work by a fleet under faults, in an order that it settles
+    Maintenance {
+        /// Plans, each with a trouble of its own
+        #[arg(long, default_value_t = 500)]
+        plans: u32,
+        /// Fleets beside each other
+        #[arg(long, default_value_t = 4)]
+        lanes: u32,
+        /// For the troubles
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// A short run for CI: nothing is kept
+        #[arg(long)]
+        slice: bool,
+    },
     /// Dispatchers of one fleet under faults: what becomes of the work that they had in hand
     Takeover {
         /// Episodes, each with faults of its own
@@ -71,6 +87,9 @@
         Command::MotorLists { swaps, seed, slice } => {
             motor_lists::prove(&cli.program, &cli.results.join("motor-lists"), swaps, seed, slice)
         }
+        Command::Maintenance { plans, lanes, seed, slice } => {
+            maintenance::prove(&cli.program, &cli.results.join("maintenance"), plans, lanes, seed, slice)
+        }
         Command::Takeover { runs, lanes, seed, slice } => {
             takeover::prove(&cli.program, &cli.results.join("takeover"), runs, lanes, seed, slice)
         }
--- a/crates/lab/src/takeover/mod.rs
+++ b/crates/lab/src/takeover/mod.rs
@@ -1,10 +1,10 @@
 //! Work in hand survives the loss of its dispatcher: fleets under seeded faults, what a request costs with peers
 //! and without, and a large record.
 
-mod clients;
+pub(crate) mod clients;
 mod faults;
 mod record;
-mod world;
+pub(crate) mod world;
 
 use crate::chart;
 use clients::{Account, Ended, Seen, Traffic, seen};
@@ -17,9 +17,9 @@
 use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime};
-use world::World;
+use world::{Shape, World};
 
-type Failure = Box<dyn Error + Send + Sync>;
+pub(crate) type Failure = Box<dyn Error + Send + Sync>;
 
 /// Takeover has to be faster than this in 99 of 100, in seconds.
 const FASTEST: f64 = 2.0;
@@ -29,7 +29,7 @@
 const REST: Duration = Duration::from_millis(900);
 
 /// One zone, one kind; reads that may repeat, loads that must not run twice.
-const SETTINGS: &str = r#"{"areas":["a"],"balancers":3,"kinds":["k"],"domain":{"kindCores":[8],"memoryByKindMb":[16384],"parallelism":[1,1],"grantCap":0.4,"memoryHeeded":true,"takesPriority":true},"permissions":{"cancel":true,"maxAttempts":4,"mayDuplicate":false,"probes":true,"retryAfter":true,"maxRetryAfter":1.0,"dialTimeout":0.25},"report":{"how":"on_probe"},"requestClasses":[{"name":"read","promise":3.0,"hardLimit":6.0,"effect":"read_like"},{"name":"load","promise":4.0,"hardLimit":6.0,"effect":"non_idempotent"}],"rules":{"stopSendingWithin":0.5,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":3},"zone":"a"}"#;
+pub(crate) const SETTINGS: &str = r#"{"areas":["a"],"balancers":3,"kinds":["k"],"domain":{"kindCores":[8],"memoryByKindMb":[16384],"parallelism":[1,1],"grantCap":0.4,"memoryHeeded":true,"takesPriority":true},"permissions":{"cancel":true,"maxAttempts":4,"mayDuplicate":false,"probes":true,"retryAfter":true,"maxRetryAfter":1.0,"dialTimeout":0.25},"report":{"how":"on_probe"},"requestClasses":[{"name":"read","promise":3.0,"hardLimit":6.0,"effect":"read_like"},{"name":"load","promise":4.0,"hardLimit":6.0,"effect":"non_idempotent"}],"rules":{"stopSendingWithin":0.5,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":3},"zone":"a"}"#;
 
 fn work(p: &Pull) -> Duration {
     // By its own text, so that it takes as long wherever it runs.
@@ -37,6 +37,10 @@
     Duration::from_millis(if p.class() == "load" { 150 + 80 * spread } else { 80 + 80 * spread })
 }
 
+fn shape(dispatchers: usize, with_peers: bool, work: fn(&Pull) -> Duration) -> Shape<'static> {
+    Shape { dispatchers, with_peers, settings: SETTINGS, motores: world::MOTORES, maintenance: "", work }
+}
+
 fn quick(_: &Pull) -> Duration {
     Duration::from_millis(1)
 }
@@ -80,7 +84,7 @@
     seed: u64,
 ) -> Result<Lane, Failure> {
     let failed = |e: Box<dyn Error>| -> Failure { e.to_string().into() };
-    let mut world = World::start(program, folder, dispatchers, true, SETTINGS, work).map_err(failed)?;
+    let mut world = World::start(program, folder, &shape(dispatchers, true, work)).map_err(failed)?;
     let mut lane = Lane { dispatchers, ..Lane::default() };
     if !world.settled(&mut |_, _| ()) {
         return Err("the fleet did not come to be".into());
@@ -192,7 +196,7 @@
 /// Quick reads, one after the other from each client, against one motor time of a millisecond.
 fn cost(program: &Path, folder: &Path, with_peers: bool, span: Duration) -> Result<Cost, Failure> {
     let failed = |e: Box<dyn Error>| -> Failure { e.to_string().into() };
-    let world = World::start(program, folder, 3, with_peers, SETTINGS, quick).map_err(failed)?;
+    let world = World::start(program, folder, &shape(3, with_peers, quick)).map_err(failed)?;
     world.settled(&mut |_, _| ());
     let warm = Traffic::start(&world.doors, 6, Duration::ZERO, 1, true);
     thread::sleep(Duration::from_secs(1));
@@ -213,7 +217,7 @@
 }
 
 /// A quantile of sorted values; 0 of none.
-fn part(sorted: &[f64], q: f64) -> f64 {
+pub(crate) fn part(sorted: &[f64], q: f64) -> f64 {
     let at = ((sorted.len() as f64 * q).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
     sorted.get(at).copied().unwrap_or(0.0)
 }
--- a/crates/lab/src/takeover/world.rs
+++ b/crates/lab/src/takeover/world.rs
@@ -8,7 +8,8 @@
 use std::collections::BTreeMap;
 use std::error::Error;
 use std::fmt::Write as _;
-use std::net::SocketAddr;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant, SystemTime};
@@ -37,23 +38,47 @@
     motores: Vec<Vec<Link>>,
     /// Where clients go.
     pub doors: Doors,
+    /// The operators' addresses.
+    operators: Vec<Option<SocketAddr>>,
+    /// What the settings say of maintenance.
+    maintenance: String,
     /// Whether the dispatchers have peers at all.
     with_peers: bool,
 }
 
+/// What a fleet is made of.
+#[derive(Clone, Copy)]
+pub struct Shape<'a> {
+    /// Dispatchers.
+    pub dispatchers: usize,
+    /// Whether they know each other.
+    pub with_peers: bool,
+    /// The platform's settings.
+    pub settings: &'a str,
+    /// Motores.
+    pub motores: usize,
+    /// What their own settings say of maintenance.
+    pub maintenance: &'a str,
+    /// How long a motor takes for a request.
+    pub work: fn(&standins::engine::Pull) -> Duration,
+}
+
+/// A motor's name.
+pub fn uid(n: usize) -> String {
+    format!("s-{:08x}", n + 1)
+}
+
 impl World {
     /// Starts a fleet of so many dispatchers, and waits until all of them serve.
     pub fn start(
         program: &std::path::Path,
         folder: &std::path::Path,
-        dispatchers: usize,
-        with_peers: bool,
-        settings: &str,
-        work: fn(&standins::engine::Pull) -> Duration,
+        shape: &Shape<'_>,
     ) -> Result<World, Box<dyn Error>> {
+        let Shape { dispatchers, with_peers, settings, motores, maintenance, work } = *shape;
         std::fs::create_dir_all(folder)?;
         let mut engines = Vec::new();
-        for _ in 0..MOTORES {
+        for _ in 0..motores {
             engines.push(Engine::new(work)?);
         }
         let mut launch = Launch::new(program, folder);
@@ -68,6 +93,8 @@
             peers: BTreeMap::new(),
             motores: Vec::new(),
             doors: Arc::new(Mutex::new(vec![None; dispatchers])),
+            operators: vec![None; dispatchers],
+            maintenance: maintenance.into(),
             with_peers,
         };
         for i in 0..dispatchers {
@@ -98,6 +125,7 @@
             "  me = \"d{i}\"\n  listen = \"127.0.0.1:0\"\n  remember = \"{}s\"",
             REMEMBERS.as_secs()
         );
+        text.push_str(&self.maintenance);
         for j in 0..self.len() {
             // Its own address is asked by nobody.
             let own = SocketAddr::from(([127, 0, 0, 1], 1));
@@ -109,13 +137,15 @@
 
     /// Starts one, or starts it anew.
     pub fn restart(&mut self, i: usize) -> Result<(), Box<dyn Error>> {
-        let known: Vec<(String, SocketAddr)> = self.motores[i]
-            .iter()
-            .enumerate()
-            .map(|(n, l)| (format!("s-{:08x}", n + 1), l.address))
-            .collect();
+        let known: Vec<(String, SocketAddr)> =
+            self.motores[i].iter().enumerate().map(|(n, l)| (uid(n), l.address)).collect();
         let known: Vec<(&str, SocketAddr)> = known.iter().map(|(u, a)| (u.as_str(), *a)).collect();
-        let config = self.launch.config(self.feed.address, &known);
+        let name = format!("d{i}-{}", self.folder.display()).replace('/', "-");
+        let config = self
+            .launch
+            .config(self.feed.address, &known)
+            .replace(r#""name":"t""#, &format!(r#""name":"{name}""#))
+            .replace(r#""more":0"#, r#""operator":"127.0.0.1:0""#);
         let mut launch = self.launch.clone();
         if self.with_peers {
             let file = self.folder.join(format!("d{i}.hcl"));
@@ -124,6 +154,9 @@
         }
         let daemon = Daemon::start(&launch, &config)?;
         let at = daemon.address;
+        let said = daemon.until(PATIENCE, |e| e.message().starts_with("operators' address "));
+        let text = said.last().map_or("", |e| e.message()).trim_start_matches("operators' address ");
+        self.operators[i] = text.parse().ok();
         if self.with_peers {
             let said = daemon.until(PATIENCE, |e| e.message().starts_with("peers' address "));
             let text = said.last().map_or("", |e| e.message()).trim_start_matches("peers' address ");
@@ -143,6 +176,25 @@
         self.doors.lock().unwrap_or_else(PoisonError::into_inner)[i] = at;
     }
 
+    /// One call at the operators' address of a dispatcher; empty if it is down.
+    pub fn call(&self, i: usize, line: &str) -> String {
+        let Some(at) = self.operators[i].filter(|_| self.daemons[i].is_some()) else { return String::new() };
+        let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_secs(1)) else {
+            return String::new();
+        };
+        let mut answer = String::new();
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+        let _ = stream.write_all(format!("{line}\n").as_bytes());
+        let _ = stream.read_to_string(&mut answer);
+        answer
+    }
+
+    /// Tells all dispatchers what the list says of a motor, which they reach without a link from then on.
+    pub fn list(&self, motor: usize, state: &str, boot_ms: u64) {
+        let entry = standins::scripted::target(&uid(motor), self.engines[motor].address, state);
+        self.feed.tell(false, &[entry.replace(r#""boot_ms":0"#, &format!(r#""boot_ms":{boot_ms}"#))]);
+    }
+
     /// Waits until every dispatcher that runs has a lease, by its log.
     pub fn settled(&self, what: &mut dyn FnMut(usize, &Event)) -> bool {
         let end = Instant::now() + PATIENCE;
--- a/deploy/fleet.hcl
+++ b/deploy/fleet.hcl
@@ -29,6 +29,14 @@
   give_up  = "10s" # without a leader, and with a majority started anew: the record is lost, found another
   remember = "30s" # how long after its deadline a load is remembered: longer than clients go on asking
 
+  maintenance {
+    min_motores = 2     # motores that stay in service at least, while others are taken out for work
+    headroom    = 1.3   # cores that stay in service for each that works, at least
+    at_once     = 1     # motores that may be missing at once: draining, out or warming up
+    drain_limit = "10m" # how long work on a motor is waited for before it is handed over
+    out_limit   = "30m" # how long it may be out before the plan stops
+  }
+
   max_records    = 100000  # requests on record; the same at all peers
   max_taken_over = 1000    # requests of lost dispatchers in hand at once
   max_statement  = "4KiB"  # a longer one is not sent again by another dispatcher
--- a/src/codec/operator.rs
+++ b/src/codec/operator.rs
@@ -23,6 +23,14 @@
     Leave,
     /// Take clients again.
     Join,
+    /// Take these executors out for work, by their uids, in an order that the fleet settles.
+    Plan(Vec<String>),
+    /// How far the plan is.
+    PlanStatus,
+    /// No further executor.
+    PlanAbort,
+    /// An executor that is out, or failed, is well again.
+    PlanMend(String),
 }
 
 /// Why a line is not a call; told after `-ERR`.
@@ -46,6 +54,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Fault::Unknown(word) => write!(f, "unknown call {word:?}"),
+            Fault::Missing("DRAIN") => write!(f, "DRAIN takes PLAN ID,ID,..., STATUS, ABORT or MEND ID"),
             Fault::Missing(call) => write!(f, "{call} takes an executor id"),
             Fault::Extra(call) => write!(f, "too many words for {call}"),
             Fault::TooLong => write!(f, "line longer than {LONGEST_LINE} bytes"),
@@ -102,6 +111,9 @@
     let text = std::str::from_utf8(line).map_err(|_| Fault::NotText)?;
     let mut words = text.split([' ', '\t']).filter(|w| !w.is_empty());
     let name = words.next().ok_or(Fault::Empty)?.to_ascii_uppercase();
+    if name == "DRAIN" {
+        return drain(words);
+    }
     let (id, more) = (words.next(), words.next().is_some());
     let bare = |call: Call, name: &'static str| match id {
         Some(_) => Err(Fault::Extra(name)),
@@ -123,6 +135,31 @@
     }
 }
 
+/// What follows `DRAIN`.
+fn drain<'a>(mut words: impl Iterator<Item = &'a str>) -> Result<Call, Fault> {
+    let what = words.next().ok_or(Fault::Missing("DRAIN"))?.to_ascii_uppercase();
+    let (id, more) = (words.next(), words.next().is_some());
+    if more {
+        return Err(Fault::Extra("DRAIN"));
+    }
+    match (what.as_str(), id) {
+        ("PLAN", Some(ids)) => {
+            let ids: Vec<String> = ids.split(',').map(String::from).collect();
+            match ids.iter().any(String::is_empty) {
+                true => Err(Fault::Missing("DRAIN PLAN")),
+                false => Ok(Call::Plan(ids)),
+            }
+        }
+        ("PLAN", None) => Err(Fault::Missing("DRAIN PLAN")),
+        ("MEND", Some(id)) => Ok(Call::PlanMend(id.to_string())),
+        ("MEND", None) => Err(Fault::Missing("DRAIN MEND")),
+        ("STATUS", None) => Ok(Call::PlanStatus),
+        ("ABORT", None) => Ok(Call::PlanAbort),
+        ("STATUS" | "ABORT", Some(_)) => Err(Fault::Extra("DRAIN")),
+        _ => Err(Fault::Missing("DRAIN")),
+    }
+}
+
 /// Whether a process serves, as `HEALTH` tells it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Readiness {
--- a/src/dispatch.rs
+++ b/src/dispatch.rs
@@ -383,6 +383,11 @@
         Ok(class)
     }
 
+    /// Cores that work, of all executors on the list, as far as they were heard.
+    pub fn busy(&self, now: Micros) -> f64 {
+        self.gateway.occupancy * self.fleet(now).listed
+    }
+
     /// Takes a request in and refuses it in the same breath, before any decision: it never ran, so that refusing
     /// is harmless. Errors are those of [`Dispatch::pick`].
     pub fn turn_away(&mut self, request: &Request) -> Result<(), &'static str> {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -10,12 +10,24 @@
 
 impl Node {
     /// Carries out an operator's call; the answer to write.
-    pub(super) fn call(&mut self, now: Micros, line: Result<Call, Fault>) -> String {
+    /// Some wait for the fleet's word, and are answered later.
+    pub(super) fn call(&mut self, caller: Key, now: Micros, line: Result<Call, Fault>) -> Option<String> {
+        // Without peers there are no plans, and no such call.
+        let unknown = || Some(ops::refusal(&Fault::Unknown("DRAIN".into())));
         let call = match line {
+            Ok(Call::Plan(_) | Call::PlanStatus | Call::PlanAbort | Call::PlanMend(_))
+            | Err(Fault::Missing("DRAIN" | "DRAIN PLAN" | "DRAIN MEND") | Fault::Extra("DRAIN"))
+                if self.hands.is_none() =>
+            {
+                return unknown();
+            }
             Ok(call) => call,
-            Err(fault) => return ops::refusal(&fault),
+            Err(fault) => return Some(ops::refusal(&fault)),
         };
-        match call {
+        Some(match call {
+            Call::Plan(_) | Call::PlanStatus | Call::PlanAbort | Call::PlanMend(_) => {
+                return self.plan_call(caller, now, call);
+            }
             Call::Health => self.readiness().answer(),
             Call::Dump => format!("+OK figures\n{}.", self.dump(now)),
             Call::Leave => {
@@ -57,7 +69,7 @@
                 }
                 Err(e) => format!("-ERR {e}"),
             },
-        }
+        })
     }
 
     /// While leaving, a front that asks the client port is told no: the listener is closed, after what waits at
--- a/src/net/hands.rs
+++ b/src/net/hands.rs
@@ -7,11 +7,13 @@
 use super::peers::Peers;
 use super::poll::{Key, Poll};
 use super::room::Room;
+use super::upkeep::Upkeep;
 use crate::api::{Effect, Micros, Settings};
 use crate::dispatch::{Answer, Order, Request, Ticket};
 use crate::settings::{Names, options};
 use crate::takeover::{Bounds, Gate, Move, Pages, Past, Reply, Takeover, Try};
 use fleet::ledger::{Limits, Record};
+use fleet::plan::Budget;
 use fleet::{Fleet, Peer, Terms};
 use std::io;
 use std::net::SocketAddr;
@@ -28,6 +30,10 @@
     classes: Vec<Rc<str>>,
     /// Which classes may repeat, by index.
     repeats: Vec<bool>,
+    /// Cores of each kind, by index.
+    cores: Vec<f64>,
+    /// Machines that are taken out for work.
+    pub(super) upkeep: Upkeep,
 }
 
 /// What the settings know of the classes: names and whether they may repeat, by index.
@@ -38,6 +44,10 @@
     pub repeats: Vec<bool>,
     /// Most attempts for a request.
     pub attempts: usize,
+    /// Cores of each kind of machine, by index.
+    pub cores: Vec<f64>,
+    /// How long a machine warms up.
+    pub ramp: Micros,
 }
 
 impl Classes {
@@ -49,6 +59,8 @@
             names: (0..settings.classes.len()).map(|i| name(i).into()).collect(),
             repeats: settings.classes.iter().map(|c| c.effect == Effect::Safe).collect(),
             attempts: settings.max_attempts as usize,
+            cores: settings.kinds.iter().map(|k| k.cores).collect(),
+            ramp: settings.cold.ramp,
         }
     }
 }
@@ -90,7 +102,23 @@
         };
         let peers = Peers::bind(o.listen, &others, o.most_frame as usize, now, poll)?;
         let takeover = Takeover::new(Fleet::new(terms, seed, now), bounds);
-        Ok(Hands { takeover, peers, classes: classes.names, repeats: classes.repeats })
+        let budget = Budget {
+            machines: o.min_motores,
+            headroom: o.headroom,
+            at_once: o.at_once,
+            drain_limit: micros(o.drain_limit),
+            out_limit: micros(o.out_limit),
+            ramp: classes.ramp,
+        };
+        let (upkeep, Classes { names, repeats, cores, .. }) =
+            (Upkeep::new(budget, 2 * micros(o.lease), now), classes);
+        Ok(Hands { takeover, peers, classes: names, repeats, cores, upkeep })
+    }
+
+    /// Cores of a machine of a kind; those of the smallest where its kind is not known.
+    pub(super) fn cores_of(&self, kind: Option<usize>) -> f64 {
+        let known = kind.and_then(|k| self.cores.get(k)).copied();
+        known.unwrap_or_else(|| self.cores.iter().copied().fold(f64::MAX, f64::min).min(1e6))
     }
 
     fn attempt(&self, now: Micros, r: &Request, job: &Job) -> Try {
@@ -263,6 +291,16 @@
         }
     }
 
+    /// Whether a machine gets nothing new, as the plan has it out for work.
+    pub(super) fn held_back(&self, uid: &str) -> bool {
+        self.hands.as_ref().is_some_and(|h| h.upkeep.holds_back(uid))
+    }
+
+    /// Since when a machine is back from work that it was out for, in milliseconds; 0 if it was not.
+    pub(super) fn cold_ms(&self, uid: &str) -> u64 {
+        self.hands.as_ref().map_or(0, |h| h.upkeep.cold_ms(uid))
+    }
+
     /// At the end: what is still owned is given back at once.
     pub(super) fn leave_fleet(&mut self, now: Micros) {
         let Some(hands) = &mut self.hands else { return };
@@ -303,7 +341,7 @@
 
     fn next_due(&self) -> Option<Micros> {
         let own = self.takeover.next_due();
-        Some(self.peers.next_due().map_or(own, |t| t.min(own)))
+        [self.peers.next_due(), self.upkeep.next_due(), Some(own)].into_iter().flatten().min()
     }
 
     fn tick(&mut self, now: Micros, poll: &Poll) {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 mod session;
 pub mod signals;
 mod timers;
+mod upkeep;
 
 use crate::api::Micros;
 use crate::codec::coordinator::Target;
@@ -315,11 +316,12 @@
             let lines = self.operators.as_mut().map(|o| o.ready(key, now, &self.poll)).unwrap_or_default();
             for (caller, line) in lines {
                 let asked = tracing::enabled!(tracing::Level::DEBUG).then(|| format!("{line:?}"));
-                let answer = self.call(now, line);
+                let answer = self.call(caller, now, line);
                 if let Some(asked) = asked {
-                    tracing::debug!(asked, answer = answer.lines().next(), "operator call");
+                    let answer = answer.as_ref().and_then(|a| a.lines().next());
+                    tracing::debug!(asked, answer, "operator call");
                 }
-                if let Some(o) = &mut self.operators {
+                if let (Some(o), Some(answer)) = (&mut self.operators, answer) {
                     o.answer(caller, &answer, &self.poll);
                 }
             }
@@ -369,6 +371,7 @@
             h.tick(now, &self.poll);
         }
         self.keep_hands(now);
+        self.keep_plan(now);
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
             self.look_after_clients(now);
--- a/src/net/orders.rs
+++ b/src/net/orders.rs
@@ -131,16 +131,18 @@
                 cell: t.pod_group,
                 // An executor taken out by hand stays out, whatever the list says of it meanwhile.
                 standing: match t.state {
-                    State::Up if self.bans.banned(&t.uid) => Standing::Draining,
+                    State::Up if self.bans.banned(&t.uid) || self.held_back(&t.uid) => Standing::Draining,
                     State::Up => Standing::Up,
                     State::Draining => Standing::Draining,
                     State::Removed => Standing::Gone,
                 },
                 size: t.capacity_hint.unwrap_or(1.0),
                 // One let back by hand was restarted meanwhile: it is cold from then, whatever the list knew.
-                started: Some(t.boot_ms.max(self.onlined.get(&t.uid).copied().unwrap_or(0)))
-                    .filter(|ms| *ms > 0)
-                    .map(|ms| ms * 1000),
+                started: Some(
+                    t.boot_ms.max(self.onlined.get(&t.uid).copied().unwrap_or(0)).max(self.cold_ms(&t.uid)),
+                )
+                .filter(|ms| *ms > 0)
+                .map(|ms| ms * 1000),
                 weight: t.weight,
             })
         };
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -12,6 +12,10 @@
         Just(Call::Join),
         id.prop_map(Call::Offline),
         id.prop_map(Call::Online),
+        prop::collection::vec("[A-Za-z0-9._:-]{1,12}", 1..8).prop_map(Call::Plan),
+        Just(Call::PlanStatus),
+        Just(Call::PlanAbort),
+        id.prop_map(Call::PlanMend),
     ]
 }
 
@@ -23,6 +27,10 @@
         Call::Join => "JOIN".into(),
         Call::Offline(id) => format!("OFFLINE {id}"),
         Call::Online(id) => format!("ONLINE {id}"),
+        Call::Plan(ids) => format!("DRAIN PLAN {}", ids.join(",")),
+        Call::PlanStatus => "DRAIN STATUS".into(),
+        Call::PlanAbort => "drain abort".into(),
+        Call::PlanMend(id) => format!("DRAIN MEND {id}"),
     }
 }
 
--- a/src/settings/options.rs
+++ b/src/settings/options.rs
@@ -34,7 +34,7 @@
 }
 
 /// Other dispatchers, with which work in hand is kept on record.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Peers {
     /// Which of the peers this one is, by its name.
     pub me: String,
@@ -64,6 +64,16 @@
     pub most_result: u64,
     /// The longest message of a peer, in bytes.
     pub most_frame: u64,
+    /// While motores are taken out for work: how many stay in service at least.
+    pub min_motores: usize,
+    /// Cores that stay in service for each that works, at least.
+    pub headroom: f64,
+    /// Motores that may be missing at once.
+    pub at_once: usize,
+    /// How long work on a motor is waited for before it is handed over.
+    pub drain_limit: Duration,
+    /// How long a motor may be out before the plan stops.
+    pub out_limit: Duration,
 }
 
 /// Retry storms.
@@ -320,7 +330,7 @@
         "max_result",
         "max_frame",
     ];
-    t.only(&keys, &["peer"], faults);
+    t.only(&keys, &["peer", "maintenance"], faults);
     let mut p = Peers {
         me: t.need("me", faults, hcl::string).unwrap_or_default(),
         listen: t.need("listen", faults, hcl::parsed("10.0.0.1:7100")).unwrap_or(([127, 0, 0, 1], 0).into()),
@@ -336,6 +346,11 @@
         most_statement: 4 << 10,
         most_result: 4 << 10,
         most_frame: 64 << 20,
+        min_motores: 2,
+        headroom: 1.3,
+        at_once: 1,
+        drain_limit: MS(600_000),
+        out_limit: MS(1_800_000),
     };
     t.set("lease", &mut p.lease, faults, hcl::duration(MS(200)..=MS(60_000)));
     t.set("margin", &mut p.margin, faults, hcl::duration(MS(10)..=MS(60_000)));
@@ -352,6 +367,18 @@
     if let Some(n) = t.get("max_taken_over", faults, hcl::whole(0..=100_000)) {
         p.most_taken_over = n as usize;
     }
+    if let Some(m) = t.block("maintenance", faults) {
+        m.only(&["min_motores", "headroom", "at_once", "drain_limit", "out_limit"], &[], faults);
+        if let Some(n) = m.get("min_motores", faults, hcl::whole(1..=10_000)) {
+            p.min_motores = n as usize;
+        }
+        if let Some(n) = m.get("at_once", faults, hcl::whole(1..=100)) {
+            p.at_once = n as usize;
+        }
+        m.set("headroom", &mut p.headroom, faults, hcl::number(1.0..=100.0));
+        m.set("drain_limit", &mut p.drain_limit, faults, hcl::duration(MS(100)..=MS(86_400_000)));
+        m.set("out_limit", &mut p.out_limit, faults, hcl::duration(MS(100)..=MS(86_400_000)));
+    }
     // A leader has to be found well within a lease, or all lose theirs with it.
     if p.lease < p.tick * 25 {
         faults.push(t.fault("lease", "shorter than 25 ticks: it would end while a leader is being elected"));
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -155,6 +155,8 @@
     /// The ask of each request that the decisions have or that waits.
     asks: BTreeMap<u64, u64>,
     adopted: usize,
+    /// The plan of machines that are taken out for work has changed since this was last asked.
+    pub planned: bool,
     /// When something that is another's, or kept for a client, is to be looked at; some may no longer be.
     due: BTreeSet<(Micros, u64)>,
     /// What is to be done.
@@ -172,6 +174,7 @@
             local: BTreeMap::new(),
             asks: BTreeMap::new(),
             adopted: 0,
+            planned: false,
             due: BTreeSet::new(),
             moves: VecDeque::new(),
             tally: Tally::default(),
@@ -473,6 +476,7 @@
                 News::Closed(ask, end) => self.closed(now, ask, &end),
                 News::Fetch(peer, ask) => self.fetched(now, peer, ask),
                 News::Result(ask, pages) => self.result(ask, pages),
+                News::Plan => self.planned = true,
                 News::Lost(holder) => self.lost(holder),
                 News::Held(h) => tracing::info!(term = h.term, "fleet: lease held"),
                 News::Ended(h) => {
