--- a/crates/fleet/src/fleet.rs
+++ b/crates/fleet/src/fleet.rs
@@ -450,7 +450,9 @@
             // Taken in by a fleet that is no longer there, or founded one that never came to be.
             (None, Some(since)) if !group.formed() && now > since + self.terms.give_up / 2 => self.give_up(),
             (None, Some(since)) if now > since + self.terms.give_up => {
-                let anew = self.fresh(now).filter(|(_, h)| h.fleet.is_none()).count();
+                // They have none, or another, which was founded while this peer was cut off.
+                let own = Some(group.founding.id);
+                let anew = self.fresh(now).filter(|(_, h)| h.fleet != own).count();
                 if anew >= self.majority() {
                     self.give_up();
                 }
--- a/crates/fleet/tests/faults.rs
+++ b/crates/fleet/tests/faults.rs
@@ -232,6 +232,25 @@
     assert!(w.fleets.values().all(|f| f.vouches(now)));
 }
 
+// The rest starts anew while one is cut off, and founds a fleet without it: when it is back it gives its own up,
+// which nobody else has part in, and joins. It was stuck in the old one for good.
+#[test]
+fn one_that_was_cut_off_joins_the_fleet_that_was_founded_without_it() {
+    let mut w = World::new(3, 9);
+    w.formed();
+    w.cut = [(1, 2), (3, 2), (2, 1), (2, 3)].into();
+    w.restart(1);
+    w.restart(3);
+    w.run(15_000 * MS, |_| ());
+    let now = w.now;
+    assert!(w.fleets[&1].holds(now).is_some() && w.fleets[&3].holds(now).is_some());
+    w.cut.clear();
+    w.run(15_000 * MS, |_| ());
+    let now = w.now;
+    assert!(w.told(2, |n| matches!(n, News::GivenUp(_))));
+    assert!(w.fleets.values().all(|f| f.holds(now).is_some()));
+}
+
 // A peer that says nonsense, or speaks of another fleet, is not followed.
 #[test]
 fn nonsense_changes_nothing() {
--- a/src/net/upkeep.rs
+++ b/src/net/upkeep.rs
@@ -37,6 +37,8 @@
     /// Since when machines that were out are back, and cold.
     cold: BTreeMap<String, Micros>,
     waiting: Vec<Waiting>,
+    /// A machine of the plan has not come to its end.
+    active: bool,
     /// Steps as they were last logged.
     logged: BTreeMap<String, String>,
 }
@@ -53,6 +55,7 @@
             held_back: BTreeSet::new(),
             cold: BTreeMap::new(),
             waiting: Vec::new(),
+            active: false,
             logged: BTreeMap::new(),
         }
     }
@@ -179,6 +182,7 @@
             hands.upkeep.told = true;
             return;
         }
+        hands.upkeep.active = plan.steps().any(|(_, s)| !s.over());
         let plan = plan.clone();
         self.log_plan(&plan, now);
         self.hold_back(&plan, now);
@@ -238,6 +242,7 @@
             }
         }
         hands.upkeep.held_back = held;
+        hands.upkeep.cold.retain(|uid, _| self.targets.contains_key(uid));
         let targets: Vec<_> = changed.iter().filter_map(|id| self.targets.get(id).cloned()).collect();
         if !targets.is_empty() {
             self.members(now, News::Changes, &targets);
@@ -279,7 +284,7 @@
     }
 
     fn lead_plan(&mut self, plan: &Plan, now: Micros) {
-        if !self.hands.as_ref().is_some_and(|h| h.takeover.fleet.leads()) {
+        if !self.hands.as_ref().is_some_and(|h| h.upkeep.active && h.takeover.fleet.leads()) {
             return;
         }
         let (machines, busy) = (self.machines(), self.dispatch.busy(now));
