--- a/crates/lab/src/takeover/mod.rs
+++ b/crates/lab/src/takeover/mod.rs
@@ -303,7 +303,12 @@
         let cpu = self.cost(true, |c| c.cpu_us) / self.cost(false, |c| c.cpu_us).max(1e-9);
         let well = self.all.iter().all(|l| l.ended_well);
         let broken = self.sum(|l| l.broken);
-        let kept = twice == 0 && two == 0 && unanswered == 0 && (unexcused == 0 || self.slice) && broken == 0 && well;
+        let kept = twice == 0
+            && two == 0
+            && unanswered == 0
+            && (unexcused == 0 || self.slice)
+            && broken == 0
+            && well;
         // Times are no verdict in CI, whose machine does other things too.
         let timely = self.slice || (p99 < FASTEST && added < ADDED);
         if !self.slice {
