Say what a kind of agreed state on the fleet's log has to be

Policy changes, schema windows and slots are to stand beside the record of work and the maintenance plan, none knowing the others. Nothing uses it yet.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`group`]: the replicated log: how a fleet is founded, joined again after a restart, and written to.
 //! - [`plan`]: machines that are taken out for work, one after the other.
 //! - [`log`]: the log in memory, with snapshots of the ledger.
+//! - [`machine`]: what each kind of agreed state has to be.
 //! - [`wire`]: the frames between peers.
 //! - [`fleet`]: the whole for one dispatcher: leases, batches, news.
 
@@ -17,11 +18,13 @@
 pub mod group;
 pub mod ledger;
 pub mod log;
+pub mod machine;
 pub mod plan;
 pub mod wire;
 
 pub use fleet::{Fleet, News, Terms};
 pub use ledger::{End, Holder, Ledger, Record};
+pub use machine::Machine;
 
 /// Microseconds, of the Unix clock where they are compared between machines.
 pub type Micros = u64;
