--- /dev/null
+++ b/crates/fleet/src/agreed.rs
@@ -0,0 +1,179 @@
+//! All that the fleet agrees on: leases, and beside each other the record of work in hand and every machine.
+//!
+//! It is moved by the batches of the log, in their order and each once, alike at all peers. A new kind of state is a
+//! [`Machine`] with a line in [`Command`], in [`Part`] and in [`Agreed`].
+
+use crate::leases::{Holder, Leases};
+use crate::ledger::{self, Ledger, Limits};
+use crate::machine::Machine;
+use crate::plan::{self, Plan};
+use crate::policy::{self, Policies};
+use crate::{Life, Micros};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What moves the fleet's state.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Command {
+    /// A life asks for a lease: the next term of it.
+    Register(Life),
+    /// The lease goes on.
+    Renew(Holder),
+    /// The lease ended without a renewal, as seen by one who has seen so many of them.
+    Expire(Holder, u64),
+    /// The peer ends in order.
+    Leave(Holder),
+    /// Time passes, by the leader's clock: what is past its time goes.
+    Sweep(Micros),
+    /// Work in hand.
+    Work(ledger::Command),
+    /// Machines that are taken out for work.
+    Plan(plan::Command),
+    /// What all admit requests by.
+    Policy(policy::Command),
+}
+
+/// A part of the state that has changed as a whole; who cares looks at it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Part {
+    /// Machines that are taken out for work.
+    Plan,
+    /// What all admit requests by.
+    Policy,
+}
+
+/// What a command did.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Effect {
+    /// A lease was given.
+    Registered(Holder),
+    /// A lease was renewed.
+    Renewed(Holder),
+    /// A lease is over.
+    Ended(Holder),
+    /// Work in hand.
+    Work(ledger::Effect),
+    /// A part has changed.
+    Changed(Part),
+}
+
+/// The whole.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Agreed {
+    leases: Leases,
+    /// The last batch of each life that was applied; batches that come again are skipped.
+    batches: BTreeMap<Life, u64>,
+    work: Ledger,
+    plan: Plan,
+    policy: Policies,
+}
+
+impl Agreed {
+    /// That of a fleet that begins, with the highest number of a policy that its founder heard of.
+    pub fn new(limits: Limits, policy: u64) -> Agreed {
+        Agreed {
+            leases: Leases::default(),
+            batches: BTreeMap::new(),
+            work: Ledger::new(limits),
+            plan: Plan::default(),
+            policy: Policies::after(policy),
+        }
+    }
+
+    /// Those who have a lease.
+    pub fn alive(&self) -> &BTreeSet<Holder> {
+        self.leases.alive()
+    }
+
+    /// How often a lease was renewed; `None` once it is over.
+    pub fn renewals(&self, h: Holder) -> Option<u64> {
+        self.leases.renewals(h)
+    }
+
+    /// The record of work in hand.
+    pub fn work(&self) -> &Ledger {
+        &self.work
+    }
+
+    /// Machines that are taken out for work.
+    pub fn plan(&self) -> &Plan {
+        &self.plan
+    }
+
+    /// What all admit requests by.
+    pub fn policy(&self) -> &Policies {
+        &self.policy
+    }
+
+    /// The last batch of a life that was applied.
+    pub fn batch(&self, life: Life) -> u64 {
+        self.batches.get(&life).copied().unwrap_or(0)
+    }
+
+    /// Takes a numbered batch of one life: in order and once. False if it was skipped.
+    pub fn apply(&mut self, from: Life, number: u64, commands: Vec<Command>, out: &mut Vec<Effect>) -> bool {
+        if number != self.batch(from) + 1 {
+            return false;
+        }
+        self.batches.insert(from, number);
+        commands.into_iter().for_each(|c| self.command(c, out));
+        true
+    }
+
+    fn command(&mut self, command: Command, out: &mut Vec<Effect>) {
+        match command {
+            Command::Register(life) => {
+                let holder = self.leases.register(life);
+                out.push(Effect::Registered(holder));
+                self.changed_leases(out);
+            }
+            Command::Renew(h) => out.extend(self.leases.renew(h).then_some(Effect::Renewed(h))),
+            Command::Expire(h, renewals) => self.end(h, Some(renewals), out),
+            Command::Leave(h) => self.end(h, None, out),
+            Command::Sweep(now) => {
+                self.work.sweep(now, &mut |e| out.push(Effect::Work(e)));
+                let parts = [(Part::Plan, self.plan.sweep(now)), (Part::Policy, self.policy.sweep(now))];
+                tell(parts, out);
+            }
+            Command::Work(c) => self.work.apply(c, self.leases.alive(), &mut |e| out.push(Effect::Work(e))),
+            Command::Plan(c) => tell([(Part::Plan, self.plan.apply(c, self.leases.alive()))], out),
+            Command::Policy(c) => tell([(Part::Policy, self.policy.apply(c, self.leases.alive()))], out),
+        }
+    }
+
+    fn end(&mut self, h: Holder, renewals: Option<u64>, out: &mut Vec<Effect>) {
+        if !self.leases.end(h, renewals) {
+            return;
+        }
+        out.push(Effect::Ended(h));
+        self.work.end(h, self.leases.alive(), &mut |e| out.push(Effect::Work(e)));
+        self.changed_leases(out);
+    }
+
+    fn changed_leases(&mut self, out: &mut Vec<Effect>) {
+        for life in self.leases.forget() {
+            self.batches.remove(&life);
+        }
+        let alive = self.leases.alive();
+        let parts = [(Part::Plan, self.plan.leases(alive)), (Part::Policy, self.policy.leases(alive))];
+        tell(parts, out);
+    }
+
+    /// The whole, for a peer that joins.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+
+    /// Reads what [`Agreed::encode`] wrote.
+    pub fn decode(bytes: &[u8]) -> Result<Agreed, postcard::Error> {
+        let mut agreed: Agreed = postcard::from_bytes(bytes)?;
+        agreed.leases.restore();
+        agreed.work.restore();
+        Ok(agreed)
+    }
+}
+
+/// Tells which parts have changed.
+fn tell<const N: usize>(parts: [(Part, bool); N], out: &mut Vec<Effect>) {
+    out.extend(parts.into_iter().filter(|(_, changed)| *changed).map(|(part, _)| Effect::Changed(part)));
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/joining.rs
@@ -0,0 +1,149 @@
+//! Founding a fleet, taking part in one, and giving up one that is lost.
+
+use super::*;
+
+impl Fleet {
+    /// A message of a peer.
+    pub fn hear(&mut self, now: Micros, from: Peer, message: Message) {
+        match message {
+            Message::Hello { life, fleet, formed, policy, .. } => {
+                let id = fleet.as_ref().map(|f| f.id);
+                self.greeted(now, from, Heard { life, fleet: id, policy, at: now }, fleet, formed);
+            }
+            Message::Log(fleet, bytes) => {
+                if self.group.is_none()
+                    && let Some(other) = self.other.take_if(|o| o.id == fleet)
+                {
+                    self.take_part(now, other);
+                }
+                if let Some(group) = self.group.as_mut().filter(|g| g.founding.id == fleet) {
+                    group.step(&bytes);
+                }
+            }
+            Message::Fetch(ask) => self.news.push_back(News::Fetch(from, ask)),
+            Message::Result(ask, pages) => self.news.push_back(News::Result(ask, pages)),
+        }
+        self.digest(now);
+    }
+
+    pub(super) fn greeted(
+        &mut self,
+        now: Micros,
+        from: Peer,
+        heard: Heard,
+        fleet: Option<Founding>,
+        formed: bool,
+    ) {
+        let life = heard.life;
+        if peer_of(life) != from || !self.terms.peers.contains(&from) {
+            return;
+        }
+        let id = fleet.as_ref().map(|f| f.id);
+        self.heard.insert(from, heard);
+        let own = self.group.as_ref().map(|g| g.founding.id);
+        if own.is_some() && (id.is_none() || id == own) {
+            self.asking.insert(from, life);
+        }
+        let Some(fleet) = fleet else { return };
+        let unformed = self.group.as_ref().is_some_and(|g| !g.formed());
+        // One that waits to be taken in by a fleet that is no more follows a founding that names it. Else who founds
+        // names its life, it gives up later and comes back as another, and the next founding names a life that is
+        // no more either, for good.
+        let waits = self.group.as_ref().is_some_and(|g| !g.begun());
+        let named = waits && id != own && fleet.voters.contains(&self.life);
+        if named || unformed && formed && id != own {
+            // Two were founded at once; the other came to be.
+            self.give_up();
+        }
+        if self.group.is_none() {
+            match fleet.voters.contains(&self.life) {
+                true => self.take_part(now, fleet),
+                false => self.other = Some(fleet),
+            }
+        }
+    }
+
+    pub(super) fn others(&self) -> impl Iterator<Item = Peer> + '_ {
+        self.terms.peers.iter().copied().filter(|p| *p != self.terms.me)
+    }
+
+    pub(super) fn fresh(&self, now: Micros) -> impl Iterator<Item = (Peer, Heard)> + '_ {
+        let oldest = now.saturating_sub(FRESH * HELLO * self.terms.tick);
+        self.heard.iter().filter(move |(_, h)| h.at >= oldest).map(|(p, h)| (*p, *h))
+    }
+
+    pub(super) fn majority(&self) -> usize {
+        self.terms.peers.len() / 2 + 1
+    }
+
+    /// Founds a fleet if a majority has none and this is the first of them. Any two majorities share a peer,
+    /// and a peer takes part in one founding.
+    pub(super) fn found(&mut self, now: Micros) {
+        if now < self.begun + 2 * HELLO * self.terms.tick {
+            return;
+        }
+        let fresh: BTreeMap<Peer, Heard> = self.fresh(now).collect();
+        let first = fresh.keys().all(|p| *p > self.terms.me);
+        let free = fresh.values().all(|h| h.fleet.is_none());
+        if !first || !free || fresh.len() + 1 < self.majority() {
+            return;
+        }
+        let voter = |p: &Peer| match fresh.get(p) {
+            Some(h) => h.life,
+            None if *p == self.terms.me => self.life,
+            None => life(*p, 0),
+        };
+        let voters = self.terms.peers.iter().map(voter).collect();
+        let policy = fresh.values().map(|h| h.policy).fold(self.policy, u64::max);
+        let founding =
+            Founding { id: self.rng.next_u64(), voters, limits: self.terms.limits, at: now, policy };
+        self.take_part(now, founding);
+        self.hello_at = now;
+    }
+
+    pub(super) fn take_part(&mut self, now: Micros, founding: Founding) {
+        let id = founding.id;
+        if let Ok(group) = Group::new(founding, self.life, self.terms.tick, now) {
+            (self.group, self.other) = (Some(group), None);
+            (self.leaderless, self.hello_at) = (Some(now), now);
+            self.news.push_back(News::Joined(id));
+        }
+    }
+
+    pub(super) fn give_up(&mut self) {
+        let Some(group) = self.group.take() else { return };
+        if let Some((holder, _)) = self.lease.take() {
+            self.lose(holder);
+        }
+        (self.leader, self.leaderless) = (None, None);
+        self.renewals.clear();
+        self.renewed.clear();
+        self.queue.clear();
+        self.asking.clear();
+        // Who takes part again does so as another life: its votes stay with the old fleet. One that was never taken
+        // in has given none.
+        if group.begun() {
+            self.life = life(self.terms.me, (self.life & (u64::MAX >> 8)) + 1);
+        }
+        self.news.push_back(News::GivenUp(group.founding.id));
+    }
+
+    pub(super) fn give_up_if_lost(&mut self, now: Micros) {
+        let Some(group) = &self.group else { return };
+        match (group.leader(), self.leaderless) {
+            (Some(_), _) => self.leaderless = None,
+            (None, None) => self.leaderless = Some(now),
+            // Taken in by a fleet that is no longer there, or founded one that never came to be.
+            (None, Some(since)) if !group.formed() && now > since + self.terms.give_up / 2 => self.give_up(),
+            (None, Some(since)) if now > since + self.terms.give_up => {
+                // They have none, or another, which was founded while this peer was cut off.
+                let own = Some(group.founding.id);
+                let anew = self.fresh(now).filter(|(_, h)| h.fleet != own).count();
+                if anew >= self.majority() {
+                    self.give_up();
+                }
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/fleet/requests.rs
@@ -0,0 +1,86 @@
+//! What is put on record, and what it is asked for.
+
+use super::*;
+
+impl Fleet {
+    /// Puts a request on record. With `first`, it is told at once and [`News::Opened`] says that it is agreed.
+    /// False if it can't be: there is no lease.
+    pub fn open(&mut self, now: Micros, ask: u64, record: Record, first: bool) -> bool {
+        let Some(holder) = self.holds(now) else { return false };
+        if !first && self.queue.len() >= WAITING {
+            return false;
+        }
+        self.queue.push(Command::Work(ledger::Command::Open(holder, ask, record)));
+        self.flush_by(if first { now } else { now + self.terms.batch });
+        true
+    }
+
+    /// It was sent to an executor.
+    pub fn tried(&mut self, now: Micros, ask: u64, executor: u32) {
+        let Some((holder, _)) = self.lease else { return };
+        let waits = self.queue.iter_mut().rev().find_map(|c| match c {
+            Command::Work(ledger::Command::Open(_, a, record)) if *a == ask => Some(record),
+            _ => None,
+        });
+        match waits {
+            Some(record) => record.tried.push(executor),
+            None => {
+                self.queue.push(Command::Work(ledger::Command::Tried(holder, ask, executor)));
+                self.flush_by(now + self.terms.batch);
+            }
+        }
+    }
+
+    /// A request is over. One that nobody was told of yet leaves no trace.
+    pub fn close(&mut self, now: Micros, ask: u64, end: End) {
+        let Some((holder, _)) = self.lease else { return };
+        self.mine.remove(&ask);
+        let opened = self
+            .queue
+            .iter()
+            .position(|c| matches!(c, Command::Work(ledger::Command::Open(_, a, _)) if *a == ask));
+        if let (Some(at), End::Gone) = (opened, &end) {
+            self.queue.remove(at);
+            return;
+        }
+        self.queue.push(Command::Work(ledger::Command::Close(holder, ask, end)));
+        self.flush_by(now + self.terms.batch);
+    }
+
+    /// Moves a part of the fleet's state. False if nothing can be agreed now.
+    pub fn agree(&mut self, now: Micros, command: Command) -> bool {
+        if self.holds(now).is_none() {
+            return false;
+        }
+        self.queue.push(command);
+        self.flush_by(now);
+        true
+    }
+
+    /// For how long no leader has been heard of; `None` while there is one.
+    pub fn without_word(&self, now: Micros) -> Option<Micros> {
+        let led = self.group.as_ref().is_some_and(|g| g.leader().is_some());
+        (!led).then(|| now.saturating_sub(self.leaderless.unwrap_or(now)))
+    }
+
+    /// Asks the owner of a request for its result.
+    pub fn fetch(&mut self, ask: u64) {
+        if let Some((_, owner)) = self.ledger().and_then(|l| l.open(ask)) {
+            self.messages.push((peer_of(owner.life), Message::Fetch(ask)));
+        }
+    }
+
+    /// Tells a peer the result of a request that it asked for.
+    pub fn tell(&mut self, to: Peer, ask: u64, pages: Option<Vec<Vec<u8>>>) {
+        self.messages.push((to, Message::Result(ask, pages)));
+    }
+
+    /// Ends in order: the lease goes back.
+    pub fn leave(&mut self, now: Micros) {
+        if let Some((holder, _)) = self.lease.take() {
+            self.queue.push(Command::Leave(holder));
+            self.flush_by(now);
+            self.flush(now);
+        }
+    }
+}
--- a/crates/fleet/src/group.rs
+++ b/crates/fleet/src/group/mod.rs
@@ -1,10 +1,13 @@
-//! The replicated log of a fleet, by the `raft` crate, with the ledger that its entries make.
+//! The replicated log of a fleet, by the `raft` crate, with the state that its entries make.
 //!
 //! No peer has a disk that lasts, so that none may come back under the id it had: every life of a process takes
 //! part under an id of its own. One that starts anew is taken in as a learner, and once it has caught up it
 //! takes the place of its peer's former life in one joint change.
 
-use crate::ledger::{Command, Effect, Ledger};
+mod pump;
+mod seat;
+
+use crate::agreed::{Agreed, Command, Effect};
 use crate::log::Log;
 use crate::wire::Founding;
 use crate::{Life, Micros, peer_of};
@@ -23,7 +26,7 @@
 const KEPT: u64 = 1_024;
 /// A learner this close to the end of the log has caught up.
 const CAUGHT_UP: u64 = 256;
-/// The log is cut once it is longer than the ledger and than this, in bytes.
+/// The log is cut once it is longer than the state and than this, in bytes.
 const LEAST_CUT: usize = 1 << 20;
 /// Batches under way at most; more wait.
 const UNDER_WAY: usize = 64;
@@ -39,10 +42,10 @@
     me: Life,
     node: RawNode<Log>,
     log: Log,
-    ledger: Ledger,
+    agreed: Agreed,
     applied: u64,
-    /// The ledger of the snapshot that came last.
-    incoming: Option<Ledger>,
+    /// The state of the snapshot that came last.
+    incoming: Option<Agreed>,
     period: Micros,
     tick_at: Micros,
     /// Own batches that the log did not show yet: number, entry, when it was last proposed.
@@ -57,7 +60,7 @@
     pub messages: Vec<(Life, Vec<u8>)>,
     /// What the log's entries did, in order.
     pub effects: Vec<Effect>,
-    /// The ledger was replaced by a snapshot: effects were missed.
+    /// The state was replaced by a snapshot: effects were missed.
     pub restored: bool,
     /// Messages that could not be used.
     pub refused: u64,
@@ -71,7 +74,7 @@
     let meta = snapshot.mut_metadata();
     (meta.index, meta.term) = (1, 1);
     meta.set_conf_state(ConfState::from((founding.voters.clone(), Vec::new())));
-    snapshot.data = Ledger::new(founding.limits).encode().into();
+    snapshot.data = Agreed::new(founding.limits, founding.policy).encode().into();
     snapshot
 }
 
@@ -97,7 +100,7 @@
         };
         let node = RawNode::new(&config, log.clone(), &slog::Logger::root(slog::Discard, slog::o!()))?;
         Ok(Group {
-            ledger: Ledger::new(founding.limits),
+            agreed: Agreed::new(founding.limits, founding.policy),
             founding,
             me,
             node,
@@ -118,9 +121,9 @@
         })
     }
 
-    /// The record as far as the log was seen.
-    pub fn ledger(&self) -> &Ledger {
-        &self.ledger
+    /// The state as far as the log was seen.
+    pub fn agreed(&self) -> &Agreed {
+        &self.agreed
     }
 
     /// Whether this peer leads.
@@ -185,7 +188,7 @@
         let beyond = message.get_msg_type() == MessageType::MsgHeartbeat && message.commit > last;
         let snapshot = message.get_msg_type() == MessageType::MsgSnapshot;
         if snapshot {
-            self.incoming = Ledger::decode(&message.get_snapshot().data).ok();
+            self.incoming = Agreed::decode(&message.get_snapshot().data).ok();
         }
         let unreadable = snapshot && self.incoming.is_none();
         if message.to != self.me || beyond || unreadable || self.node.step(message).is_err() {
@@ -219,130 +222,4 @@
         }
         self.pump();
     }
-
-    /// As leader: takes a life in that has no vote yet, one step at a time.
-    pub fn seat(&mut self, life: Life) {
-        let members = self.log.members();
-        let joint = !members.voters_outgoing.is_empty();
-        if !self.leads() || joint || self.node.raft.has_pending_conf() || members.voters.contains(&life) {
-            return;
-        }
-        let peer = peer_of(life);
-        let single = |kind, id| {
-            let mut c = ConfChangeSingle::default();
-            c.set_change_type(kind);
-            c.node_id = id;
-            c
-        };
-        let stale = |ids: &[Life]| -> Vec<Life> {
-            ids.iter().copied().filter(|l| *l != life && peer_of(*l) == peer).collect()
-        };
-        let mut changes: Vec<ConfChangeSingle> = Vec::new();
-        if members.learners.contains(&life) {
-            let matched = self.node.raft.prs().get(life).map_or(0, |p| p.matched);
-            if matched == 0 || matched + CAUGHT_UP < self.node.raft.raft_log.committed {
-                return;
-            }
-            changes.extend(stale(&members.voters).into_iter().map(|l| single(ConfChangeType::RemoveNode, l)));
-            changes.push(single(ConfChangeType::AddNode, life));
-        } else {
-            changes
-                .extend(stale(&members.learners).into_iter().map(|l| single(ConfChangeType::RemoveNode, l)));
-            changes.push(single(ConfChangeType::AddLearnerNode, life));
-        }
-        let mut change = ConfChangeV2::default();
-        change.set_changes(changes.into());
-        let _ = self.node.propose_conf_change(Vec::new(), change);
-        self.pump();
-    }
-
-    /// Does what the library wants done until nothing is left.
-    fn pump(&mut self) {
-        while self.node.has_ready() {
-            let mut ready = self.node.ready();
-            self.send(ready.take_messages());
-            if !ready.snapshot().is_empty() {
-                self.restore(ready.snapshot().clone());
-            }
-            self.apply(ready.take_committed_entries());
-            if !ready.entries().is_empty() {
-                self.grown += ready.entries().iter().map(|e| e.data.len() + 32).sum::<usize>();
-                if let Err(e) = self.log.append(ready.entries()) {
-                    unreachable!("the log takes what follows its end: {e}");
-                }
-            }
-            if let Some(state) = ready.hs() {
-                self.log.set_hard_state(state.clone());
-            }
-            self.send(ready.take_persisted_messages());
-            let mut light = self.node.advance(ready);
-            if let Some(index) = light.commit_index() {
-                self.log.commit(index);
-            }
-            self.send(light.take_messages());
-            self.apply(light.take_committed_entries());
-            self.node.advance_apply();
-        }
-        let wanted = self.log.take_wanted();
-        if self.applied > 1 && (wanted || self.grown > LEAST_CUT.max(self.size)) {
-            let data = self.ledger.encode();
-            (self.grown, self.size) = (0, data.len());
-            let _ = self.log.compact(self.applied, data, KEPT);
-        }
-    }
-
-    fn send(&mut self, messages: Vec<Message>) {
-        let snapshot = |m: &&Message| m.get_msg_type() == MessageType::MsgSnapshot;
-        let at = self.tick_at;
-        self.snapshots.extend(messages.iter().filter(snapshot).map(|m| (m.to, at)));
-        let bytes = |m: Message| Some((m.to, m.write_to_bytes().ok()?));
-        self.messages.extend(messages.into_iter().filter_map(bytes));
-    }
-
-    fn restore(&mut self, snapshot: Snapshot) {
-        // It was read before it was handed to the library.
-        let Some(ledger) = self.incoming.take() else { return };
-        self.applied = snapshot.get_metadata().index;
-        (self.grown, self.size) = (0, snapshot.data.len());
-        if self.log.restore(snapshot).is_ok() {
-            self.ledger = ledger;
-            self.restored = true;
-            self.seen();
-        }
-    }
-
-    fn apply(&mut self, entries: Vec<Entry>) {
-        for e in entries {
-            self.applied = e.index;
-            match e.get_entry_type() {
-                EntryType::EntryNormal if e.data.is_empty() => {}
-                EntryType::EntryNormal => {
-                    let Ok((life, number, commands)) = postcard::from_bytes::<Batch>(&e.data) else {
-                        self.refused += 1;
-                        continue;
-                    };
-                    self.ledger.apply(life, number, commands, &mut self.effects);
-                    if life == self.me {
-                        self.seen();
-                    }
-                }
-                EntryType::EntryConfChangeV2 => {
-                    let Ok(change) = ConfChangeV2::parse_from_bytes(&e.data) else { continue };
-                    if let Ok(members) = self.node.apply_conf_change(&change) {
-                        self.log.set_members(members);
-                    }
-                }
-                EntryType::EntryConfChange => {}
-            }
-        }
-    }
-
-    /// Own batches that the ledger has taken are no longer under way.
-    fn seen(&mut self) {
-        let last = self.ledger.batch(self.me);
-        self.next_batch = self.next_batch.max(last + 1);
-        while self.pending.front().is_some_and(|(n, _, _)| *n <= last) {
-            self.pending.pop_front();
-        }
-    }
 }
--- /dev/null
+++ b/crates/fleet/src/group/pump.rs
@@ -0,0 +1,95 @@
+//! What the library wants done: messages, entries, snapshots.
+
+use super::*;
+
+impl Group {
+    /// Does what the library wants done until nothing is left.
+    pub(super) fn pump(&mut self) {
+        while self.node.has_ready() {
+            let mut ready = self.node.ready();
+            self.send(ready.take_messages());
+            if !ready.snapshot().is_empty() {
+                self.restore(ready.snapshot().clone());
+            }
+            self.apply(ready.take_committed_entries());
+            if !ready.entries().is_empty() {
+                self.grown += ready.entries().iter().map(|e| e.data.len() + 32).sum::<usize>();
+                if let Err(e) = self.log.append(ready.entries()) {
+                    unreachable!("the log takes what follows its end: {e}");
+                }
+            }
+            if let Some(state) = ready.hs() {
+                self.log.set_hard_state(state.clone());
+            }
+            self.send(ready.take_persisted_messages());
+            let mut light = self.node.advance(ready);
+            if let Some(index) = light.commit_index() {
+                self.log.commit(index);
+            }
+            self.send(light.take_messages());
+            self.apply(light.take_committed_entries());
+            self.node.advance_apply();
+        }
+        let wanted = self.log.take_wanted();
+        if self.applied > 1 && (wanted || self.grown > LEAST_CUT.max(self.size)) {
+            let data = self.agreed.encode();
+            (self.grown, self.size) = (0, data.len());
+            let _ = self.log.compact(self.applied, data, KEPT);
+        }
+    }
+
+    pub(super) fn send(&mut self, messages: Vec<Message>) {
+        let snapshot = |m: &&Message| m.get_msg_type() == MessageType::MsgSnapshot;
+        let at = self.tick_at;
+        self.snapshots.extend(messages.iter().filter(snapshot).map(|m| (m.to, at)));
+        let bytes = |m: Message| Some((m.to, m.write_to_bytes().ok()?));
+        self.messages.extend(messages.into_iter().filter_map(bytes));
+    }
+
+    fn restore(&mut self, snapshot: Snapshot) {
+        // It was read before it was handed to the library.
+        let Some(agreed) = self.incoming.take() else { return };
+        self.applied = snapshot.get_metadata().index;
+        (self.grown, self.size) = (0, snapshot.data.len());
+        if self.log.restore(snapshot).is_ok() {
+            self.agreed = agreed;
+            self.restored = true;
+            self.seen();
+        }
+    }
+
+    fn apply(&mut self, entries: Vec<Entry>) {
+        for e in entries {
+            self.applied = e.index;
+            match e.get_entry_type() {
+                EntryType::EntryNormal if e.data.is_empty() => {}
+                EntryType::EntryNormal => {
+                    let Ok((life, number, commands)) = postcard::from_bytes::<Batch>(&e.data) else {
+                        self.refused += 1;
+                        continue;
+                    };
+                    self.agreed.apply(life, number, commands, &mut self.effects);
+                    if life == self.me {
+                        self.seen();
+                    }
+                }
+                EntryType::EntryConfChangeV2 => {
+                    let Ok(change) = ConfChangeV2::parse_from_bytes(&e.data) else { continue };
+                    if let Ok(members) = self.node.apply_conf_change(&change) {
+                        self.log.set_members(members);
+                    }
+                }
+                EntryType::EntryConfChange => {}
+            }
+        }
+    }
+
+    /// Own batches that the state has taken are no longer under way.
+    pub(super) fn seen(&mut self) {
+        let last = self.agreed.batch(self.me);
+        self.next_batch = self.next_batch.max(last + 1);
+        while self.pending.front().is_some_and(|(n, _, _)| *n <= last) {
+            self.pending.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/leases.rs
@@ -0,0 +1,125 @@
+//! Who may act: the leases of the fleet's lives, as its log has them.
+
+use crate::{Life, peer_of};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// A peer's right to act: one life of it and a term, which grows each time that it lost its lease.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Holder {
+    /// The process.
+    pub life: Life,
+    /// Counts its leases, from 1.
+    pub term: u32,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Lease {
+    term: u32,
+    alive: bool,
+    /// How often it was renewed.
+    renewals: u64,
+}
+
+/// All leases, those of lives that are over included: terms never start anew for one that returns.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Leases {
+    lives: BTreeMap<Life, Lease>,
+    /// Who has one; follows from the lives.
+    #[serde(skip)]
+    alive: BTreeSet<Holder>,
+}
+
+/// Peers that can have a lease at once, at most: a lease has a peer's place in its top byte.
+pub const MOST_ALIVE: usize = 32;
+/// Lives remembered at most.
+const MOST_LIVES: usize = 64;
+
+impl Leases {
+    /// Those who have a lease.
+    pub fn alive(&self) -> &BTreeSet<Holder> {
+        &self.alive
+    }
+
+    /// Whether a lease goes on under this very term.
+    pub fn holds(&self, h: Holder) -> bool {
+        self.alive.contains(&h)
+    }
+
+    /// How often a lease was renewed; `None` once it is over.
+    pub fn renewals(&self, h: Holder) -> Option<u64> {
+        self.lives.get(&h.life).filter(|_| self.holds(h)).map(|l| l.renewals)
+    }
+
+    /// Gives a life a lease; one that it has already goes on.
+    pub fn register(&mut self, life: Life) -> Holder {
+        let lease = self.lives.entry(life).or_insert(Lease { term: 0, alive: false, renewals: 0 });
+        if !lease.alive {
+            *lease = Lease { term: lease.term + 1, alive: true, renewals: 0 };
+        }
+        let holder = Holder { life, term: lease.term };
+        self.alive.insert(holder);
+        holder
+    }
+
+    /// Whether the lease was there to be renewed.
+    pub fn renew(&mut self, h: Holder) -> bool {
+        let held = self.holds(h);
+        if let Some(lease) = self.lives.get_mut(&h.life).filter(|_| held) {
+            lease.renewals += 1;
+        }
+        held
+    }
+
+    /// Ends a lease; whether it was there. With `renewals`, only if it was renewed so often: who says that it ran
+    /// out has seen no renewal since, and one that stands in the log before that word is not to be lost.
+    pub fn end(&mut self, h: Holder, renewals: Option<u64>) -> bool {
+        let seen = self.renewals(h);
+        if seen.is_none() || renewals.is_some_and(|n| seen != Some(n)) {
+            return false;
+        }
+        if let Some(lease) = self.lives.get_mut(&h.life) {
+            lease.alive = false;
+        }
+        self.alive.remove(&h)
+    }
+
+    /// Forgets lives that a later one of their peer has followed, the oldest first; a peer's last is never
+    /// forgotten. Who went.
+    pub fn forget(&mut self) -> Vec<Life> {
+        let mut gone = Vec::new();
+        while self.lives.len() > MOST_LIVES {
+            let lives: Vec<Life> = self.lives.keys().copied().collect();
+            let followed = |w: &&[Life]| peer_of(w[0]) == peer_of(w[1]) && !self.lives[&w[0]].alive;
+            let Some(old) = lives.windows(2).find(followed).map(|w| w[0]) else { break };
+            self.lives.remove(&old);
+            gone.push(old);
+        }
+        gone
+    }
+
+    /// Works out again what follows from the rest.
+    pub(crate) fn restore(&mut self) {
+        let alive = self.lives.iter().filter(|(_, l)| l.alive);
+        self.alive = alive.map(|(&life, l)| Holder { life, term: l.term }).collect();
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::life;
+
+    // A leader that missed a renewal judged a lease to be over while the renewal stood in the log before its word.
+    // Its holder had seen the renewal and went on for a whole lease; the others took over what it had in hand.
+    #[test]
+    fn a_lease_is_not_ended_by_word_from_before_its_last_renewal() {
+        let mut leases = Leases::default();
+        let h = leases.register(life(1, 5));
+        let seen = leases.renewals(h);
+        assert!(leases.renew(h));
+        assert!(!leases.end(h, seen) && leases.holds(h));
+        assert!(leases.end(h, leases.renewals(h)) && !leases.renew(h));
+        assert_eq!(leases.register(life(1, 5)).term, 2, "a later lease is another one");
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/mod.rs
@@ -0,0 +1,192 @@
+//! The record of work in hand: a state machine that every peer applies alike.
+//!
+//! A request has a record under its `ask`, the name that it keeps over all tries of its client. Whoever opens
+//! the record first owns it; all others are told that it is taken. What must not run twice stays on record
+//! after its end, so that a try that comes back is answered and not run.
+
+mod types;
+
+pub use types::{Command, Effect, End, Limits, Record};
+
+use crate::{Holder, Life, Micros};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+enum State {
+    Open(Holder),
+    Done(End),
+}
+
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Entry {
+    record: Record,
+    state: State,
+}
+
+/// The record.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    limits: Limits,
+    entries: BTreeMap<u64, Entry>,
+    /// What each holder owns; follows from the entries.
+    #[serde(skip)]
+    owned: BTreeMap<Holder, BTreeSet<u64>>,
+    /// When each entry goes: its deadline and more; follows from the entries.
+    #[serde(skip)]
+    times: BTreeSet<(Micros, u64)>,
+    swept: Micros,
+}
+
+/// Takes what came of a command.
+type Out<'a> = &'a mut dyn FnMut(Effect);
+
+impl Ledger {
+    /// An empty one.
+    pub fn new(limits: Limits) -> Ledger {
+        Ledger { limits, entries: BTreeMap::new(), owned: BTreeMap::new(), times: BTreeSet::new(), swept: 0 }
+    }
+
+    /// Records, the ended ones included.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether there is none.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// A request on record, if it is open: with its owner.
+    pub fn open(&self, ask: u64) -> Option<(&Record, Holder)> {
+        match self.entries.get(&ask) {
+            Some(Entry { record, state: State::Open(h) }) => Some((record, *h)),
+            _ => None,
+        }
+    }
+
+    /// How a request on record ended, if it has.
+    pub fn ended(&self, ask: u64) -> Option<&End> {
+        match self.entries.get(&ask) {
+            Some(Entry { state: State::Done(end), .. }) => Some(end),
+            _ => None,
+        }
+    }
+
+    /// What a holder owns.
+    pub fn owned(&self, holder: Holder) -> impl Iterator<Item = u64> + '_ {
+        self.owned.get(&holder).into_iter().flatten().copied()
+    }
+
+    /// Takes a command, with those who have a lease.
+    pub(crate) fn apply(&mut self, command: Command, alive: &BTreeSet<Holder>, out: Out<'_>) {
+        match command {
+            Command::Open(h, ask, record) => {
+                let effect = if !alive.contains(&h) {
+                    Effect::Fenced(h, ask)
+                } else if self.entries.contains_key(&ask) {
+                    Effect::Taken(h, ask)
+                } else if self.entries.len() >= self.limits.records as usize {
+                    Effect::Full(h, ask)
+                } else {
+                    self.times.insert((self.time(&record), ask));
+                    self.owned.entry(h).or_default().insert(ask);
+                    self.entries.insert(ask, Entry { record, state: State::Open(h) });
+                    Effect::Opened(h, ask)
+                };
+                out(effect);
+            }
+            Command::Tried(h, ask, executor) => {
+                if let Some(Entry { record, state: State::Open(owner) }) = self.entries.get_mut(&ask)
+                    && *owner == h
+                {
+                    record.tried.push(executor);
+                }
+            }
+            Command::Close(h, ask, end) => {
+                if self.open(ask).is_some_and(|(_, owner)| owner == h) {
+                    self.close(ask, end, out);
+                }
+            }
+        }
+    }
+
+    /// What is past its time goes.
+    pub(crate) fn sweep(&mut self, now: Micros, out: Out<'_>) {
+        self.swept = self.swept.max(now);
+        while let Some(&(at, ask)) = self.times.first().filter(|(at, _)| *at <= now) {
+            self.times.remove(&(at, ask));
+            if let Some((_, owner)) = self.open(ask) {
+                self.disown(owner, ask);
+                out(Effect::Closed(ask, End::Gone));
+            }
+            self.entries.remove(&ask);
+        }
+    }
+
+    fn time(&self, record: &Record) -> Micros {
+        record.deadline.saturating_add(self.limits.remember)
+    }
+
+    fn disown(&mut self, owner: Holder, ask: u64) {
+        if let Some(all) = self.owned.get_mut(&owner) {
+            all.remove(&ask);
+            if all.is_empty() {
+                self.owned.remove(&owner);
+            }
+        }
+    }
+
+    fn close(&mut self, ask: u64, end: End, out: Out<'_>) {
+        let Some((_, owner)) = self.open(ask) else { return };
+        self.disown(owner, ask);
+        if end == End::Gone {
+            if let Some(e) = self.entries.remove(&ask) {
+                self.times.remove(&(self.time(&e.record), ask));
+            }
+        } else if let Some(e) = self.entries.get_mut(&ask) {
+            // Who asks again is told how it ended, and needs no statement for that.
+            (e.state, e.record.statement) = (State::Done(end.clone()), None);
+        }
+        out(Effect::Closed(ask, end));
+    }
+
+    /// A lease is over: what must not run twice may have run, and never runs again; the rest goes to others,
+    /// spread over those alive. With nobody alive it is gone.
+    pub(crate) fn end(&mut self, h: Holder, heirs: &BTreeSet<Holder>, out: Out<'_>) {
+        for ask in self.owned.remove(&h).unwrap_or_default() {
+            let repeats = self.entries.get(&ask).is_some_and(|e| e.record.repeats);
+            if !repeats {
+                self.close(ask, End::Unknown, out);
+                continue;
+            }
+            let heir = heirs.iter().max_by_key(|heir| mixed(ask, heir.life)).copied();
+            match (heir, self.entries.get_mut(&ask)) {
+                (Some(by), Some(e)) => {
+                    e.state = State::Open(by);
+                    self.owned.entry(by).or_default().insert(ask);
+                    out(Effect::Claimed { ask, from: h, by });
+                }
+                _ => self.close(ask, End::Gone, out),
+            }
+        }
+    }
+
+    /// Works out again what follows from the entries.
+    pub(crate) fn restore(&mut self) {
+        for (ask, e) in &self.entries {
+            self.times.insert((e.record.deadline.saturating_add(self.limits.remember), *ask));
+            if let State::Open(h) = e.state {
+                self.owned.entry(h).or_default().insert(*ask);
+            }
+        }
+    }
+}
+
+/// Spreads requests over heirs, alike everywhere: splitmix64's finish.
+fn mixed(ask: u64, life: Life) -> u64 {
+    let mut x = ask ^ life.rotate_left(32);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^ (x >> 31)
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,4 +1,5 @@
-//! What the dispatchers of one fleet agree on: who is alive, and who owns which work in hand.
+//! What the dispatchers of one fleet agree on: who is alive, who owns which work in hand, which machines are out for
+//! work, and what all admit requests by.
 //!
 //! A dispatcher that dies with requests in hand leaves them in a record that its peers hold too. The record is
 //! a state machine over a replicated log (Raft, by the `raft` crate); a peer's right to act on what it owns is
@@ -6,24 +7,31 @@
 //! entry of that log, so that two successors never both claim. All of it is sans-I/O: bytes and times in, bytes
 //! and news out; the same inputs with the same seed give the same outputs.
 //!
-//! - [`ledger`]: the record itself: commands in, effects out.
-//! - [`group`]: the replicated log: how a fleet is founded, joined again after a restart, and written to.
+//! - [`agreed`]: the whole state: commands in, effects out; [`leases`]: who may act.
+//! - [`machine`]: what each kind of agreed state has to be; none knows another.
+//! - [`ledger`]: the record of work in hand.
 //! - [`plan`]: machines that are taken out for work, one after the other.
-//! - [`log`]: the log in memory, with snapshots of the ledger.
-//! - [`machine`]: what each kind of agreed state has to be.
+//! - [`policy`]: what all admit requests by, changed everywhere or nowhere.
+//! - [`group`]: the replicated log: how a fleet is founded, joined again after a restart, and written to.
+//! - [`log`]: the log in memory, with snapshots of the state.
 //! - [`wire`]: the frames between peers.
 //! - [`fleet`]: the whole for one dispatcher: leases, batches, news.
 
+pub mod agreed;
 pub mod fleet;
 pub mod group;
+pub mod leases;
 pub mod ledger;
 pub mod log;
 pub mod machine;
 pub mod plan;
+pub mod policy;
 pub mod wire;
 
+pub use agreed::{Agreed, Part};
 pub use fleet::{Fleet, News, Terms};
-pub use ledger::{End, Holder, Ledger, Record};
+pub use leases::Holder;
+pub use ledger::{End, Ledger, Record};
 pub use machine::Machine;
 
 /// Microseconds, of the Unix clock where they are compared between machines.
--- /dev/null
+++ b/crates/fleet/src/policy/apply.rs
@@ -0,0 +1,137 @@
+//! How the policy moves.
+
+use super::*;
+use crate::{Machine, peer_of};
+
+impl Policies {
+    fn propose(&mut self, p: Policy, by: Peer, at: Micros, limits: [Micros; 2], least: u64) -> bool {
+        if self.accepts(&p.text).is_err() {
+            return false;
+        }
+        self.last = (self.last + 1).max(least);
+        let vote = at.saturating_add(limits[0]);
+        self.pending = Some(Proposal {
+            policy: Policy { number: self.last, ..p },
+            by,
+            at,
+            stage: Stage::Voting,
+            votes: BTreeMap::new(),
+            stopped: BTreeSet::new(),
+            until: [vote, vote.saturating_add(limits[1])],
+        });
+        true
+    }
+
+    /// The change under way, if it is this one and this far.
+    fn under_way(&mut self, number: u64, stage: Stage) -> Option<&mut Proposal> {
+        self.pending.as_mut().filter(|p| p.policy.number == number && p.stage == stage)
+    }
+
+    fn end(&mut self, why: Option<String>) -> bool {
+        let Some(p) = self.pending.take() else { return false };
+        let faults = p.votes.iter().filter(|(_, f)| !f.is_empty());
+        let faults = faults.map(|(h, f)| (peer_of(h.life), f.clone())).collect();
+        self.ended.insert(0, Ended { number: p.policy.number, why: why.clone(), faults });
+        self.ended.truncate(ENDED);
+        if why.is_none() {
+            let old = std::mem::replace(&mut self.current, p.policy);
+            self.past.insert(0, old);
+            self.past.truncate(PAST);
+        }
+        true
+    }
+
+    /// Goes on as far as those with a lease let it.
+    fn settle(&mut self, alive: &BTreeSet<Holder>) -> bool {
+        let Some(p) = &mut self.pending else { return false };
+        if alive.is_empty() {
+            return false;
+        }
+        match p.stage {
+            Stage::Voting if alive.iter().all(|h| p.votes.contains_key(h)) => {
+                let against = |h: &&Holder| p.votes.get(h).is_some_and(|f| !f.is_empty());
+                match alive.iter().filter(against).count() {
+                    0 => p.stage = Stage::Closing,
+                    n => return self.end(Some(format!("{n} of {} voted against it", alive.len()))),
+                }
+                true
+            }
+            Stage::Closing if alive.is_subset(&p.stopped) => self.end(None),
+            _ => false,
+        }
+    }
+}
+
+/// As much of it as is kept.
+fn bounded(mut faults: Vec<String>) -> Vec<String> {
+    faults.truncate(FAULTS);
+    for f in &mut faults {
+        if f.len() > FAULT {
+            let end = (0..=FAULT).rev().find(|n| f.is_char_boundary(*n)).unwrap_or(0);
+            f.truncate(end);
+        }
+    }
+    faults
+}
+
+impl Machine for Policies {
+    type Command = Command;
+
+    fn apply(&mut self, command: Command, alive: &BTreeSet<Holder>) -> bool {
+        let changed = match command {
+            Command::Propose { text, digest, by, at, limits, least } => {
+                self.propose(Policy { number: 0, text, digest }, by, at, limits, least)
+            }
+            Command::Back(by, at, limits) => match self.past.first().cloned() {
+                Some(before) => self.propose(before, by, at, limits, 0),
+                None => false,
+            },
+            Command::Vote(h, number, faults) => match self.under_way(number, Stage::Voting) {
+                Some(p) if alive.contains(&h) && !p.votes.contains_key(&h) => {
+                    p.votes.insert(h, bounded(faults));
+                    true
+                }
+                _ => false,
+            },
+            Command::Stopped(h, number) => match self.under_way(number, Stage::Closing) {
+                Some(p) if alive.contains(&h) => p.stopped.insert(h),
+                _ => false,
+            },
+            Command::Cannot(h, number, why) => match self.under_way(number, Stage::Closing) {
+                Some(p) if alive.contains(&h) => {
+                    let why = bounded(vec![why]);
+                    let told = format!("peer {} can't: {}", peer_of(h.life), why.concat());
+                    p.votes.insert(h, why);
+                    self.end(Some(told))
+                }
+                _ => false,
+            },
+            Command::Abort(number) => match &self.pending {
+                Some(p) if p.policy.number == number => self.end(Some("called off by an operator".into())),
+                _ => false,
+            },
+        };
+        self.settle(alive) || changed
+    }
+
+    fn leases(&mut self, alive: &BTreeSet<Holder>) -> bool {
+        if let Some(p) = &mut self.pending {
+            // What those said whose lease is over no longer counts, nor does it pile up.
+            p.votes.retain(|h, faults| alive.contains(h) || !faults.is_empty());
+            p.stopped.retain(|h| alive.contains(h));
+            while p.votes.len() > 2 * crate::leases::MOST_ALIVE {
+                p.votes.pop_first();
+            }
+        }
+        self.settle(alive)
+    }
+
+    fn sweep(&mut self, now: Micros) -> bool {
+        let why = match &self.pending {
+            Some(p) if p.stage == Stage::Voting && p.until[0] <= now => "not all have voted in time",
+            Some(p) if p.until[1] <= now => "not all have stopped in time",
+            _ => return false,
+        };
+        self.end(Some(why.into()))
+    }
+}
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -16,6 +16,8 @@
     pub limits: Limits,
     /// When it was founded, by the founder's Unix clock.
     pub at: Micros,
+    /// The highest number of a policy that any of those heard then knew: the fleet before had it in force.
+    pub policy: u64,
 }
 
 /// A message between peers.
@@ -31,6 +33,8 @@
         fleet: Option<Founding>,
         /// Whether that fleet's log was ever written to, as far as the speaker knows.
         formed: bool,
+        /// The number of the policy that the speaker acts by.
+        policy: u64,
     },
     /// A message of the log of a fleet, in the library's own form.
     Log(u64, Vec<u8>),
@@ -99,7 +103,7 @@
     use super::*;
 
     fn hello() -> Message {
-        Message::Hello { from: 2, life: 77, fleet: None, formed: false }
+        Message::Hello { from: 2, life: 77, fleet: None, formed: false, policy: 0 }
     }
 
     #[test]
--- /dev/null
+++ b/crates/fleet/tests/fleet/policy.rs
@@ -0,0 +1,186 @@
+//! A change of policy takes hold everywhere or nowhere.
+
+use crate::world::*;
+use fleet::agreed::Command;
+use fleet::policy::{self, Act, Gate, Policies};
+use fleet::{Micros, Peer};
+use std::collections::BTreeSet;
+use std::hash::Hasher;
+
+const LIMITS: [Micros; 2] = [3_000 * MS, 3_000 * MS];
+
+fn propose(w: &mut World, p: Peer, text: &str) -> bool {
+    let now = w.now;
+    let (text, digest) = (text.to_string(), [7; 32]);
+    let command = policy::Command::Propose { text, digest, by: p, at: now, limits: LIMITS, least: 0 };
+    w.fleets.get_mut(&p).is_some_and(|f| f.agree(now, Command::Policy(command)))
+}
+
+fn say(w: &mut World, p: Peer, command: policy::Command) -> bool {
+    let now = w.now;
+    w.fleets.get_mut(&p).is_some_and(|f| f.agree(now, Command::Policy(command)))
+}
+
+fn policies(w: &World, p: Peer) -> Policies {
+    w.fleets.get(&p).and_then(|f| f.agreed()).map(|a| a.policy().clone()).unwrap_or_default()
+}
+
+/// The number in force at each that runs.
+fn numbers(w: &World) -> BTreeSet<u64> {
+    w.parts.iter().filter(|(p, _)| w.fleets.contains_key(p)).map(|(_, part)| part.number()).collect()
+}
+
+// Nobody is down: the change is in force everywhere within a few round trips, and nothing is refused for it.
+#[test]
+fn a_change_takes_hold_everywhere_and_refuses_nothing() {
+    let mut w = World::new(3, 1);
+    w.formed();
+    let refused = w.gates[2];
+    assert!(propose(&mut w, 2, "policy one"));
+    w.run(400 * MS, |_| ());
+    assert_eq!((numbers(&w), w.admitted), (BTreeSet::from([1]), 1));
+    assert!(w.gates[1] > 0, "while all stop, what arrives waits");
+    assert_eq!(w.gates[2], refused, "nothing was refused");
+    let now = w.now;
+    assert!(say(&mut w, 1, policy::Command::Back(1, now, LIMITS)));
+    w.run(400 * MS, |_| ());
+    assert_eq!(numbers(&w), BTreeSet::from([2]), "back is a change of its own number");
+    assert_eq!(policies(&w, 3).current().text, "");
+}
+
+// One that can't take it: nowhere, and its faults are told at all the others.
+#[test]
+fn one_vote_against_it_and_it_takes_hold_nowhere() {
+    let mut w = World::new(3, 2);
+    w.faulty.insert(3);
+    w.formed();
+    assert!(propose(&mut w, 1, "policy with an unknown class"));
+    w.run(600 * MS, |_| ());
+    assert_eq!(numbers(&w), BTreeSet::from([0]));
+    let told = policies(&w, 2);
+    let ended = told.ended().next().unwrap();
+    assert_eq!((ended.number, &ended.faults[..]), (1, &[(3, vec!["unknown class".to_string()])][..]));
+    assert!(w.acts.iter().filter(|(_, a)| matches!(a, Act::GivenUp(1, ..))).count() >= 3, "all log it");
+    assert!(propose(&mut w, 1, "policy two"));
+    w.run(600 * MS, |_| ());
+    assert_eq!(numbers(&w), BTreeSet::from([2]), "a number is never given twice");
+}
+
+// One is cut off in the middle: the others wait until its lease is over, and it admits nothing from before that.
+// It comes back to the new policy.
+#[test]
+fn one_that_is_cut_off_holds_it_up_no_longer_than_its_lease() {
+    let mut w = World::new(3, 3);
+    w.formed();
+    w.cut = [(1, 2), (3, 2), (2, 1), (2, 3)].into();
+    let follower = if w.fleets[&1].leads() { 3 } else { 1 };
+    w.run(20 * MS, |_| ());
+    let begun = w.now;
+    while !propose(&mut w, follower, "policy one") {
+        w.run(50 * MS, |_| ());
+    }
+    while w.admitted == 0 {
+        w.run(10 * MS, |_| ());
+        assert!(w.now < begun + 5_000 * MS, "it took hold within two leases and an election");
+    }
+    assert_eq!(w.parts[&2].number(), 0);
+    w.cut.clear();
+    w.run(3_000 * MS, |_| ());
+    assert_eq!(numbers(&w), BTreeSet::from([1]));
+}
+
+// Two at once, and one called off: one is taken, the other told so.
+#[test]
+fn of_two_at_once_one_is_taken() {
+    let mut w = World::new(5, 4);
+    w.formed();
+    assert!(propose(&mut w, 1, "policy a") && propose(&mut w, 4, "policy b"));
+    w.run(600 * MS, |_| ());
+    assert_eq!(numbers(&w), BTreeSet::from([1]));
+    // Called off while one of them stands still, so that not all have voted.
+    let slow = if w.fleets[&5].leads() { 4 } else { 5 };
+    w.paused.insert(slow, w.now + 700 * MS);
+    assert!(propose(&mut w, 1, "policy c"));
+    w.run(200 * MS, |_| ());
+    assert!(say(&mut w, 2, policy::Command::Abort(2)));
+    w.run(2_000 * MS, |_| ());
+    assert_eq!(numbers(&w), BTreeSet::from([1]));
+    assert!(policies(&w, 3).ended().next().unwrap().why.as_deref().unwrap().contains("called off"));
+}
+
+// A majority starts anew and the fleet's record is lost. The new one hears of the number that was in force and admits
+// nothing before that is back, which the one who knows it sees to; or, if that one has died, an operator.
+#[test]
+fn a_policy_outlives_the_fleets_record() {
+    for survives in [true, false] {
+        let mut w = World::new(3, 6);
+        w.formed();
+        assert!(propose(&mut w, 1, "policy one"));
+        w.run(400 * MS, |_| ());
+        w.restart(1);
+        w.restart(2);
+        if !survives {
+            // It has told its number, and is gone before it could say more.
+            while w.fleets[&1].agreed().is_none_or(|a| a.policy().abreast()) {
+                w.run(5 * MS, |_| ());
+            }
+            w.fleets.remove(&3);
+            let lost = w.now;
+            while w.fleets[&1].holds(w.now).is_none() {
+                w.run(100 * MS, |_| ());
+                assert!(w.now < lost + 30_000 * MS, "the two that are left have a fleet");
+            }
+            let holder = w.fleets[&1].holds(w.now);
+            assert_eq!(w.parts[&1].gate(holder), Gate::Refuse);
+            assert!(propose(&mut w, 1, "policy two"));
+        }
+        w.run(if survives { 18_000 } else { 5_000 } * MS, |_| ());
+        let text = if survives { "policy one" } else { "policy two" };
+        assert_eq!(policies(&w, 2).current().text, text);
+        assert!(w.admitted > 1 && numbers(&w) == BTreeSet::from([w.admitted]));
+    }
+}
+
+/// Changes under faults for a while, then none; returns the trace.
+fn changes(n: u8, seed: u64) -> u64 {
+    let mut w = World::new(n, seed);
+    w.formed();
+    for round in 0..40_u64 {
+        let p = 1 + w.draw(u64::from(n)) as Peer;
+        let now = w.now;
+        match w.draw(8) {
+            0 => drop(say(&mut w, p, policy::Command::Back(p, now, LIMITS))),
+            1 => {
+                let number = policies(&w, p).pending().map_or(0, |x| x.policy.number);
+                say(&mut w, p, policy::Command::Abort(number));
+            }
+            _ => drop(propose(&mut w, p, &format!("policy {round}"))),
+        }
+        let before = w.draw(60) * MS;
+        w.run(before, |_| ());
+        w.trouble();
+        w.run(300 * MS, |_| ());
+        w.heal();
+    }
+    w.heal_all();
+    w.run(10_000 * MS, |_| ());
+    let all: Vec<Policies> = (1..=n).map(|p| policies(&w, p)).collect();
+    assert!(all.iter().all(|p| *p == all[0]), "seed {seed}: one state in the end");
+    assert_eq!(all[0].pending(), None, "seed {seed}: nothing is under way for good");
+    assert_eq!(numbers(&w), BTreeSet::from([all[0].current().number]), "seed {seed}");
+    assert!(all[0].current().number > 3, "seed {seed}: changes took hold");
+    w.trace.finish()
+}
+
+// Whatever goes wrong, never is a request admitted by an older policy than any request before it (asserted at every
+// step of the world), and all end with the same one.
+#[test]
+fn any_faults_leave_one_policy_and_never_two_at_once() {
+    for seed in 0..14 {
+        changes(3, 1_000 + seed);
+    }
+    for seed in 0..7 {
+        changes(5, 2_000 + seed);
+    }
+    assert_eq!(changes(3, 77), changes(3, 77));
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet/storm.rs
@@ -0,0 +1,63 @@
+//! Faults drawn from a seed, under traffic.
+
+use crate::world::*;
+use fleet::Fleet;
+use std::hash::Hasher;
+
+/// Faults for a while, then none; returns the trace.
+fn storm(n: u8, seed: u64) -> u64 {
+    let mut w = World::new(n, seed);
+    w.formed();
+    let mut next = 1_u64;
+    for _ in 0..40 {
+        // Traffic at all that have a lease.
+        for p in 1..=n {
+            if !w.paused.contains_key(&p) {
+                let repeats = w.draw(2) == 0;
+                open(&mut w, p, next, repeats);
+                next += 1;
+            }
+        }
+        w.trouble();
+        let asks = next;
+        w.run(300 * MS, |w| w.one_owner(1..asks));
+        w.heal();
+    }
+    w.heal_all();
+    let asks = next;
+    w.run(6_000 * MS, |w| w.one_owner(1..asks));
+    // All have the same record, and what is open there is owned by somebody alive who knows it.
+    let now = w.now;
+    for ask in 1..next {
+        let of = |f: &Fleet| {
+            let l = f.ledger().unwrap();
+            (l.open(ask).map(|(r, h)| (r.clone(), h)), l.ended(ask).cloned())
+        };
+        let differ: Vec<_> =
+            w.fleets.iter().filter(|(_, f)| of(f) != of(&w.fleets[&1])).map(|(p, _)| *p).collect();
+        let state = |f: &Fleet| (f.holds(now), f.leads(), f.ledger().map(|l| l.len()));
+        let states: Vec<_> = w.fleets.values().map(state).collect();
+        assert!(differ.is_empty(), "seed {seed}, request {ask} at {differ:?}: {states:?}");
+        let open = w.fleets[&1].ledger().unwrap().open(ask).is_some();
+        let owners = w.fleets.values().filter(|f| f.owns(now, ask)).count();
+        assert_eq!(owners, usize::from(open), "seed {seed}, request {ask}");
+    }
+    w.trace.finish()
+}
+
+// Whatever goes wrong: never two owners, the same record in the end, and nothing left without an owner.
+#[test]
+fn any_faults_leave_one_owner_and_one_record() {
+    for seed in 0..12 {
+        storm(3, seed);
+    }
+    for seed in 0..6 {
+        storm(5, 100 + seed);
+    }
+}
+
+#[test]
+fn the_same_seed_gives_the_same_run() {
+    assert_eq!(storm(3, 42), storm(3, 42));
+    assert_ne!(storm(3, 42), storm(3, 43));
+}
--- /dev/null
+++ b/crates/fleet/tests/fleet/world.rs
@@ -0,0 +1,275 @@
+//! A fleet in virtual time: cut links, late and lost messages, peers that stand still, die and start anew.
+
+use fleet::agreed::Command;
+use fleet::ledger::{Limits, Record};
+use fleet::policy::{Act, Gate, Part, Policy};
+use fleet::wire::{frame, next};
+use fleet::{Fleet, Micros, News, Peer, Terms};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::hash::{DefaultHasher, Hash};
+
+pub const MS: Micros = 1_000;
+pub const LEASE: Micros = 1_000 * MS;
+
+pub fn terms(me: Peer, n: u8) -> Terms {
+    Terms {
+        me,
+        peers: (1..=n).collect(),
+        lease: LEASE,
+        margin: 100 * MS,
+        tick: 30 * MS,
+        batch: 10 * MS,
+        give_up: 10_000 * MS,
+        limits: Limits { records: 500, remember: 30_000 * MS },
+    }
+}
+
+pub fn record(rid: u64, repeats: bool, deadline: Micros) -> Record {
+    Record {
+        rid,
+        class: 0,
+        tenant: None,
+        key: None,
+        group: 0,
+        work_s: None,
+        memory_mb: None,
+        repeats,
+        statement: Some("SELECT 1".into()),
+        deadline,
+        tried: vec![1],
+        policy: 0,
+    }
+}
+
+pub struct World {
+    pub n: u8,
+    pub now: Micros,
+    pub rng: Pcg64Mcg,
+    pub fleets: BTreeMap<Peer, Fleet>,
+    /// Stands still until then.
+    pub paused: BTreeMap<Peer, Micros>,
+    pub cut: BTreeSet<(Peer, Peer)>,
+    /// Messages under way, by when they come.
+    pub wires: VecDeque<(Micros, Peer, Peer, Vec<u8>)>,
+    pub news: Vec<(Peer, News)>,
+    /// All that ever was told, for comparing runs.
+    pub trace: DefaultHasher,
+    /// Each one's part in changes of policy; its own file faults what it names here.
+    pub parts: BTreeMap<Peer, Part>,
+    pub faulty: BTreeSet<Peer>,
+    /// The highest number that a request was admitted by, and how many were, held and refused.
+    pub admitted: u64,
+    pub gates: [u64; 3],
+    pub acts: Vec<(Peer, Act)>,
+    /// When those that are out are back.
+    pub healed_at: BTreeMap<Peer, Micros>,
+}
+
+impl World {
+    pub fn new(n: u8, seed: u64) -> World {
+        let now = 1_000_000 * MS;
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let fleets = (1..=n).map(|p| (p, Fleet::new(terms(p, n), rng.next_u64(), now))).collect();
+        World {
+            n,
+            now,
+            rng,
+            fleets,
+            paused: BTreeMap::new(),
+            cut: BTreeSet::new(),
+            wires: VecDeque::new(),
+            news: Vec::new(),
+            trace: DefaultHasher::new(),
+            parts: (1..=n).map(|p| (p, Part::default())).collect(),
+            faulty: BTreeSet::new(),
+            admitted: 0,
+            gates: [0; 3],
+            acts: Vec::new(),
+            healed_at: BTreeMap::new(),
+        }
+    }
+
+    pub fn draw(&mut self, below: u64) -> u64 {
+        self.rng.next_u64() % below
+    }
+
+    pub fn step(&mut self) {
+        self.now += 5 * MS;
+        let now = self.now;
+        self.paused.retain(|_, until| *until > now);
+        let mut due: Vec<_> = self.wires.iter().filter(|w| w.0 <= now).cloned().collect();
+        self.wires.retain(|w| w.0 > now);
+        due.sort_by_key(|w| w.0);
+        for (at, from, to, bytes) in due {
+            if self.paused.contains_key(&to) {
+                self.wires.push_back((at + 5 * MS, from, to, bytes));
+            } else if let Some(f) = self.fleets.get_mut(&to) {
+                // Through the codec, as on a socket.
+                let (_, message) = next(&bytes, 64 << 20).unwrap().unwrap();
+                f.hear(now, from, message);
+            }
+        }
+        let peers: Vec<Peer> = self.fleets.keys().copied().filter(|p| !self.paused.contains_key(p)).collect();
+        for p in peers {
+            let Some(f) = self.fleets.get_mut(&p) else { continue };
+            f.tick(now);
+            f.flush(now);
+            let messages = std::mem::take(&mut f.messages);
+            let news = std::mem::take(&mut f.news);
+            for (to, message) in messages {
+                let lost = self.cut.contains(&(p, to)) || self.draw(200) == 0;
+                let late = 1 + self.draw(4);
+                if !lost {
+                    self.wires.push_back((now + late * MS, p, to, frame(&message)));
+                }
+            }
+            for n in news {
+                format!("{now} {p} {n:?}").hash(&mut self.trace);
+                self.news.push((p, n));
+            }
+            self.look(p);
+            self.arrives(p);
+        }
+    }
+
+    /// A peer looks at the policy and does what comes of it.
+    fn look(&mut self, p: Peer) {
+        let now = self.now;
+        let (Some(f), Some(part)) = (self.fleets.get_mut(&p), self.parts.get_mut(&p)) else { return };
+        let bad = self.faulty.contains(&p);
+        let mut check = |policy: &Policy| {
+            let faults = bad && policy.text.contains("unknown");
+            if faults { vec!["unknown class".to_string()] } else { Vec::new() }
+        };
+        f.policy = part.number();
+        let policies = f.agreed().map(|a| a.policy().clone());
+        for act in part.look(now, p, f.holds(now), policies.as_ref(), &mut check) {
+            if let Act::Say(c) = &act
+                && !f.agree(now, Command::Policy(c.clone()))
+            {
+                part.unsaid();
+            }
+            format!("{now} {p} {act:?}").hash(&mut self.trace);
+            self.acts.push((p, act));
+        }
+    }
+
+    /// A request arrives: never is it admitted by an older policy than any before it was.
+    fn arrives(&mut self, p: Peer) {
+        let holder = self.fleets.get(&p).and_then(|f| f.holds(self.now));
+        match self.parts.get(&p).map(|part| part.gate(holder)) {
+            Some(Gate::Admit(number)) => {
+                self.gates[0] += 1;
+                assert!(
+                    number >= self.admitted,
+                    "at {} peer {p} admits by {number} after {}",
+                    self.now,
+                    self.admitted
+                );
+                self.admitted = number;
+            }
+            Some(Gate::Hold) => self.gates[1] += 1,
+            _ => self.gates[2] += 1,
+        }
+    }
+
+    pub fn run(&mut self, span: Micros, mut each: impl FnMut(&mut World)) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            each(self);
+        }
+    }
+
+    /// No request is two peers' at once.
+    pub fn one_owner(&self, asks: impl Iterator<Item = u64>) {
+        for ask in asks {
+            let owners: Vec<Peer> =
+                self.fleets.iter().filter(|(_, f)| f.owns(self.now, ask)).map(|(p, _)| *p).collect();
+            assert!(owners.len() <= 1, "at {} request {ask} is owned by {owners:?}", self.now);
+        }
+    }
+
+    pub fn restart(&mut self, p: Peer) {
+        let seed = self.rng.next_u64();
+        self.fleets.insert(p, Fleet::new(terms(p, self.n), seed, self.now));
+        self.parts.insert(p, Part::default());
+    }
+
+    /// One of the dispatchers may be killed, stopped or cut off for a while.
+    pub fn trouble(&mut self) {
+        // A minority at most is out at once; one that started anew is, until it takes part again.
+        let now = self.now;
+        let victim = 1 + self.draw(u64::from(self.n)) as Peer;
+        let out: BTreeSet<Peer> = (1..=self.n)
+            .filter(|p| {
+                self.fleets.get(p).is_none_or(|f| f.holds(now).is_none()) || self.healed_at.contains_key(p)
+            })
+            .collect();
+        if out.len() < usize::from((self.n - 1) / 2) && !out.contains(&victim) {
+            let span = (200 + self.draw(2_500)) * MS;
+            match self.draw(4) {
+                0 => {
+                    self.fleets.remove(&victim);
+                    self.healed_at.insert(victim, self.now + span);
+                }
+                1 => {
+                    let until = self.now + span;
+                    self.paused.insert(victim, until);
+                }
+                2 => {
+                    let one_way = self.draw(2) == 0;
+                    for p in (1..=self.n).filter(|p| *p != victim) {
+                        self.cut.insert((p, victim));
+                        if !one_way {
+                            self.cut.insert((victim, p));
+                        }
+                    }
+                    self.healed_at.insert(victim, self.now + span);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    /// Who has been out for long enough is back.
+    pub fn heal(&mut self) {
+        let now = self.now;
+        let healed: Vec<Peer> = self.healed_at.iter().filter(|(_, t)| **t <= now).map(|(p, _)| *p).collect();
+        for p in healed {
+            self.healed_at.remove(&p);
+            self.cut.retain(|(a, b)| *a != p && *b != p);
+            if !self.fleets.contains_key(&p) {
+                self.restart(p);
+            }
+        }
+    }
+
+    /// All are back.
+    pub fn heal_all(&mut self) {
+        self.cut.clear();
+        for p in 1..=self.n {
+            if !self.fleets.contains_key(&p) {
+                self.restart(p);
+            }
+        }
+    }
+
+    pub fn formed(&mut self) {
+        self.run(5_000 * MS, |_| ());
+        let now = self.now;
+        assert!(self.fleets.values().all(|f| f.holds(now).is_some()), "all have a lease");
+        assert_eq!(self.fleets.values().filter(|f| f.leads()).count(), 1);
+    }
+
+    pub fn told(&self, p: Peer, what: impl Fn(&News) -> bool) -> bool {
+        self.news.iter().any(|(q, n)| *q == p && what(n))
+    }
+}
+
+pub fn open(w: &mut World, p: Peer, ask: u64, repeats: bool) -> bool {
+    let (now, deadline) = (w.now, w.now + 20_000 * MS);
+    w.fleets.get_mut(&p).is_some_and(|f| f.open(now, ask, record(ask, repeats, deadline), true))
+}
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -1,7 +1,8 @@
 //! The record under any commands.
 
-use fleet::ledger::{Command, Effect, End, Holder, Ledger, Limits, Record};
-use fleet::{Life, life};
+use fleet::agreed::{Agreed, Command, Effect};
+use fleet::ledger::{self, End, Limits, Record};
+use fleet::{Holder, Life, life};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
@@ -24,6 +25,7 @@
         statement: repeats.then(|| "SELECT 1".into()),
         deadline,
         tried: vec![],
+        policy: 0,
     })
 }
 
@@ -37,11 +39,11 @@
     prop_oneof![
         2 => (1_u8..4).prop_map(|p| Command::Register(life(p, 1))),
         1 => holder().prop_map(Command::Renew),
-        1 => holder().prop_map(Command::Expire),
+        1 => (holder(), 0_u64..3).prop_map(|(h, n)| Command::Expire(h, n)),
         1 => holder().prop_map(Command::Leave),
-        6 => (holder(), 1_u64..20, record()).prop_map(|(h, ask, r)| Command::Open(h, ask, r)),
-        2 => (holder(), 1_u64..20, 1_u32..5).prop_map(|(h, ask, e)| Command::Tried(h, ask, e)),
-        3 => (holder(), 1_u64..20, end).prop_map(|(h, ask, e)| Command::Close(h, ask, e)),
+        6 => (holder(), 1_u64..20, record()).prop_map(|(h, ask, r)| Command::Work(ledger::Command::Open(h, ask, r))),
+        2 => (holder(), 1_u64..20, 1_u32..5).prop_map(|(h, ask, e)| Command::Work(ledger::Command::Tried(h, ask, e))),
+        3 => (holder(), 1_u64..20, end).prop_map(|(h, ask, e)| Command::Work(ledger::Command::Close(h, ask, e))),
         1 => (1_u64..12_000).prop_map(Command::Sweep),
     ]
 }
@@ -50,28 +52,28 @@
     // One owner, bounded, and never given to another what must not run twice; a copy by snapshot goes on alike.
     #[test]
     fn any_commands_leave_a_sound_record(commands in prop::collection::vec(command(), 1..120)) {
-        let mut ledger = Ledger::new(LIMITS);
+        let mut ledger = Agreed::new(LIMITS, 0);
         let from: Life = life(1, 1);
         let mut loads: BTreeMap<u64, Holder> = BTreeMap::new();
         for (n, c) in commands.into_iter().enumerate() {
-            let mut copy = Ledger::decode(&ledger.encode()).unwrap();
+            let mut copy = Agreed::decode(&ledger.encode()).unwrap();
             prop_assert_eq!(&copy, &ledger);
             let (mut effects, mut again) = (Vec::new(), Vec::new());
             prop_assert!(ledger.apply(from, n as u64 + 1, vec![c.clone()], &mut effects));
             prop_assert!(copy.apply(from, n as u64 + 1, vec![c.clone()], &mut again));
             prop_assert_eq!(&effects, &again);
             prop_assert!(!ledger.apply(from, n as u64 + 1, vec![c], &mut again), "a batch counts once");
-            prop_assert!(ledger.len() <= LIMITS.records as usize);
+            prop_assert!(ledger.work().len() <= LIMITS.records as usize);
             for e in &effects {
-                if let Effect::Claimed { ask, from, by } = e {
-                    prop_assert!(ledger.open(*ask).is_some_and(|(r, h)| r.repeats && h == *by) && from != by);
+                if let Effect::Work(ledger::Effect::Claimed { ask, from, by }) = e {
+                    prop_assert!(ledger.work().open(*ask).is_some_and(|(r, h)| r.repeats && h == *by) && from != by);
                 }
             }
-            let alive: Vec<Holder> = ledger.alive().collect();
+            let alive: Vec<Holder> = ledger.alive().iter().copied().collect();
             for ask in 1..20 {
-                if let Some((r, h)) = ledger.open(ask) {
+                if let Some((r, h)) = ledger.work().open(ask) {
                     prop_assert!(alive.contains(&h), "what is open has an owner with a lease");
-                    prop_assert!(ledger.owned(h).any(|a| a == ask));
+                    prop_assert!(ledger.work().owned(h).any(|a| a == ask));
                     if !r.repeats {
                         prop_assert!(loads.insert(ask, h).is_none_or(|was| was == h), "a load changed hands");
                     }
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -1,5 +1,6 @@
 //! The plan of machines taken out for work, under any order of asks, faults, aborts and leaders that know it late.
 
+use fleet::Machine as _;
 use fleet::plan::{Budget, Command, Machine, Plan, Step, lead, may_begin};
 use fleet::{Holder, Micros, life};
 use proptest::prelude::*;
@@ -89,7 +90,7 @@
                 _ => None,
             };
             let asked = matches!(command, Command::Ask(_));
-            if !plan.apply(command) {
+            if !plan.apply(command, &BTreeSet::new()) {
                 assert_eq!(before, plan);
                 continue;
             }
@@ -170,8 +171,8 @@
 fn what_holds_a_machine_up_is_told() {
     let (machines, budget) = (machines(), budget(1));
     let mut plan = Plan::default();
-    assert!(plan.apply(Command::Ask(vec!["m1".into(), "m2".into()])));
-    assert!(!plan.apply(Command::Ask(vec!["m2".into()])), "planned already");
+    assert!(plan.apply(Command::Ask(vec!["m1".into(), "m2".into()]), &BTreeSet::new()));
+    assert!(!plan.apply(Command::Ask(vec!["m2".into()]), &BTreeSet::new()), "planned already");
     assert_eq!(may_begin(&plan, &machines, 10.0, &budget), Ok("m1".into()));
     assert!(may_begin(&plan, &machines, 50.0, &budget).is_err(), "56 cores are left, 65 are needed");
     let few: BTreeMap<String, Machine> = machines.into_iter().take(4).collect();
--- a/src/net/hands.rs
+++ b/src/net/hands.rs
@@ -138,6 +138,7 @@
                 statement: r.ask.map(|_| job.statement.to_string()),
                 deadline: now + r.budget,
                 tried: Vec::new(),
+                policy: 0,
             },
         }
     }
--- a/src/net/upkeep.rs
+++ b/src/net/upkeep.rs
@@ -7,6 +7,7 @@
 use crate::codec::coordinator::State;
 use crate::codec::operator::Call;
 use crate::dispatch::News;
+use fleet::agreed::{self, Agreed};
 use fleet::plan::{self, Budget, Command, Machine, Plan, Step};
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::Write as _;
@@ -104,7 +105,7 @@
 
 impl Node {
     fn plan(&self) -> Option<&Plan> {
-        self.hands.as_ref()?.takeover.fleet.ledger().map(fleet::Ledger::plan)
+        self.hands.as_ref()?.takeover.fleet.agreed().map(Agreed::plan)
     }
 
     fn machines(&self) -> BTreeMap<String, Machine> {
@@ -139,7 +140,7 @@
             _ => Command::Abort,
         };
         let Some(hands) = &mut self.hands else { return Some("-ERR no fleet".into()) };
-        if !hands.takeover.fleet.plan(now, command) {
+        if !hands.takeover.fleet.agree(now, agreed::Command::Plan(command)) {
             return Some("-ERR no lease: this dispatcher is cut off from the fleet".into());
         }
         hands.upkeep.waiting.push(Waiting { caller, call, until: now + AGREED });
@@ -175,7 +176,7 @@
             return;
         }
         hands.upkeep.look_at = now + LOOK;
-        let Some(plan) = hands.takeover.fleet.ledger().map(fleet::Ledger::plan) else {
+        let Some(plan) = hands.takeover.fleet.agreed().map(Agreed::plan) else {
             return self.not_yet_told(now);
         };
         if plan.steps().next().is_none() && hands.upkeep.held_back.is_empty() {
@@ -255,7 +256,8 @@
         for (id, step) in plan.steps() {
             let Step::Drains(_, idle) = step else { continue };
             if !idle.contains(&holder) && hands.upkeep.held_back.contains(id) && !self.executors.busy(id) {
-                hands.takeover.fleet.plan(now, Command::Idle(holder, id.into()));
+                let idle = Command::Idle(holder, id.into());
+                hands.takeover.fleet.agree(now, agreed::Command::Plan(idle));
             }
         }
     }
@@ -289,9 +291,9 @@
         }
         let (machines, busy) = (self.machines(), self.dispatch.busy(now));
         let Some(hands) = &mut self.hands else { return };
-        let alive: BTreeSet<_> = hands.takeover.fleet.ledger().into_iter().flat_map(|l| l.alive()).collect();
+        let alive: BTreeSet<_> = hands.takeover.fleet.agreed().map(|a| a.alive().clone()).unwrap_or_default();
         for command in plan::lead(plan, &machines, busy, &alive, &hands.upkeep.budget, now) {
-            hands.takeover.fleet.plan(now, command);
+            hands.takeover.fleet.agree(now, agreed::Command::Plan(command));
         }
     }
 }
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -11,7 +11,7 @@
 use crate::api::Micros;
 use fleet::ledger::{End, Record};
 use fleet::wire::Message;
-use fleet::{Fleet, Holder, News, Peer};
+use fleet::{Fleet, Holder, News, Part, Peer};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The pages of a result.
@@ -157,6 +157,8 @@
     adopted: usize,
     /// The plan of machines that are taken out for work has changed since this was last asked.
     pub planned: bool,
+    /// The same of what all admit requests by, or this peer's lease.
+    pub ruled: bool,
     /// When something that is another's, or kept for a client, is to be looked at; some may no longer be.
     due: BTreeSet<(Micros, u64)>,
     /// What is to be done.
@@ -175,6 +177,7 @@
             asks: BTreeMap::new(),
             adopted: 0,
             planned: false,
+            ruled: false,
             due: BTreeSet::new(),
             moves: VecDeque::new(),
             tally: Tally::default(),
@@ -476,7 +479,8 @@
                 News::Closed(ask, end) => self.closed(now, ask, &end),
                 News::Fetch(peer, ask) => self.fetched(now, peer, ask),
                 News::Result(ask, pages) => self.result(ask, pages),
-                News::Plan => self.planned = true,
+                News::Changed(Part::Plan) => self.planned = true,
+                News::Changed(Part::Policy) => self.ruled = true,
                 News::Lost(holder) => self.lost(holder),
                 News::Held(h) => tracing::info!(term = h.term, "fleet: lease held"),
                 News::Ended(h) => {
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -75,6 +75,7 @@
             statement: Some("SELECT 1".into()),
             deadline: self.now + 8_000 * MS,
             tried: Vec::new(),
+            policy: 0,
         };
         let now = self.now;
         self.at(at).arrives(now, Try { ask: Some(ask), again, record })
