Split our own settings by concern and take their arrow up to the lists away

The setting types now stand in settings::options::terms, and membership re-exports them under their old paths. Lists, retry storms, peers and the tests have a file each; what is read, its defaults and its faults are unchanged.

--- a/src/membership/check.rs
+++ b/src/membership/check.rs
@@ -5,6 +5,7 @@
 use crate::codec::coordinator::executor_id;
 use crate::settings::Names;
 use crate::settings::hcl::{Fault, Place};
+pub use crate::settings::options::Terms;
 use ipnet::IpNet;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::{IpAddr, SocketAddr};
@@ -14,27 +15,6 @@
 /// Faults told of one list; the rest is counted.
 pub const MOST_FAULTS: usize = 100;
 
-/// What a list may hold, by our settings.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Terms {
-    /// Every file has to carry its seal.
-    pub sealed: bool,
-    /// The most motores in a list.
-    pub most_motores: usize,
-    /// The largest weight.
-    pub most_weight: f64,
-    /// The only networks allowed, if bound.
-    pub networks: Option<Vec<IpNet>>,
-    /// Loopback addresses are allowed.
-    pub loopback: bool,
-}
-
-impl Default for Terms {
-    fn default() -> Terms {
-        Terms { sealed: true, most_motores: 10_000, most_weight: 100.0, networks: None, loopback: false }
-    }
-}
-
 /// The rooms and kinds that the platform's settings know.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Catalog {
--- a/src/membership/members.rs
+++ b/src/membership/members.rs
@@ -5,37 +5,17 @@
 //! first motor in that order that has it. What a list no longer names drains: it gets nothing new, completes
 //! what it has, and is gone once nothing is out on it.
 
-use super::FEED;
 use super::keep::Acceptance;
 use super::list::{Digest, List, Motor};
 use crate::api::Micros;
 use crate::codec::coordinator::{State, Target};
-use crate::settings::options::Safeguard;
+pub use crate::settings::options::Guard;
+use crate::settings::options::{FEED, Safeguard};
 use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// What holds a list back until it is confirmed.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Guard {
-    /// The share of a room's capacity that lists may take away within the window.
-    pub most_loss: f64,
-    /// How long what was taken away counts.
-    pub window: Duration,
-    /// How often a list that is held back is told of again.
-    pub remind: Duration,
-    /// How long an acceptance holds.
-    pub accepted_for: Duration,
-}
-
-impl Default for Guard {
-    fn default() -> Guard {
-        let s = Duration::from_secs;
-        Guard { most_loss: 0.5, window: s(60), remind: s(30), accepted_for: s(3_600) }
-    }
-}
-
 fn micros(d: Duration) -> Micros {
     d.as_micros() as Micros
 }
--- a/src/membership/mod.rs
+++ b/src/membership/mod.rs
@@ -19,7 +19,5 @@
 pub mod settling;
 pub mod watcher;
 
+pub use crate::settings::options::FEED;
 pub use members::{Act, Guard, Members, Sources};
-
-/// The name of the coordinator's feed among the sources.
-pub const FEED: &str = "feed";
--- /dev/null
+++ b/src/settings/options/lists.rs
@@ -0,0 +1,203 @@
+//! Motor lists from files.
+
+use super::MS;
+use super::terms::{FEED, Guard, Terms};
+use crate::settings::hcl::{self, Fault, Table};
+use std::collections::BTreeSet;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+/// What to do at a start with neither a usable list nor a good copy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Empty {
+    /// Serve without motores from it: requests are refused with a time to come back.
+    Serve,
+    /// End with an error.
+    Exit,
+}
+
+/// One list: a file, or a directory of files.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Source {
+    /// Its name, as log lines and the precedence have it.
+    pub name: String,
+    /// The file or directory.
+    pub path: PathBuf,
+    /// Where `lists accept` writes what a person confirmed.
+    pub accept: PathBuf,
+}
+
+/// Motor lists from files.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Lists {
+    /// The lists.
+    pub sources: Vec<Source>,
+    /// Names of sources, the one that goes first ahead; `feed` is the coordinator's.
+    pub precedence: Vec<String>,
+    /// What a list may hold.
+    pub terms: Terms,
+    /// How long nothing may have changed before a list without seal is taken.
+    pub settle: Duration,
+    /// How often files are looked at without any notification.
+    pub poll: Duration,
+    /// The largest file read, in bytes, and the most files of a directory.
+    pub most_bytes: u64,
+    /// The most files of a directory.
+    pub most_files: usize,
+    /// What holds a list back.
+    pub guard: Guard,
+    /// How long a motor that was taken out of its list may go on with what it has.
+    pub drain_limit: Duration,
+    /// Where the last good lists are kept, where a disk lasts.
+    pub last_good: Option<PathBuf>,
+    /// What to do at a start without any list.
+    pub empty: Empty,
+    /// For tests alone: safeguards that are left out.
+    pub without: BTreeSet<Safeguard>,
+}
+
+/// What guards a list. Tests leave single ones out, to see the harm that each keeps away.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Safeguard {
+    /// A list is checked against its seal.
+    Seal,
+    /// A list without seal has to have settled.
+    Settle,
+    /// Files are looked at again after they were read, and a young one a second time.
+    Again,
+    /// A list is checked before use.
+    Check,
+    /// What takes away much is held back.
+    Guard,
+    /// What was taken out of a list drains.
+    Drain,
+    /// The file system notifies of changes.
+    Notify,
+}
+
+const SAFEGUARDS: [(&str, Safeguard); 7] = [
+    ("seal", Safeguard::Seal),
+    ("settle", Safeguard::Settle),
+    ("again", Safeguard::Again),
+    ("check", Safeguard::Check),
+    ("guard", Safeguard::Guard),
+    ("drain", Safeguard::Drain),
+    ("notify", Safeguard::Notify),
+];
+
+/// Reads the block.
+pub(super) fn read(t: &Table<'_>, faults: &mut Vec<Fault>) -> Lists {
+    let keys = [
+        "precedence",
+        "settle",
+        "poll",
+        "max_size",
+        "max_files",
+        "max_motores",
+        "max_weight",
+        "networks",
+        "allow_loopback",
+        "seals",
+        "drain_limit",
+        "last_good",
+        "on_empty",
+    ];
+    t.only(&keys, &["source", "guard", "test_only"], faults);
+    let mut l = Lists {
+        sources: Vec::new(),
+        precedence: Vec::new(),
+        terms: Terms::default(),
+        settle: MS(300),
+        poll: MS(1_000),
+        most_bytes: 8 << 20,
+        most_files: 256,
+        guard: Guard::default(),
+        drain_limit: MS(600_000),
+        last_good: None,
+        empty: Empty::Serve,
+        without: BTreeSet::new(),
+    };
+    t.set("settle", &mut l.settle, faults, hcl::duration(MS(10)..=MS(60_000)));
+    t.set("poll", &mut l.poll, faults, hcl::duration(MS(20)..=MS(60_000)));
+    t.set("max_size", &mut l.most_bytes, faults, hcl::size(1 << 10..=64 << 20));
+    t.set("drain_limit", &mut l.drain_limit, faults, hcl::duration(MS(1_000)..=MS(86_400_000)));
+    t.set("max_weight", &mut l.terms.most_weight, faults, hcl::number(0.001..=1e6));
+    t.set("allow_loopback", &mut l.terms.loopback, faults, hcl::boolean);
+    t.set("seals", &mut l.terms.sealed, faults, hcl::one_of(&[("required", true), ("optional", false)]));
+    let on_empty = [("serve", Empty::Serve), ("exit", Empty::Exit)];
+    t.set("on_empty", &mut l.empty, faults, hcl::one_of(&on_empty));
+    l.last_good = t.get("last_good", faults, hcl::string).map(PathBuf::from);
+    if let Some(n) = t.get("max_files", faults, hcl::whole(1..=4_096)) {
+        l.most_files = n as usize;
+    }
+    if let Some(n) = t.get("max_motores", faults, hcl::whole(1..=100_000)) {
+        l.terms.most_motores = n as usize;
+    }
+    if let Some(nets) = t.get("networks", faults, hcl::list(hcl::parsed("10.0.0.0/8"))) {
+        if nets.is_empty() {
+            faults.push(t.fault("networks", "an empty list allows no address; leave it out to allow all"));
+        }
+        l.terms.networks = Some(nets);
+    }
+    for (names, s) in t.blocks("source", 1, faults) {
+        s.only(&["path", "accept"], &[], faults);
+        let name = names[0].to_string();
+        let plain = |c: char| c.is_ascii_alphanumeric() || "-_.".contains(c);
+        if name == FEED || name.is_empty() || name.len() > 64 || !name.chars().all(plain) {
+            let what = "1 to 64 letters, digits, '-', '_' or '.' are allowed, and not \"feed\"";
+            faults.push(s.fault("", what));
+        }
+        if l.sources.iter().any(|o| o.name == name) {
+            faults.push(s.fault("", "a second source of this name"));
+        }
+        let path = s.need("path", faults, hcl::string).map(PathBuf::from).unwrap_or_default();
+        let accept = s.get("accept", faults, hcl::string).map(PathBuf::from);
+        if l.sources.iter().any(|o| o.path == path) {
+            faults.push(s.fault("path", "another source reads this path"));
+        }
+        l.sources.push(Source { name, accept: accept.unwrap_or_else(|| accept_path(&path)), path });
+    }
+    if l.sources.is_empty() {
+        faults.push(t.fault("", "no source block; at least one is needed"));
+    }
+    let names = || l.sources.iter().map(|s| s.name.as_str());
+    match t.get("precedence", faults, hcl::list(hcl::string)) {
+        None => l.precedence = names().chain([FEED]).map(String::from).collect(),
+        Some(given) => {
+            let once: BTreeSet<&str> = given.iter().map(String::as_str).collect();
+            let all: BTreeSet<&str> = names().collect();
+            if once.len() != given.len() {
+                faults.push(t.fault("precedence", "a name stands there twice"));
+            }
+            if let Some(unknown) = once.iter().find(|n| **n != FEED && !all.contains(**n)) {
+                let allowed: Vec<&str> = names().chain([FEED]).collect();
+                let what = format!("unknown source {unknown:?}; allowed: {}", allowed.join(", "));
+                faults.push(t.fault("precedence", what));
+            }
+            if let Some(missing) = all.iter().find(|n| !once.contains(**n)) {
+                faults.push(t.fault("precedence", format!("source {missing:?} is missing")));
+            }
+            l.precedence = given;
+        }
+    }
+    if let Some(g) = t.block("guard", faults) {
+        g.only(&["max_loss", "window", "remind", "accepted_for"], &[], faults);
+        g.set("max_loss", &mut l.guard.most_loss, faults, hcl::number(0.0..=1.0));
+        g.set("window", &mut l.guard.window, faults, hcl::duration(MS(0)..=MS(86_400_000)));
+        g.set("remind", &mut l.guard.remind, faults, hcl::duration(MS(1_000)..=MS(86_400_000)));
+        g.set("accepted_for", &mut l.guard.accepted_for, faults, hcl::duration(MS(1_000)..=MS(86_400_000)));
+    }
+    if let Some(tests) = t.block("test_only", faults) {
+        tests.only(&["without"], &[], faults);
+        let without = tests.get("without", faults, hcl::list(hcl::one_of(&SAFEGUARDS)));
+        l.without = without.into_iter().flatten().collect();
+    }
+    l
+}
+
+/// Where acceptances of a list stand if nothing else is said: beside it.
+pub fn accept_path(list: &Path) -> PathBuf {
+    let mut name = list.file_name().unwrap_or_default().to_os_string();
+    name.push(".accepted");
+    list.with_file_name(name)
+}
--- /dev/null
+++ b/src/settings/options/mod.rs
@@ -0,0 +1,75 @@
+//! Our own settings, from an HCL file beside the platform's JSON: what only some installations have.
+//!
+//! All of it is off unless the file says otherwise. Every fault of the file is told, with its place.
+//!
+//! - [`lists`]: motor lists from files, and [`terms`], what may be in them and what holds them back.
+//! - [`storms`]: retry storms.
+//! - [`peers`]: the other dispatchers.
+
+pub mod lists;
+pub mod peers;
+pub mod storms;
+pub mod terms;
+#[cfg(test)]
+mod tests;
+
+pub use lists::{Empty, Lists, Safeguard, Source, accept_path};
+pub use peers::Peers;
+pub use storms::Storms;
+pub use terms::{FEED, Guard, Terms};
+
+use crate::settings::hcl::{self, Fault, Table, Text};
+use std::path::Path;
+use std::time::Duration;
+
+/// How log lines are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, clap::ValueEnum)]
+pub enum LogFormat {
+    /// Time, level, module, message, fields.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// All settings of the file.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Options {
+    /// How log lines are written.
+    pub log_format: Option<LogFormat>,
+    /// Motor lists from files; none where the coordinator's feed is the only source.
+    pub lists: Option<Lists>,
+    /// Retry storms; none where the decisions alone see to refusals.
+    pub storms: Option<Storms>,
+    /// Other dispatchers; none where every dispatcher is alone.
+    pub peers: Option<Peers>,
+}
+
+const MS: fn(u64) -> Duration = Duration::from_millis;
+
+impl Options {
+    /// Reads a file; all that is wrong with it is told.
+    pub fn load(path: &Path) -> Result<Options, Vec<Fault>> {
+        let name = path.display().to_string();
+        let text = std::fs::read_to_string(path).map_err(|e| vec![Fault::of_file(&name, e)])?;
+        Options::parse(&name, &text)
+    }
+
+    /// Reads a text.
+    pub fn parse(name: &str, text: &str) -> Result<Options, Vec<Fault>> {
+        let text = Text::new(name, text);
+        let body = text.parse().map_err(|e| vec![e])?;
+        let (root, mut faults) = (Table::root(&text, &body), Vec::new());
+        root.only(&[], &["log", "motor_lists", "retry_storms", "peers"], &mut faults);
+        let mut options = Options::default();
+        if let Some(log) = root.block("log", &mut faults) {
+            log.only(&["format"], &[], &mut faults);
+            let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+            options.log_format = log.get("format", &mut faults, hcl::one_of(&formats));
+        }
+        options.lists = root.block("motor_lists", &mut faults).map(|t| lists::read(&t, &mut faults));
+        options.storms = root.block("retry_storms", &mut faults).map(|t| storms::read(&t, &mut faults));
+        options.peers = root.block("peers", &mut faults).map(|t| peers::read(&t, &mut faults));
+        if faults.is_empty() { Ok(options) } else { Err(faults) }
+    }
+}
--- /dev/null
+++ b/src/settings/options/storms.rs
@@ -0,0 +1,28 @@
+//! Retry storms: what passes of them.
+
+use super::MS;
+use crate::settings::hcl::{self, Fault, Table};
+use std::time::Duration;
+
+/// Retry storms.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Storms {
+    /// The longest wait that clients honour; else what the platform's settings say, else a second.
+    pub longest_wait: Option<Duration>,
+    /// Share of what passes that repeats without a promise may be.
+    pub repeats: f64,
+    /// Asks remembered after they were turned away.
+    pub remembered: usize,
+}
+
+/// Reads the block.
+pub(super) fn read(t: &Table<'_>, faults: &mut Vec<Fault>) -> Storms {
+    t.only(&["longest_wait", "repeats", "remembered"], &[], faults);
+    let mut s = Storms { longest_wait: None, repeats: 0.3, remembered: 20_000 };
+    s.longest_wait = t.get("longest_wait", faults, hcl::duration(MS(100)..=MS(60_000)));
+    t.set("repeats", &mut s.repeats, faults, hcl::number(0.0..=1.0));
+    if let Some(n) = t.get("remembered", faults, hcl::whole(100..=200_000)) {
+        s.remembered = n as usize;
+    }
+    s
+}
