Split the decisions into src/control/, a file for each concern

The folder has a file each for the tuned constants, rules, cost model, requests, draw, health, pressure, attempts and guards; mod.rs takes the events. Two plain facts (an engine is listed, no attempt can have run) and the making of the random source and the cost cache moved to the state.

--- /dev/null
+++ b/src/control/attempts.rs
@@ -0,0 +1,149 @@
+//! Attempts: their priority and grant, bad plans, outcomes, and the one place that sends them.
+
+use super::*;
+
+impl Gateway {
+    /// Priority by predicted cost against the mean of all queries, raised as the aim comes near.
+    fn priority(&self, q: &Query) -> u8 {
+        if self.now > q.aim {
+            return 0;
+        }
+        // One that others of its key wait behind is urgent for them all.
+        let behind = q.key.and_then(|k| self.keys.get(&k)).map_or(1, |line| line.waiting.len().max(1));
+        let multiple = q.cost / behind as f64 / self.overall.or(q.cost).max(1e-9);
+        let base = [4.0, 1.5, 0.5].iter().filter(|t| multiple < **t).count() as u8;
+        let urgent = (self.now - q.arrived) * 2 > q.aim - q.arrived;
+        (base + u8::from(urgent)).min(3)
+    }
+
+    fn grant(&self, q: &Query, e: &Engine) -> f64 {
+        let m = &self.models[q.class]; // where grants are not heeded, this does nothing
+        let memory = self.s.kinds[e.entry.kind].memory_mb * self.s.most_grant;
+        let need = q.memory_estimate.map_or(m.memory.or(0.0), |x| x * m.memory_bias.clamp(-1.5, 1.5).exp());
+        need.min(if memory > 0.0 { memory } else { need })
+    }
+
+    /// A further attempt beside one that is silent, or in place of one with a bad plan.
+    pub(super) fn resend(&mut self, id: QueryId, n: u32, instead: bool) {
+        let q = &self.queries[&id];
+        let may_stop = self.s.cancel && self.s.classes[q.class].effect == Effect::Safe;
+        if q.live() != [n] || q.done || q.streaming || (instead && !may_stop) {
+            return;
+        }
+        // Where copies are not allowed the next attempt goes out when the cancel is confirmed.
+        if (self.send(id, false) || !self.s.second_copies) && instead {
+            self.cancel(id, n);
+        }
+    }
+
+    /// Bad plans, priorities and queries past their aim, for all that is out.
+    pub(super) fn check_attempts(&mut self) {
+        let all: Vec<(QueryId, u32)> = self.engines.iter().flat_map(|e| e.out.iter().copied()).collect();
+        for (id, n) in all {
+            let Some(q) = self.queries.get(&id).filter(|q| !q.done && !q.streaming) else { continue };
+            let (class, past) = (q.class, self.now > q.aim);
+            if past && !q.late {
+                self.query(id).late = true;
+                self.count_late(class);
+            }
+            let harmless = self.s.classes[class].effect == Effect::Safe;
+            if past && self.models[class].pressure > GIVE_UP_PRESSURE && harmless {
+                self.end(id, SECOND);
+                continue;
+            }
+            let (q, p) = (&self.queries[&id], self.priority(&self.queries[&id]));
+            let (a, expected) = (&q.attempts[n as usize], self.expected(q).max(0.05));
+            let seconds = |t: Micros| (t - a.sent) as f64 / 1e6;
+            // What the whole attempt will take: by its notes, else what it took so far.
+            let looks = match self.s.progress {
+                Some(_) if a.progress < 0.5 => seconds(a.noted) / a.progress.max(0.01),
+                Some(_) => 0.0,
+                None => seconds(self.now),
+            };
+            let in_time = self.now + (expected * 1e6) as Micros <= q.deadline;
+            let mute = a.mute(self.now, self.s.progress, SILENT_FACTOR, SILENT_LEAST);
+            let again = in_time && (mute || looks > RUNAWAY * q.attempts.len() as f64 * expected);
+            if self.s.priorities && p != q.priority {
+                self.actions.push(Action::Terms { query: id, memory_mb: q.grant, priority: p });
+                self.query(id).priority = p;
+            }
+            if again {
+                self.resend(id, n, true);
+            }
+        }
+    }
+
+    pub(super) fn noted(&mut self, id: QueryId, n: u32, note: Note) {
+        let now = self.now;
+        let Some(q) = self.queries.get_mut(&id) else { return };
+        let Some(a) = Attempt::word(&mut q.attempts, n, now) else { return };
+        self.engines[a.engine].hear(now, GAP_WEIGHT);
+        match note {
+            Note::Progress(p) if p.is_finite() => {
+                let (i, seconds) = a.progressed(now, p.clamp(0.001, 1.0));
+                let cost = q.cost.max(1e-6) / f64::from(self.s.classes[q.class].threads);
+                self.paced(i, seconds / cost);
+            }
+            Note::Spill(missing) if !a.spilled && missing.is_finite() => {
+                a.spilled = true;
+                if let Some(e) = q.memory_estimate {
+                    let m = &mut self.models[q.class];
+                    let needed = ((a.grant + missing).max(1.0) / e.max(1.0)).ln();
+                    m.memory_bias += SPILL_WEIGHT * (needed - m.memory_bias).max(0.0);
+                }
+            }
+            Note::Progress(_) | Note::Spill(_) | Note::Waits => {}
+        }
+    }
+
+    pub(super) fn finished(&mut self, f: Finished) {
+        let (id, n, outcome) = (f.query, f.attempt, f.outcome);
+        self.reported(f.engine, f.report);
+        let Some(i) = self.settle(id, n, outcome) else { return };
+        let key = self.queries[&id].key;
+        if let (Some(k), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (key, outcome) {
+            let rest = self.now + self.s.key_quiet.unwrap_or(0);
+            let line = self.keys.entry(k).or_default();
+            line.rest_until = line.rest_until.max(rest);
+        }
+        self.judge(i, outcome);
+        if outcome == Outcome::Ok {
+            self.learn(id, n as usize, f.latency, f.bill);
+            self.blame(id);
+            let q = &self.queries[&id];
+            if self.now > q.aim && !q.late && !q.done {
+                self.count_late(q.class);
+            }
+        }
+        if f.done {
+            return self.close(id);
+        }
+        let q = &self.queries[&id];
+        let open = !q.done && !q.streaming && q.out() == 0;
+        if open && !self.send(id, false) {
+            self.end(id, SECOND);
+        }
+        self.forget(id);
+    }
+
+    /// The one place that sends attempts. Every guard of a rule is checked in `permitted` and here.
+    pub(super) fn send(&mut self, id: QueryId, ask: bool) -> bool {
+        let q = &self.queries[&id];
+        let further = !q.attempts.is_empty();
+        let over = q.done || q.streaming || self.now >= q.deadline;
+        let most = q.attempts.len() >= self.s.max_attempts as usize;
+        let copy = q.out() > 0 && !self.s.second_copies;
+        if over || most || copy || !self.has_turn(id) || (further && !self.budget_allows()) {
+            return false;
+        }
+        let Some((i, q)) = self.draw(id, ask).map(|i| (i, &self.queries[&id])) else { return false };
+        let (grant, priority) = (self.grant(q, &self.engines[i]), self.priority(q));
+        let terms = Action::Terms { query: id, memory_mb: grant, priority };
+        self.actions.extend((self.s.grants || self.s.priorities).then_some(terms));
+        self.further.extend(further.then_some(self.now));
+        self.record(id, i, grant, priority);
+        let engine = self.engines[i].entry.engine;
+        self.actions.push(Action::Send { query: id, engine, timeout: None });
+        true
+    }
+}
--- /dev/null
+++ b/src/control/draw.rs
@@ -0,0 +1,136 @@
+//! The draw of an engine by weight, and the probes that come before it.
+
+use super::*;
+
+impl Gateway {
+    fn distance(&self, e: &Engine) -> f64 {
+        if e.entry.zone == self.s.zone { 1.0 } else { 1.0 + CROSS_WEIGHT * self.s.cross_zone_price }
+    }
+
+    /// Engines of a table group, the same at all gateways by rendezvous hashing: homes, or its loads' homes.
+    pub(super) fn homes(&self, class: ClassId, group: u64) -> Vec<EngineId> {
+        let yields = self.s.classes[class].yields_to_loads;
+        let of = self.s.classes.iter().position(|c| yields && c.loads).unwrap_or(class);
+        let score = |e: &Engine| {
+            let unit = hashed(group, e.entry.engine);
+            (-unit.ln() / e.cores * self.distance(e) / self.spared(of, e), e.entry.engine)
+        };
+        let fits = |e: &&Engine| e.listed() && self.placed(of, e);
+        let mut all: Vec<_> = self.engines.iter().filter(fits).map(score).collect();
+        all.sort_by(|a, b| a.0.total_cmp(&b.0));
+        let homes = if self.s.classes[of].loads { LOAD_HOMES } else { HOMES };
+        all.into_iter().take(homes).map(|(_, e)| e).collect()
+    }
+
+    /// A class that may go anywhere leaves the engines of a bound class to it.
+    fn spared(&self, class: ClassId, e: &Engine) -> f64 {
+        let bound = |c: &Class| c.only_kinds.is_some() || c.only_zones.is_some();
+        let mut all = self.s.classes.iter().enumerate();
+        let others = !bound(&self.s.classes[class]) && all.any(|(i, c)| bound(c) && e.pool >> i & 1 == 1);
+        if others { SPARED } else { 1.0 }
+    }
+
+    fn weight(&self, q: &Query, e: &Engine) -> f64 {
+        let capacity = e.cores * self.warmth(e) * e.entry.weight.unwrap_or(1.0);
+        let load = self.load(e) * e.cores / capacity.max(1e-9);
+        let c = &self.s.classes[q.class];
+        let home = match q.homes.contains(&e.entry.engine) {
+            false => 1.0,
+            true if c.yields_to_loads => 1.0 / LOAD_BONUS, // its group may be held there
+            true if c.loads => LOAD_BONUS,
+            true => (HOME_BONUS * self.engines.len() as f64).max(1.0),
+        };
+        let new =
+            if e.met || self.warmth(e) < 1.0 { 1.0 } else { 1.0 + HANDSHAKE_WEIGHT * self.s.handshake_price };
+        let slow = e.slow.or(1.0).max(0.5) * self.distance(e) * new;
+        let sure = (1.0 - e.errors).powi(ERROR_POWERS[usize::from(c.effect == Effect::Unsafe)]);
+        let w =
+            capacity * home * self.spared(q.class, e) / (LOAD_FLOOR + load).powi(DRAW_POWER) / slow * sure;
+        if self.healthy(e) { w } else { w * UNHEALTHY }
+    }
+
+    /// Engines that no rule forbids and health allows, those not yet tried first.
+    fn fit(&self, q: &Query) -> Vec<usize> {
+        let allowed: Vec<usize> = (0..self.engines.len()).filter(|&i| self.permitted(q, i)).collect();
+        let cores = |v: &[usize]| v.iter().map(|&i| self.engines[i].cores).sum::<f64>();
+        let mut fit = allowed.clone();
+        // What can't be tried again is no trial.
+        let trial = self.s.classes[q.class].effect != Effect::Unsafe;
+        let healthy = |e: &Engine| self.healthy(e) && (trial || e.ejected_until.is_none());
+        fit.retain(|&i| healthy(&self.engines[i]));
+        fit = if cores(&fit) < LEAST_USABLE * cores(&allowed) { allowed } else { fit };
+        let fresh = |i: &usize| q.attempts.iter().all(|a| a.engine != *i);
+        if fit.iter().any(fresh) {
+            fit.retain(fresh);
+        }
+        fit
+    }
+
+    /// Draws one by weight.
+    fn pick(&mut self, id: QueryId, among: &[usize]) -> Option<usize> {
+        let q = &self.queries[&id];
+        let weights: Vec<f64> = among.iter().map(|&i| self.weight(q, &self.engines[i])).collect();
+        weighted(&weights, self.chance()).map(|n| among[n])
+    }
+
+    /// Draws an engine among those lately heard of. With `ask`, too few of them make it probe others first.
+    pub(super) fn draw(&mut self, id: QueryId, ask: bool) -> Option<usize> {
+        // A probe is worth its price only where reports tell of load.
+        let tells = self.s.reports != Reports::Off && self.tells_load != Some(false);
+        let asks = tells && self.s.probes && self.engines.len() > 1;
+        // Cold engines go by lots, which no probe changes.
+        let fit = self.fit(&self.queries[&id]).into_iter();
+        let (cold, fit) = fit.partition::<Vec<_>, _>(|&i| self.cold_rate(&self.engines[i]).is_some());
+        let lately = |i: &usize| !asks || self.now < self.engines[*i].report_at + KNOWN_FOR;
+        let (mut known, unknown) = fit.into_iter().partition::<Vec<_>, _>(lately);
+        let q = &self.queries[&id];
+        let asked = |e: &Engine| e.probe_sent.is_some_and(|t| self.now < t + SECOND);
+        let seeks = !self.s.classes[q.class].yields_to_loads;
+        let home = |e: &Engine| q.homes.contains(&e.entry.engine);
+        let wants = |i: &usize| seeks && home(&self.engines[*i]) || asked(&self.engines[*i]);
+        let (mut wanted, mut unknown) = unknown.into_iter().partition::<Vec<_>, _>(wants);
+        // Homes without room are no choice: else a few hot groups would never leave theirs.
+        let full = |e: &Engine| home(e) && self.load(e) > ROOM;
+        let choice = known.iter().filter(|&&i| !full(&self.engines[i])).count();
+        while ask && wanted.len() + choice < CANDIDATES {
+            let Some(i) = self.pick(id, &unknown) else { break };
+            unknown.retain(|&u| u != i);
+            wanted.push(i);
+        }
+        let dear = self.queries[&id].cost > self.overall.value;
+        let kept = if dear { 0.0 } else { (PURSE / 2.0 - PROBE_SPEND / self.s.probe_price).max(0.0) };
+        let mut waits = false;
+        for &i in wanted.iter().filter(|_| ask) {
+            let e = &mut self.engines[i];
+            if e.probe_sent.is_none_or(|t| self.now >= t + SECOND) {
+                if self.purse < kept + 1.0 {
+                    continue;
+                }
+                (self.purse, e.probe_sent, e.met) = (self.purse - 1.0, Some(self.now), true);
+                self.actions.push(Action::Probe { engine: e.entry.engine });
+            }
+            waits = true;
+        }
+        if waits {
+            let until = self.now + ASK_WAIT;
+            self.query(id).asked_until.get_or_insert(until);
+            return None;
+        }
+        // With little known all are drawn from, the unknown as loaded as their pool; last those that a probe
+        // is out to.
+        if choice < CANDIDATES {
+            let silent = |i: &usize| self.engines[*i].probe_sent.is_some();
+            let (asked, rest): (Vec<usize>, Vec<usize>) = unknown.into_iter().chain(wanted).partition(silent);
+            known.extend(rest);
+            known = if known.is_empty() { asked } else { known };
+        }
+        known.extend(cold);
+        loop {
+            let i = self.pick(id, &known)?;
+            if self.wins(id, i) {
+                return Some(i);
+            }
+            known.retain(|&k| k != i);
+        }
+    }
+}
--- /dev/null
+++ b/src/control/guards.rs
@@ -0,0 +1,93 @@
+//! Guards: what the platform's own rules forbid, whatever the draw would like.
+
+use super::*;
+
+impl Gateway {
+    /// Placement: zone and kind, at every attempt.
+    pub(super) fn placed(&self, class: ClassId, e: &Engine) -> bool {
+        let c = &self.s.classes[class];
+        c.only_zones.as_ref().is_none_or(|z| z.contains(&e.entry.zone))
+            && c.only_kinds.as_ref().is_none_or(|k| k.contains(&e.entry.kind))
+    }
+
+    /// Whether the rules let an attempt of the query go to the engine now.
+    pub(super) fn permitted(&self, q: &Query, i: usize) -> bool {
+        let e = &self.engines[i];
+        // Drains: nothing from the moment the list tells of it, well inside the grace.
+        e.listed() && self.placed(q.class, e) && self.effect_allows(q, e) && self.cold_allows(q, e)
+    }
+
+    /// Effects: unsafe only after proven non-runs; keyed inside its group and window.
+    fn effect_allows(&self, q: &Query, e: &Engine) -> bool {
+        match self.s.classes[q.class].effect {
+            Effect::Safe => true,
+            Effect::Unsafe => q.never_ran(),
+            Effect::Keyed { group, window } => {
+                let ran = |a: &&Attempt| !a.outcome.is_some_and(Outcome::never_ran);
+                let holds = |a: &Attempt| group.holds(&self.engines[a.engine].entry, &e.entry);
+                q.attempts.iter().filter(ran).all(|a| self.now < a.sent + window && holds(a))
+            }
+        }
+    }
+
+    /// What a query counts as at a cold engine: estimates are rough.
+    fn cold_work(&self, q: &Query) -> f64 {
+        q.cost.max(COLD_LEAST * self.class_mean(q.class))
+    }
+
+    /// Cold engines take no query that would be a large part of their budget alone.
+    fn cold_allows(&self, q: &Query, e: &Engine) -> bool {
+        let most = |(rate, _)| COLD_LARGEST * rate * self.s.cold.fall as f64 / 1e6;
+        self.cold_rate(e).is_none_or(|rates| self.cold_work(q) <= most(rates))
+    }
+
+    /// Draws lots for a place at a cold engine: the chance is what this gateway's share of the least budget
+    /// has come to since the last lots there, over the query's work. So all send what is meant in the mean,
+    /// however many gateways there are and however few queries each has; what is staked is spent, won or not.
+    /// Besides, one that sends many stays within its own share, and one that sends few waits between them.
+    pub(super) fn wins(&mut self, id: QueryId, i: usize) -> bool {
+        let Some((_, own)) = self.cold_rate(&self.engines[i]) else { return true };
+        let (work, window) = (self.cold_work(&self.queries[&id]), own * self.s.cold.fall as f64 / 1e6);
+        let (now, most) = (self.now, self.overall.value.clamp(window, window * COLD_SAVED));
+        // Its own share is that of the first moment, and a query counts as its class's mean: no luck there.
+        let first = self.s.cold.from / self.warmth(&self.engines[i]).max(1e-9);
+        let whole = work.max(self.class_mean(self.queries[&id].class));
+        let e = &mut self.engines[i];
+        (e.cold.rate, e.lots.rate) = (own * first, own);
+        e.cold.refill(now, window * first);
+        e.lots.refill(now, most);
+        let staked = e.lots.level.min(work);
+        e.lots.level -= staked;
+        let room = e.cold.level >= whole.min(window * first);
+        let won = self.chance() * work < staked && room;
+        if won {
+            let left = &mut self.engines[i].cold.level;
+            *left = (*left - whole).max(0.0);
+        }
+        won
+    }
+
+    /// Work a second to a cold engine by all, and by this one: at most an equal part, shares are misjudged.
+    pub(super) fn cold_rate(&self, e: &Engine) -> Option<(f64, f64)> {
+        let (c, most) = (&self.s.cold, 1.0 / f64::from(self.s.gateways));
+        let cold = c.fall > 0 && e.cold_since.is_some_and(|t| self.now < t + c.ramp);
+        let rate = COLD_SAFETY * c.multiple * self.warmth(e) * e.cores;
+        cold.then_some((rate, rate * self.share.min(most)))
+    }
+
+    /// The attempt budget, counted as the rule does, with the present one included.
+    pub(super) fn budget_allows(&mut self) -> bool {
+        let b = self.s.budget.unwrap_or(OWN_BUDGET);
+        // Sends on the window's edge count, requests on it do not.
+        self.further.retain(|t| t + b.span >= self.now);
+        self.taken.retain(|t| t + b.span > self.now);
+        (self.further.len() + 1) as f64 <= b.free + b.ratio * self.taken.len() as f64
+    }
+
+    /// Order: first in line for its key, which has rested.
+    pub(super) fn has_turn(&self, id: QueryId) -> bool {
+        let q = &self.queries[&id];
+        let Some(line) = q.key.map(|k| &self.keys[&k]) else { return true };
+        line.waiting.front() == Some(&id) && (!q.attempts.is_empty() || self.now >= line.rest_until)
+    }
+}
--- /dev/null
+++ b/src/control/mod.rs
@@ -0,0 +1,74 @@
+//! Every decision of the gateway. The interface (settings, events, actions, ids) stands in `src/api.rs`.
+//!
+//! The ordinary path: predict a query's cost, let the matching rule's bucket pass or refuse it at once, and
+//! draw an engine weighted down by reported load plus own threads since. All else is ours: docs/design.md.
+
+mod attempts;
+mod constants;
+mod cost;
+mod draw;
+mod guards;
+mod health;
+mod pressure;
+mod requests;
+mod rules;
+
+use crate::api::*;
+use crate::state::*;
+use constants::*;
+
+impl Gateway {
+    /// A gateway that knows its settings and nothing else; `seed` feeds its random draws.
+    pub fn new(settings: Settings, seed: u64) -> Result<Gateway, SettingsError> {
+        check(&settings)?;
+        // The engines' own choice of grant is a quarter over the estimate.
+        let pace = Mean { value: 1.0, n: TRUSTED };
+        let bias = ClassModel { memory_bias: 0.25f64.ln_1p(), pace, ..ClassModel::default() };
+        let (rules, models) = (rules::build_rules(&settings), vec![bias; settings.classes.len()]);
+        Ok(Gateway::empty(settings, seed, rules, CACHE_SIZE, models))
+    }
+
+    /// Takes one event at time `now` and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
+        if self.started && now > self.now + STALL {
+            // This gateway stood still: what was not heard meanwhile says nothing of the engines.
+            self.stalled = now;
+            self.engines.iter_mut().for_each(|e| e.heard = now);
+        }
+        self.now = now.max(self.now);
+        if !self.started {
+            self.started = true;
+            self.actions.push(Action::Wake { token: 0, after: TICK });
+            self.actions.extend(self.s.list_must_be_asked.then_some(Action::Watch));
+        }
+        match event {
+            Event::List { kind, entries } => self.list(kind, entries),
+            Event::Arrival(a) => self.arrival(a),
+            Event::FirstByte { query, .. } => self.streams(query),
+            Event::Finished(f) => self.finished(f),
+            Event::Noted { query, attempt, note, .. } => self.noted(query, attempt, note),
+            Event::HungUp { query } => self.close(query),
+            Event::Timer { token: 0 } => self.tick(),
+            Event::Timer { token: 1 } => self.go_on(),
+            Event::Timer { .. } | Event::Told { .. } => {}
+            Event::Probed { engine, outcome, report, .. } => self.probed(engine, outcome, report),
+        }
+        actions.append(&mut self.actions);
+    }
+
+    fn tick(&mut self) {
+        self.actions.push(Action::Wake { token: 0, after: TICK });
+        let dt = TICK as f64 / 1e6;
+        self.models.iter_mut().for_each(|m| m.count(dt, RATE_SPAN_S));
+        self.tenants.iter_mut().for_each(|t| *t *= 1.0 - dt / TENANT_SPAN_S);
+        self.budget_allows(); // forgets what has left the window
+        self.measure();
+        self.set_rates();
+        if self.now > self.stalled {
+            self.check_health();
+            self.check_attempts();
+        }
+        self.check_lines();
+        self.engines.iter_mut().for_each(|e| e.threads_before = e.threads);
+    }
+}
--- /dev/null
+++ b/src/control/requests.rs
@@ -0,0 +1,113 @@
+//! A request's way: arrival, its turn in line for a key, the wait for probes, its end.
+
+use super::*;
+
+impl Gateway {
+    pub(super) fn arrival(&mut self, a: Arrival) {
+        self.taken.push_back(self.now);
+        self.purse = (self.purse + PROBE_SPEND / self.s.probe_price).min(PURSE);
+        let cost = self.predict(&a);
+        self.overall.add(cost, LEARN);
+        let m = &mut self.models[a.class];
+        m.arrived += 1.0;
+        a.estimate_s.into_iter().for_each(|e| m.estimate.add(e, LEARN));
+        a.tenant.into_iter().for_each(|t| self.tenants[t] += 1.0); // a running count, see tick
+        let admitted = self.admit(&a, cost);
+        let (homes, c) = (self.homes(a.class, a.group), &self.s.classes[a.class]);
+        let aim = c.aim + (c.aim_stretch * cost / f64::from(c.threads) * 1e6) as Micros;
+        let q = Query::new(&a, self.now, cost, aim, homes, c.keep_order);
+        let key = q.key;
+        self.queries.insert(a.query, q);
+        if let Err(wait) = admitted {
+            return self.end(a.query, wait);
+        }
+        key.into_iter().for_each(|k| self.keys.entry(k).or_default().waiting.push_back(a.query));
+        if self.hopeless(a.query) { self.end(a.query, SECOND) } else { self.start(a.query) }
+    }
+
+    /// In line for its key with too little time left: asked on arrival too, for tries with little patience.
+    fn hopeless(&self, id: QueryId) -> bool {
+        let q = &self.queries[&id];
+        let margin = HELD_MARGIN.max((self.expected(q) * 1e6) as Micros);
+        q.key.is_some() && q.attempts.is_empty() && !self.has_turn(id) && self.now + margin > q.deadline
+    }
+
+    /// First attempt, once it is the query's turn; it waits for probes at most `ASK_WAIT`.
+    fn start(&mut self, id: QueryId) {
+        let (asked_until, deadline) = (self.queries[&id].asked_until, self.queries[&id].deadline);
+        let ask = asked_until.map_or(self.now + 2 * ASK_WAIT < deadline, |t| self.now < t);
+        if !self.has_turn(id) || self.send(id, ask) {
+            return;
+        }
+        if !ask || self.now >= self.queries[&id].asked_until.unwrap_or(0) {
+            self.end(id, SECOND);
+        } else if asked_until.is_none() {
+            self.asking.push(id);
+            self.actions.push(Action::Wake { token: 1, after: ASK_WAIT });
+        }
+    }
+
+    /// Queries that wait for probes go on once there are candidates or the wait is over.
+    pub(super) fn go_on(&mut self) {
+        let waits = |q: &Query| !q.done && q.attempts.is_empty();
+        let mut asking = std::mem::take(&mut self.asking);
+        asking.retain(|id| {
+            if self.queries.get(id).is_some_and(waits) {
+                self.start(*id);
+            }
+            self.queries.get(id).is_some_and(waits)
+        });
+        self.asking.append(&mut asking);
+    }
+
+    /// The one place that ends a request: refused where that is harmless, else failed.
+    pub(super) fn end(&mut self, id: QueryId, wait: Micros) {
+        let Some(q) = self.queries.get(&id).filter(|q| !q.done) else { return };
+        let effect = self.s.classes[q.class].effect;
+        let free = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
+        let retry_after = self.s.max_retry_after.map(|most| wait.clamp(TICK, most.max(TICK)));
+        let refuse = Action::Refuse { query: id, retry_after };
+        self.actions.push(if free || q.never_ran() { refuse } else { Action::Fail { query: id } });
+        self.close(id);
+    }
+
+    /// The request has its answer: call off what is out, let the next of its key go.
+    pub(super) fn close(&mut self, id: QueryId) {
+        let Some(q) = self.queries.get_mut(&id) else { return };
+        let stoppable = self.s.cancel && !q.streaming && self.s.classes[q.class].effect != Effect::Unsafe;
+        let stop = !std::mem::replace(&mut q.done, true) && stoppable;
+        q.live().into_iter().filter(|_| stop).for_each(|n| self.cancel(id, n));
+        self.forget(id);
+    }
+
+    /// Drops a request once it is over and none of its attempts is out.
+    pub(super) fn forget(&mut self, id: QueryId) {
+        let over = self.queries.get(&id).is_some_and(|q| q.done && q.out() == 0);
+        if let Some(k) = over.then(|| self.queries.remove(&id)).flatten().and_then(|q| q.key) {
+            self.keys.entry(k).or_default().waiting.retain(|w| *w != id);
+            self.next_in_line(k);
+        }
+    }
+
+    fn next_in_line(&mut self, key: u64) {
+        let Some(line) = self.keys.get(&key) else { return };
+        let (head, rested) = (line.waiting.front().copied(), self.now >= line.rest_until);
+        match head {
+            Some(id) if self.queries[&id].attempts.is_empty() => self.start(id),
+            None if rested => drop(self.keys.remove(&key)),
+            _ => {}
+        }
+    }
+
+    /// Rested keys go on; queries held in line are given up before their clients leave.
+    pub(super) fn check_lines(&mut self) {
+        for k in Vec::from_iter(self.keys.keys().copied()) {
+            for id in Vec::from_iter(self.keys[&k].waiting.iter().copied()) {
+                if self.queries.contains_key(&id) && self.hopeless(id) {
+                    self.end(id, SECOND);
+                }
+            }
+            self.next_in_line(k);
+        }
+    }
+}
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,11 +1,12 @@
 //! What a gateway remembers, and the arithmetic of its parts. It decides nothing: every decision and every
-//! tuned value stands in `control.rs`.
+//! tuned value stands in `src/control/`.
 
 use crate::api::*;
 use lru::LruCache;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::num::NonZeroUsize;
 
 /// Fills at `rate` up to `burst`, both in the unit of what is taken.
 #[derive(Debug, Clone, Default)]
@@ -183,6 +184,11 @@
         self.lots = self.cold.clone();
     }
 
+    /// In the list, and taking queries.
+    pub(crate) fn listed(&self) -> bool {
+        self.present && self.entry.readiness == Readiness::Active
+    }
+
     /// Counts an attempt in.
     pub(crate) fn take(&mut self, attempt: (QueryId, u32), threads: f64, grant: f64) {
         self.out.insert(attempt);
@@ -302,6 +308,11 @@
     pub(crate) fn out(&self) -> usize {
         self.attempts.iter().filter(|a| a.outcome.is_none()).count()
     }
+
+    /// No attempt can have run.
+    pub(crate) fn never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
+    }
 }
 
 #[derive(Debug, Clone, Default)]
@@ -499,7 +510,7 @@
     /// they are.
     pub(crate) fn fleet(&self, now: Micros) -> [f64; 3] {
         let mut sums = [0.0; 3];
-        for e in self.engines.iter().filter(|e| e.present && e.entry.readiness == Readiness::Active) {
+        for e in self.engines.iter().filter(|e| e.listed()) {
             let healthy = !e.silent && e.ejected_until.is_none_or(|t| t <= now);
             let usable = if healthy { e.cores } else { 0.0 };
             let parts = [e.cores, usable, usable * self.warmth(e)];
@@ -546,20 +557,20 @@
         self.actions.push(Action::Log(line));
     }
 
-    /// One that has seen nothing.
+    /// One that has seen nothing: `seed` feeds its draws, `cache_size` is how many costs it remembers.
     pub(crate) fn empty(
         s: Settings,
-        rng: Pcg64Mcg,
+        seed: u64,
         rules: Vec<Rule>,
-        cache: CostCache,
+        cache_size: NonZeroUsize,
         models: Vec<ClassModel>,
     ) -> Gateway {
         Gateway {
-            rng,
+            rng: Pcg64Mcg::seed_from_u64(seed),
             now: 0,
             started: false,
             rules,
-            cache,
+            cache: LruCache::new(cache_size),
             models,
             overall: Mean::default(),
             tenants: vec![0.0; s.tenants.len()],
