Split what a gateway remembers into src/state/, a file for each kind of memory

Now the gateway itself, engines, queries, rules, what was learned, the engine table, figures and chance have a file each. Pure moving: no line of code changed but imports.

--- /dev/null
+++ b/src/state/engine.rs
@@ -0,0 +1,89 @@
+//! An engine, as far as this gateway knows it.
+
+use super::*;
+use std::collections::BTreeSet;
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Engine {
+    pub(crate) entry: Entry,
+    pub(crate) present: bool,
+    /// Which classes it is open to, a bit each.
+    pub(crate) pool: u64,
+    pub(crate) cores: f64,
+    pub(crate) report: Report,
+    pub(crate) report_at: Micros,
+    pub(crate) threads: f64,
+    pub(crate) granted: f64,
+    /// Own threads when the report was made, and at the last tick.
+    pub(crate) threads_then: f64,
+    pub(crate) threads_before: f64,
+    pub(crate) out: BTreeSet<(QueryId, u32)>,
+    pub(crate) slow: Mean,
+    /// Lately, time taken over expected, where nothing else tells of load.
+    pub(crate) pace: Option<f64>,
+    pub(crate) heard: Micros,
+    pub(crate) gap: Mean,
+    pub(crate) errors: f64,
+    pub(crate) ejected_until: Option<Micros>,
+    pub(crate) silent: bool,
+    pub(crate) ejections: u32,
+    pub(crate) full_until: Micros,
+    pub(crate) cold_since: Option<Micros>,
+    /// While cold: own work that it may still get, and what may be staked in lots for it.
+    pub(crate) cold: TokenBucket,
+    pub(crate) lots: TokenBucket,
+    pub(crate) probe_sent: Option<Micros>,
+    /// Something was sent to this process: a connection is there.
+    pub(crate) met: bool,
+}
+
+impl Engine {
+    /// Notes that something was heard, and the gap before it.
+    pub(crate) fn hear(&mut self, now: Micros, weight: f64) {
+        self.gap.add((now - self.heard) as f64 / 1e6, weight);
+        self.heard = now;
+    }
+
+    pub(crate) fn new(entry: Entry, cores: f64, now: Micros, cold: Option<Micros>) -> Engine {
+        let mut e = Engine { entry, present: true, cores, heard: now, ..Engine::default() };
+        e.restarted(now, cold);
+        e
+    }
+
+    /// Forgets what held of the process before.
+    pub(crate) fn restarted(&mut self, now: Micros, cold_since: Option<Micros>) {
+        (self.cold_since, self.errors, self.ejected_until, self.silent) = (cold_since, 0.0, None, false);
+        (self.ejections, self.report, self.pace, self.met) = (0, Report::default(), None, false);
+        self.cold = TokenBucket { at: now, ..TokenBucket::default() };
+        self.lots = self.cold.clone();
+    }
+
+    /// In the list, and taking queries.
+    pub(crate) fn listed(&self) -> bool {
+        self.present && self.entry.readiness == Readiness::Active
+    }
+
+    /// Counts an attempt in.
+    pub(crate) fn take(&mut self, attempt: (QueryId, u32), threads: f64, grant: f64) {
+        self.out.insert(attempt);
+        self.met = true;
+        self.threads += threads;
+        self.granted += grant;
+    }
+
+    /// Counts an attempt out.
+    pub(crate) fn release(&mut self, attempt: (QueryId, u32), threads: f64, grant: f64) {
+        self.out.remove(&attempt);
+        self.threads -= threads;
+        self.granted -= grant;
+    }
+
+    /// Keeps a report. The same values mean the same old one; a new one tells of a moment ago, not of now.
+    pub(crate) fn reported(&mut self, report: Report, now: Micros) {
+        if report != self.report {
+            self.threads_then = self.threads_before;
+            self.report = report;
+        }
+        self.report_at = now;
+    }
+}
--- /dev/null
+++ b/src/state/mod.rs
@@ -0,0 +1,128 @@
+//! What a gateway remembers, and the arithmetic of its parts. It decides nothing: every decision and every
+//! tuned value stands in `src/control/`.
+
+mod chance;
+mod engine;
+mod figures;
+mod learned;
+mod query;
+mod rule;
+mod table;
+
+pub(crate) use chance::*;
+pub(crate) use engine::*;
+pub(crate) use learned::*;
+pub(crate) use query::*;
+pub(crate) use rule::*;
+
+use crate::api::*;
+use lru::LruCache;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
+use std::num::NonZeroUsize;
+
+/// One query gateway: what it was told, what it learned and what is open.
+pub struct Gateway {
+    pub(crate) s: Settings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) now: Micros,
+    pub(crate) started: bool,
+    pub(crate) rules: Vec<Rule>,
+    pub(crate) cache: CostCache,
+    pub(crate) models: Vec<ClassModel>,
+    pub(crate) overall: Mean,
+    pub(crate) tenants: Vec<f64>,
+    /// Probes that own queries have paid for.
+    pub(crate) purse: f64,
+    /// When engines that are gone were looked for last.
+    pub(crate) swept: Micros,
+    pub(crate) engines: Vec<Engine>,
+    pub(crate) index: BTreeMap<EngineId, usize>,
+    pub(crate) queries: BTreeMap<QueryId, Query>,
+    pub(crate) keys: BTreeMap<u64, KeyLine>,
+    pub(crate) taken: VecDeque<Micros>,
+    pub(crate) further: VecDeque<Micros>,
+    pub(crate) thread_mb: Mean,
+    /// Own threads and queries in flight, running means.
+    pub(crate) held_threads: f64,
+    pub(crate) held_queries: f64,
+    pub(crate) share: f64,
+    pub(crate) pressure: f64,
+    /// When it last woke from standing still.
+    pub(crate) stalled: Micros,
+    /// Threads a core that the engines hold, as far as they were heard.
+    pub(crate) occupancy: f64,
+    pub(crate) pools: BTreeMap<u64, Pool>,
+    /// Whether reports tell of load, once one came.
+    pub(crate) tells_load: Option<bool>,
+    /// Queries that wait for probes.
+    pub(crate) asking: Vec<QueryId>,
+    pub(crate) loaded: bool,
+    pub(crate) actions: Vec<Action>,
+}
+
+impl Gateway {
+    /// One that has seen nothing: `seed` feeds its draws, `cache_size` is how many costs it remembers.
+    pub(crate) fn empty(
+        s: Settings,
+        seed: u64,
+        rules: Vec<Rule>,
+        cache_size: NonZeroUsize,
+        models: Vec<ClassModel>,
+    ) -> Gateway {
+        Gateway {
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            now: 0,
+            started: false,
+            rules,
+            cache: LruCache::new(cache_size),
+            models,
+            overall: Mean::default(),
+            tenants: vec![0.0; s.tenants.len()],
+            purse: 0.0,
+            engines: Vec::new(),
+            swept: Micros::MAX,
+            index: BTreeMap::new(),
+            queries: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            thread_mb: Mean::default(),
+            held_threads: 0.0,
+            held_queries: 0.0,
+            share: 1.0 / f64::from(s.gateways),
+            pressure: 0.0,
+            stalled: 0,
+            occupancy: 0.0,
+            pools: BTreeMap::new(),
+            tells_load: None,
+            asking: Vec::new(),
+            loaded: false,
+            actions: Vec::new(),
+            s,
+        }
+    }
+
+    pub(crate) fn seconds_since(&self, t: Micros) -> f64 {
+        self.now.saturating_sub(t) as f64 / 1e6
+    }
+
+    pub(crate) fn query(&mut self, id: QueryId) -> &mut Query {
+        self.queries.get_mut(&id).expect("an open query")
+    }
+
+    /// An answer has begun: the attempt belongs to the client.
+    pub(crate) fn streams(&mut self, id: QueryId) {
+        self.queries.get_mut(&id).into_iter().for_each(|q| q.streaming = true);
+    }
+
+    pub(crate) fn cancel(&mut self, id: QueryId, n: u32) {
+        self.query(id).attempts[n as usize].cancelled = true;
+        self.actions.push(Action::Cancel { query: id, attempt: n });
+    }
+
+    pub(crate) fn log(&mut self, line: String) {
+        self.actions.push(Action::Log(line));
+    }
+}
--- /dev/null
+++ b/src/state/query.rs
@@ -0,0 +1,110 @@
+//! Open queries, their attempts, and the lines of those that share a key.
+
+use super::*;
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Query {
+    pub(crate) class: ClassId,
+    pub(crate) key: Option<u64>,
+    pub(crate) group: u64,
+    /// Engines that read its table group by preference.
+    pub(crate) homes: Vec<EngineId>,
+    pub(crate) arrived: Micros,
+    pub(crate) deadline: Micros,
+    pub(crate) aim: Micros,
+    pub(crate) cost: f64,
+    pub(crate) estimate: Option<f64>,
+    pub(crate) memory_estimate: Option<f64>,
+    pub(crate) grant: f64,
+    pub(crate) priority: u8,
+    pub(crate) attempts: Vec<Attempt>,
+    /// Until when it waits for probes.
+    pub(crate) asked_until: Option<Micros>,
+    pub(crate) done: bool,
+    pub(crate) streaming: bool,
+    pub(crate) late: bool,
+}
+
+impl Query {
+    /// A request as it arrived, with nothing sent.
+    pub(crate) fn new(
+        a: &Arrival,
+        now: Micros,
+        cost: f64,
+        aim: Micros,
+        homes: Vec<EngineId>,
+        keep_order: bool,
+    ) -> Query {
+        Query {
+            class: a.class,
+            key: a.key.filter(|_| keep_order),
+            group: a.group,
+            homes,
+            arrived: now,
+            deadline: now + a.grace,
+            aim: now + aim,
+            cost,
+            estimate: a.estimate_s,
+            memory_estimate: a.memory_mb,
+            ..Query::default()
+        }
+    }
+
+    /// Attempts that are out and not called off.
+    pub(crate) fn live(&self) -> Vec<u32> {
+        let all = self.attempts.iter().enumerate();
+        all.filter(|(_, a)| a.outcome.is_none() && !a.cancelled).map(|(n, _)| n as u32).collect()
+    }
+
+    pub(crate) fn out(&self) -> usize {
+        self.attempts.iter().filter(|a| a.outcome.is_none()).count()
+    }
+
+    /// No attempt can have run.
+    pub(crate) fn never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Attempt {
+    pub(crate) engine: usize,
+    pub(crate) sent: Micros,
+    pub(crate) outcome: Option<Outcome>,
+    pub(crate) progress: f64,
+    pub(crate) noted: Micros,
+    /// When any word of it came, or it was sent.
+    pub(crate) heard: Micros,
+    pub(crate) cancelled: bool,
+    pub(crate) spilled: bool,
+    pub(crate) grant: f64,
+}
+
+impl Attempt {
+    /// The attempt among these that word came of.
+    pub(crate) fn word(all: &mut [Attempt], n: u32, now: Micros) -> Option<&mut Attempt> {
+        let a = all.get_mut(n as usize)?;
+        a.heard = now;
+        Some(a)
+    }
+
+    /// Whether so many paces of notes, and at least so long, have brought no word of it, not even that it waits:
+    /// its engine may tell of all others and never have got this one.
+    pub(crate) fn mute(&self, now: Micros, pace: Option<Micros>, paces: f64, least: Micros) -> bool {
+        pace.is_some_and(|p| now.saturating_sub(self.heard) > ((p as f64 * paces) as Micros).max(least))
+    }
+
+    /// Notes how far it is; its engine, and seconds for each whole since the note before.
+    pub(crate) fn progressed(&mut self, now: Micros, progress: f64) -> (usize, f64) {
+        let span = (now - self.noted) as f64 / 1e6;
+        let seconds = span / (progress - self.progress).max(0.001);
+        (self.progress, self.noted) = (progress, now);
+        (self.engine, seconds)
+    }
+}
+
+#[derive(Debug, Clone, Default)]
+pub(crate) struct KeyLine {
+    pub(crate) waiting: VecDeque<QueryId>,
+    pub(crate) rest_until: Micros,
+}
