--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -4,6 +4,7 @@
 //! - [`options`]: our own settings beside it, in HCL, which [`hcl`] reads with the places of its faults.
 
 pub mod config;
+mod env;
 pub mod hcl;
 pub mod options;
 pub mod platform;
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -1,7 +1,8 @@
 //! The settings as JSON, the same for the adapter and the real dispatcher, and the names that go with them.
 
+pub use super::env::Env;
 use crate::api::*;
-use serde::{Deserialize, de::DeserializeOwned};
+use serde::de::DeserializeOwned;
 use std::collections::BTreeMap;
 use std::fmt;
 
@@ -44,133 +45,6 @@
     }
 }
 
-/// The settings as they stand in JSON; unknown keys are skipped.
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-pub struct Env {
-    #[serde(default)]
-    areas: Vec<String>,
-    balancers: u32,
-    #[serde(default)]
-    costs: CostsIn,
-    #[serde(default)]
-    discovery: Option<String>,
-    #[serde(default)]
-    domain: DomainIn,
-    #[serde(default)]
-    kinds: Vec<String>,
-    #[serde(default)]
-    over_share_worth: Option<f64>,
-    #[serde(default)]
-    parties: Option<Vec<PartyIn>>,
-    #[serde(default)]
-    permissions: PermissionsIn,
-    #[serde(default)]
-    report: ReportIn,
-    request_classes: Vec<ClassIn>,
-    rules: RulesIn,
-    #[serde(default)]
-    step: f64,
-    #[serde(default)]
-    zone: Option<String>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct CostsIn {
-    cross_zone: Option<f64>,
-    handshake: Option<f64>,
-    probe: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct DomainIn {
-    class_load: Vec<bool>,
-    yields_to_loads: Vec<bool>,
-    grant_cap: Option<f64>,
-    kind_cores: Vec<f64>,
-    memory_by_kind_mb: Vec<f64>,
-    memory_heeded: Option<bool>,
-    on_shortage: Option<String>,
-    parallelism: Vec<u32>,
-    progress_pace: Option<f64>,
-    takes_priority: Option<bool>,
-    tells_cost: Option<bool>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct PartyIn {
-    name: String,
-    #[serde(default)]
-    quota_per_s: Option<f64>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(rename_all = "camelCase", default)]
-struct PermissionsIn {
-    cancel: Option<bool>,
-    conn_idle: Option<f64>,
-    dial_timeout: Option<f64>,
-    max_attempts: Option<u32>,
-    max_retry_after: Option<f64>,
-    may_duplicate: Option<bool>,
-    most_held: Option<usize>,
-    probes: Option<bool>,
-    retry_after: Option<bool>,
-    streams_per_conn: Option<usize>,
-}
-
-#[derive(Deserialize, Default)]
-#[serde(default)]
-struct ReportIn {
-    how: Option<String>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct ClassIn {
-    name: String,
-    promise: f64,
-    hard_limit: f64,
-    effect: String,
-    #[serde(default)]
-    aim_stretch: Option<f64>,
-    #[serde(default)]
-    group: Option<String>,
-    #[serde(default)]
-    keep_order: Option<bool>,
-    #[serde(default)]
-    late_worth: Option<f64>,
-    #[serde(default)]
-    bound_to: Option<Vec<String>>,
-    #[serde(default)]
-    areas_only: Option<Vec<String>>,
-    #[serde(default)]
-    dedup_window: Option<f64>,
-    #[serde(default)]
-    credit: Option<f64>,
-}
-
-#[derive(Deserialize)]
-#[serde(rename_all = "camelCase")]
-struct RulesIn {
-    stop_sending_within: f64,
-    cold_from: f64,
-    ramp_time: f64,
-    fall: f64,
-    fall_multiple: f64,
-    #[serde(default)]
-    free_resends: Option<f64>,
-    #[serde(default)]
-    further_ratio: Option<f64>,
-    #[serde(default)]
-    ratio_span: Option<f64>,
-    #[serde(default)]
-    key_quiet: Option<f64>,
-}
-
 /// What the network has to heed; decisions never see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Transport {
