Split the facade over the decisions into a folder by concern

It becomes src/dispatch/: requests, the fleet, the exchange with the network, what is open, intake, reports, actions and ends, with the tests in files of their own. Lines moved as they were, checked by comparing both sides line by line; public paths are the same, and `answer` stays the one place that gives a final answer. Three copies of a test's request became one function.

--- /dev/null
+++ b/src/dispatch/actions.rs
@@ -0,0 +1,100 @@
+//! The decisions' actions become orders.
+
+use super::open::Attempt;
+use super::{Answer, BACKOFF_MS, Dispatch, Order, Ticket};
+use crate::api::{Action, Event, Finished, Micros, Outcome};
+use crate::must;
+use std::cmp::Reverse;
+use std::collections::VecDeque;
+
+impl<R> Dispatch<R> {
+    /// Hands an event to the decisions, and on what they want done until nothing is left.
+    pub(super) fn run(&mut self, now: Micros, event: Event) -> Vec<Order<R>> {
+        let mut events = VecDeque::from([event]);
+        while let Some(event) = events.pop_front() {
+            let mut actions = Vec::new();
+            self.gateway.handle(now, event, &mut actions);
+            for action in actions {
+                self.act(now, action, &mut events);
+            }
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    fn act(&mut self, now: Micros, action: Action, events: &mut VecDeque<Event>) {
+        match action {
+            Action::Terms { query, memory_mb, priority } => {
+                let Some(open) = self.open.get_mut(&query) else { return };
+                (open.memory_mb, open.priority) = (memory_mb, priority);
+                for (n, a) in (0..).zip(&mut open.attempts) {
+                    if a.outcome.is_none() && a.priority != priority {
+                        a.priority = priority;
+                        self.orders.push(Order::Boost(Ticket { request: query, attempt: n }, priority));
+                    }
+                }
+            }
+            Action::Send { query, engine, timeout } => {
+                let Some(open) = self.open.get_mut(&query).filter(|o| !o.closed) else {
+                    must!(false, "a send for a request that is over");
+                    return;
+                };
+                if open.before + open.attempts.len() >= self.most_attempts && open.before > 0 {
+                    // With those of the dispatcher that was lost there were enough.
+                    let (attempt, outcome) = (open.attempts.len() as u32, Some(Outcome::Moot));
+                    open.attempts.push(Attempt { engine, sent: now, outcome, priority: open.priority });
+                    let (done, latency, bill, report) = (false, 0, None, None);
+                    let outcome = Outcome::Moot;
+                    events.push_back(Event::Finished(Finished {
+                        query,
+                        attempt,
+                        engine,
+                        done,
+                        outcome,
+                        latency,
+                        bill,
+                        report,
+                    }));
+                    return;
+                }
+                self.tally.attempts += 1;
+                let ticket = Ticket { request: query, attempt: open.attempts.len() as u32 };
+                open.attempts.push(Attempt { engine, sent: now, outcome: None, priority: open.priority });
+                self.orders.push(Order::Start {
+                    ticket,
+                    executor: engine,
+                    memory_mb: open.memory_mb,
+                    priority: open.priority,
+                    until: timeout.map_or(open.deadline, |t| open.deadline.min(now + t)),
+                });
+            }
+            Action::Cancel { query, attempt } => {
+                let ticket = Ticket { request: query, attempt };
+                if let Some(event) = self.finish(now, ticket, Outcome::Cancelled, None) {
+                    self.orders.push(Order::Stop(ticket));
+                    events.push_back(event);
+                    self.forget(query);
+                }
+            }
+            Action::Refuse { query, retry_after } => {
+                self.answer(query, Answer::Refused(retry_after.map_or(BACKOFF_MS, |t| t.div_ceil(1000))));
+                self.forget(query);
+            }
+            Action::Fail { query } => {
+                self.answer(query, Answer::Failed);
+                self.forget(query);
+            }
+            Action::Probe { engine } => {
+                self.tally.probes += 1;
+                self.orders.push(Order::Probe(engine));
+            }
+            Action::Wake { token, after } => self.wakes.push(Reverse((now + after, token))),
+            Action::Log(line) => tracing::info!("{line}"),
+            // The list is pushed here, idle connections end by their own clock, and there are no peers.
+            Action::Watch
+            | Action::Unwatch
+            | Action::ReadList
+            | Action::CloseIdle { .. }
+            | Action::Tell { .. } => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/ends.rs
@@ -0,0 +1,110 @@
+//! Time that passes, the one final answer of a request, and what is forgotten after it.
+
+use super::open::Open;
+use super::{Answer, BACKOFF_MS, Dispatch, Load, Order, Ticket};
+use crate::api::{Event, Finished, Micros, Outcome};
+use crate::must;
+use std::cmp::Reverse;
+
+impl<R> Dispatch<R> {
+    /// Lets time pass: timers, and requests whose time is over.
+    pub fn tick(&mut self, now: Micros) -> Vec<Order<R>> {
+        let mut orders = Vec::new();
+        while let Some((_, token)) = self.wakes.peek().map(|Reverse(w)| *w).filter(|(t, _)| *t <= now) {
+            self.wakes.pop();
+            orders.append(&mut self.run(now, Event::Timer { token }));
+        }
+        while let Some((at, id)) = self.deadlines.first().copied().filter(|(t, _)| *t <= now) {
+            self.deadlines.remove(&(at, id));
+            orders.append(&mut self.expire(now, id));
+        }
+        orders
+    }
+
+    /// Gives every request that is open its answer now: refused where that is harmless, else failed.
+    pub fn give_up(&mut self, now: Micros) -> Vec<Order<R>> {
+        let waiting: Vec<u64> = self.open.iter().filter(|(_, o)| !o.closed).map(|(id, _)| *id).collect();
+        waiting.into_iter().flat_map(|id| self.close(now, id)).collect()
+    }
+
+    /// The right to act on a request is lost: what is out of it is called off, and its client told.
+    pub fn let_go(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        self.expire(now, id)
+    }
+
+    /// The request's time is over: what is out is given up and has timed out.
+    fn expire(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        let Some(open) = self.open.get(&id) else { return Vec::new() };
+        let out: Vec<u32> =
+            (0..).zip(&open.attempts).filter(|(_, a)| a.outcome.is_none()).map(|(n, _)| n).collect();
+        let mut orders = Vec::new();
+        for attempt in out {
+            let ticket = Ticket { request: id, attempt };
+            self.tally.expired += 1;
+            self.orders.push(Order::Stop(ticket));
+            if let Some(event) = self.finish(now, ticket, Outcome::Timeout, None) {
+                orders.append(&mut self.run(now, event));
+            }
+        }
+        orders.append(&mut self.close(now, id));
+        self.forget(id);
+        orders.append(&mut self.orders);
+        orders
+    }
+
+    /// Ends a request whose answer the decisions did not give.
+    fn close(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        let Some(open) = self.open.get(&id).filter(|o| !o.closed) else { return Vec::new() };
+        let harmless = open.safe || open.never_ran();
+        self.held.remove(&id);
+        self.answer(id, if harmless { Answer::Refused(BACKOFF_MS) } else { Answer::Failed });
+        let orders = self.run(now, Event::HungUp { query: id });
+        self.forget(id);
+        orders
+    }
+
+    /// Notes an attempt's end; the event that tells of it.
+    pub(super) fn finish(
+        &mut self,
+        now: Micros,
+        t: Ticket,
+        outcome: Outcome,
+        load: Option<Load>,
+    ) -> Option<Event> {
+        let done = self.open.get(&t.request)?.closed;
+        let attempt = self.out(t)?;
+        attempt.outcome = Some(outcome);
+        let latency = now.saturating_sub(attempt.sent);
+        let (query, attempt, engine) = (t.request, t.attempt, attempt.engine);
+        let report = load.map(Load::report);
+        let finished = Finished { query, attempt, engine, done, outcome, latency, bill: None, report };
+        Some(Event::Finished(finished))
+    }
+
+    /// The one place that gives a final answer.
+    pub(super) fn answer(&mut self, id: u64, answer: Answer<R>) {
+        let Some(open) = self.open.get_mut(&id) else { return };
+        if !must!(!open.closed, "a second answer") {
+            return;
+        }
+        open.closed = true;
+        match &answer {
+            Answer::Served(_) => self.tally.served += 1,
+            Answer::Refused(_) => self.tally.refused += 1,
+            Answer::Failed => self.tally.failed += 1,
+        }
+        self.orders.push(Order::Answer(id, answer));
+    }
+
+    pub(super) fn forget(&mut self, id: u64) {
+        if self.open.get(&id).is_some_and(Open::over)
+            && let Some(open) = self.open.remove(&id)
+        {
+            self.deadlines.remove(&(open.deadline, id));
+            if open.left && self.follows {
+                let never_ran = open.never_ran();
+                self.orders.push(Order::Past(id, open.late, never_ran));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/dispatch/intake.rs
@@ -0,0 +1,106 @@
+//! How a request is taken in, held or turned away.
+
+use super::open::Open;
+use super::request::{arrival, grace};
+use super::{Answer, BACKOFF_MS, Class, Dispatch, Order, Request};
+use crate::api::{Event, Micros};
+
+impl<R> Dispatch<R> {
+    /// Whether a request can be taken at all: its class, its budget, and an id that was not used.
+    fn acceptable(&mut self, request: &Request) -> Result<Class, &'static str> {
+        let class = *self.classes.get(request.class).ok_or("unknown class")?;
+        if request.told == 0 || request.told > class.most_budget {
+            return Err("a budget that no client of this class has");
+        }
+        // Ids are new with every request. One that comes again, open or not, is nobody's retry: it could run
+        // what must not run twice, and its answer could be taken for the other's.
+        if self.recent.put(request.id, ()).is_some() || self.open.contains_key(&request.id) {
+            return Err("this id was used before");
+        }
+        Ok(class)
+    }
+
+    /// Takes a request in and refuses it in the same breath, before any decision: it never ran, so that refusing
+    /// is harmless. Errors are those of [`Dispatch::pick`].
+    pub fn turn_away(&mut self, request: &Request) -> Result<(), &'static str> {
+        self.acceptable(request)?;
+        self.tally.taken += 1;
+        self.tally.refused += 1;
+        Ok(())
+    }
+
+    /// Takes a request in: it is sent, held or answered by what is returned here or later. An id that is
+    /// still open is an error, as its answer could not be told from the other's.
+    pub fn pick(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
+        self.adopt(now, request, 0)
+    }
+
+    /// The same for a request that a lost dispatcher had in hand and tried so often already.
+    pub fn adopt(
+        &mut self,
+        now: Micros,
+        request: &Request,
+        before: usize,
+    ) -> Result<Vec<Order<R>>, &'static str> {
+        let full = self.take(now, request, before)?;
+        Ok(if full { std::mem::take(&mut self.orders) } else { self.run(now, arrival(request)) })
+    }
+
+    /// Takes a request in that the decisions get later, by [`Dispatch::admit`]; it has its deadline meanwhile.
+    pub fn hold(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
+        if !self.take(now, request, 0)? {
+            self.held.insert(request.id, request.clone());
+        }
+        Ok(std::mem::take(&mut self.orders))
+    }
+
+    /// A request that was held goes to the decisions.
+    pub fn admit(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+        let Some(request) = self.held.remove(&id) else { return Vec::new() };
+        match self.open.get(&id).filter(|o| !o.closed).map(|o| o.deadline) {
+            Some(deadline) if now < deadline => {
+                let mut event = arrival(&request);
+                if let Event::Arrival(a) = &mut event {
+                    a.grace = deadline - now;
+                }
+                self.run(now, event)
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// A request that was held has its answer.
+    pub fn answer_held(&mut self, id: u64, answer: Answer<R>) -> Vec<Order<R>> {
+        if self.held.remove(&id).is_some() && self.open.get(&id).is_some_and(|o| !o.closed) {
+            self.answer(id, answer);
+            self.forget(id);
+        }
+        std::mem::take(&mut self.orders)
+    }
+
+    /// Takes a request in; whether it was refused at once, as too many are open.
+    fn take(&mut self, now: Micros, request: &Request, before: usize) -> Result<bool, &'static str> {
+        let Class { safe, .. } = self.acceptable(request)?;
+        self.tally.taken += 1;
+        let open = Open {
+            arrived: now,
+            deadline: now + grace(request),
+            safe,
+            closed: false,
+            left: false,
+            late: None,
+            before,
+            memory_mb: 0.0,
+            priority: 1,
+            attempts: Vec::new(),
+        };
+        let full = self.waiting() >= self.most_held;
+        self.deadlines.insert((open.deadline, request.id));
+        self.open.insert(request.id, open);
+        if full {
+            self.answer(request.id, Answer::Refused(BACKOFF_MS));
+            self.forget(request.id);
+        }
+        Ok(full)
+    }
+}
--- /dev/null
+++ b/src/dispatch/open.rs
@@ -0,0 +1,51 @@
+//! Requests that are open, and their attempts.
+
+use super::{Dispatch, Ticket};
+use crate::api::{EngineId, Micros, Outcome};
+
+#[derive(Debug)]
+pub(super) struct Attempt {
+    pub(super) engine: EngineId,
+    pub(super) sent: Micros,
+    /// How it ended; `None` while it is out.
+    pub(super) outcome: Option<Outcome>,
+    pub(super) priority: u8,
+}
+
+#[derive(Debug)]
+pub(super) struct Open<R> {
+    pub(super) arrived: Micros,
+    pub(super) deadline: Micros,
+    /// Refusing it is harmless whatever ran.
+    pub(super) safe: bool,
+    /// Answered, or the client has left.
+    pub(super) closed: bool,
+    /// The client has left.
+    pub(super) left: bool,
+    /// What was served after that.
+    pub(super) late: Option<R>,
+    /// Attempts that others made before.
+    pub(super) before: usize,
+    pub(super) memory_mb: f64,
+    pub(super) priority: u8,
+    pub(super) attempts: Vec<Attempt>,
+}
+
+impl<R> Open<R> {
+    pub(super) fn over(&self) -> bool {
+        self.closed && self.attempts.iter().all(|a| a.outcome.is_some())
+    }
+
+    /// No attempt can have run.
+    pub(super) fn never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
+    }
+}
+
+impl<R> Dispatch<R> {
+    /// An attempt that is out.
+    pub(super) fn out(&mut self, t: Ticket) -> Option<&mut Attempt> {
+        let attempt = self.open.get_mut(&t.request)?.attempts.get_mut(t.attempt as usize)?;
+        attempt.outcome.is_none().then_some(attempt)
+    }
+}
--- /dev/null
+++ b/src/dispatch/reports.rs
@@ -0,0 +1,88 @@
+//! What the network's reports come to.
+
+use super::{Answer, Dispatch, Echo, End, Load, Order, Report, Ticket, Word};
+use crate::api::{self, Event, Micros, Outcome};
+use crate::must;
+
+impl<R> Dispatch<R> {
+    /// What the network has to tell.
+    pub fn report(&mut self, now: Micros, report: Report<R>) -> Vec<Order<R>> {
+        match report {
+            Report::Ended(ticket, end, load) => self.ended(now, ticket, end, load),
+            Report::Noted(t, word) => {
+                let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
+                let note = match word {
+                    Word::Progress(x) => api::Note::Progress(x),
+                    Word::Spills(x) => api::Note::Spill(x),
+                    Word::Waits => api::Note::Waits,
+                };
+                self.run(now, Event::Noted { query: t.request, attempt: t.attempt, engine, note })
+            }
+            Report::Probed(engine, echo, latency) => {
+                let (outcome, load) = match echo {
+                    Echo::Up(load) => (Outcome::Ok, load),
+                    Echo::Down => (Outcome::Error, None),
+                    Echo::Unreachable => (Outcome::ConnectFailed, None),
+                    Echo::Unknown => (Outcome::Cancelled, None),
+                    Echo::Silent => (Outcome::Timeout, None),
+                };
+                let report = load.map(Load::report);
+                self.run(now, Event::Probed { engine, outcome, latency, report })
+            }
+            Report::Left(id) => match self.open.get_mut(&id) {
+                Some(o) if !o.closed => {
+                    (o.closed, o.left) = (true, true);
+                    self.held.remove(&id);
+                    self.tally.left += 1;
+                    let (waited, left) = (now.saturating_sub(o.arrived), o.deadline.saturating_sub(now));
+                    let (waited, left) = (waited / 1000, left / 1000);
+                    let request = format_args!("{id:016x}");
+                    tracing::info!(request, waited_ms = waited, left_ms = left, "client left");
+                    let mut orders = self.run(now, Event::HungUp { query: id });
+                    self.forget(id);
+                    orders.append(&mut self.orders);
+                    orders
+                }
+                _ => Vec::new(),
+            },
+        }
+    }
+    fn ended(&mut self, now: Micros, t: Ticket, end: End<R>, load: Option<Load>) -> Vec<Order<R>> {
+        // An attempt may end while the order to stop it is on its way: the stop was told, and once is enough.
+        let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
+        let outcome = match end {
+            End::Served(result) => {
+                match self.open.get_mut(&t.request) {
+                    Some(o) if !o.closed => self.answer(t.request, Answer::Served(result)),
+                    Some(o) if o.left && self.follows => o.late = Some(result),
+                    _ => {}
+                }
+                Outcome::Ok
+            }
+            End::Full => Outcome::Full,
+            End::Void => Outcome::Moot,
+            End::Error => Outcome::Error,
+            End::NeverSent => {
+                self.tally.never_sent += 1;
+                Outcome::ConnectFailed
+            }
+            End::Lost | End::Spoilt => {
+                self.tally.lost += 1;
+                tracing::info!(
+                    request = format_args!("{:016x}", t.request),
+                    attempt = t.attempt,
+                    "attempt lost with its connection"
+                );
+                // A time-out is what the decisions know that may have run and blames nobody.
+                if matches!(end, End::Lost) { Outcome::Reset } else { Outcome::Timeout }
+            }
+        };
+        let event = self.finish(now, t, outcome, load);
+        let whole = matches!(&event, Some(Event::Finished(f)) if f.engine == engine);
+        must!(whole, "an attempt that was out has no end to tell");
+        let mut orders = event.map_or_else(Vec::new, |e| self.run(now, e));
+        self.forget(t.request);
+        orders.append(&mut self.orders);
+        orders
+    }
+}
--- /dev/null
+++ b/src/dispatch/request.rs
@@ -0,0 +1,64 @@
+//! What a client asked, and how the decisions get it.
+
+use crate::api::{Arrival, Event, Micros};
+
+/// An answer has to be seen before the client leaves, also when this process or its machine stood still for a
+/// moment: all ends this much before, or this part of a shorter budget.
+const MARGIN: Micros = 250_000;
+const MARGIN_PART: Micros = 8;
+
+/// One attempt of one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Ticket {
+    /// The request.
+    pub request: u64,
+    /// The attempt, from 0.
+    pub attempt: u32,
+}
+
+/// A request as a client sent it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Request {
+    /// Its id, never used twice.
+    pub id: u64,
+    /// The name that its client keeps over all tries (`ask`); only heeded where there are peers.
+    pub ask: Option<u64>,
+    /// Its class, an index.
+    pub class: usize,
+    /// Its tenant (`acct`), an index; `None` where none was told or the settings name no such one.
+    pub tenant: Option<usize>,
+    /// Its key, in classes that keep order.
+    pub key: Option<u64>,
+    /// How long the client waits in all, as it told.
+    pub told: Micros,
+    /// How long the client still waits.
+    pub budget: Micros,
+    /// Estimated work of all threads, in seconds.
+    pub work_s: Option<f64>,
+    /// Estimated memory in MB.
+    pub memory_mb: Option<f64>,
+    /// Its group of tables.
+    pub group: u64,
+    /// The client says that it asked before.
+    pub repeated: bool,
+}
+
+/// How long a request may take here, so that its answer is seen before its client leaves.
+pub(super) fn grace(request: &Request) -> Micros {
+    request.budget.saturating_sub(MARGIN.min(request.budget / MARGIN_PART)).max(1)
+}
+
+/// A request as the decisions get it.
+pub(super) fn arrival(request: &Request) -> Event {
+    Event::Arrival(Arrival {
+        query: request.id,
+        class: request.class,
+        tenant: request.tenant,
+        key: request.key,
+        grace: grace(request),
+        estimate_s: request.work_s.filter(|e| e.is_finite() && *e > 0.0),
+        memory_mb: request.memory_mb.filter(|e| e.is_finite() && *e > 0.0),
+        group: request.group,
+        repeated: request.repeated,
+    })
+}
--- /dev/null
+++ b/src/dispatch/tests/intake.rs
@@ -0,0 +1,36 @@
+use super::*;
+
+// What the machine allows to be held is refused beyond that, and an id that is open is not taken twice.
+#[test]
+fn what_is_too_much_is_refused_before_a_decision() {
+    let mut d = dispatch();
+    pick(&mut d, 2_000, 1);
+    pick(&mut d, 2_000, 2);
+    assert_eq!(answers(&pick(&mut d, 2_000, 3)), [&Answer::Refused(BACKOFF_MS)]);
+    let again = request(1, 1);
+    assert!(d.pick(2_000, &again).is_err());
+    // A client that left is owed nothing, also when an answer or the end comes later.
+    assert!(answers(&d.report(3_000, Report::Left(1))).is_empty());
+    let end = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Served(()), None);
+    assert!(answers(&d.report(4_000, end)).is_empty() && !d.open.contains_key(&1));
+    // A connection may be lost with an attempt whose stop is being carried out: told twice is told once.
+    assert!(d.report(4_000, Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost, None)).is_empty());
+    assert_eq!(answers(&d.give_up(5_000)), [&Answer::Failed]);
+}
+
+// Two loads of one key must not run side by side: the next one waits until the KILL of the one before
+// has had time to arrive.
+#[test]
+fn a_key_rests_after_an_attempt_that_was_lost() {
+    let mut d = dispatch();
+    let keyed = |id, budget| Request { key: Some(9), ..request(id, budget) };
+    assert_eq!(d.pick(2_000, &keyed(1, BUDGET)).unwrap().len(), 1);
+    assert!(d.pick(3_000, &keyed(2, 4 * BUDGET)).unwrap().is_empty(), "the second waits for its turn");
+    let ended = Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost, None);
+    let orders = d.report(4_000, ended);
+    assert_eq!(answers(&orders), [&Answer::Failed]);
+    let starts = |orders: &[Order<()>]| orders.iter().any(|o| matches!(o, Order::Start { .. }));
+    assert!(!starts(&orders) && !starts(&d.tick(4_000 + KEY_REST - 1)));
+    let later: Vec<_> = (1..9).flat_map(|n| d.tick(4_000 + KEY_REST + n * 100_000)).collect();
+    assert!(starts(&later));
+}
