Say what holding a request obliges to, and test its end

Two tests guard it: a held request is refused once at its deadline with a time to come back and neither call does anything after that; one that is admitted at the deadline itself is not started and still refused. No program text changes.

--- a/src/dispatch/intake.rs
+++ b/src/dispatch/intake.rs
@@ -46,7 +46,18 @@
         Ok(if full { std::mem::take(&mut self.orders) } else { self.run(now, arrival(request)) })
     }
 
-    /// Takes a request in that the decisions get later, by [`Dispatch::admit`]; it has its deadline meanwhile.
+    /// Takes a request in that the decisions get later, once there is word of the fleet. It is open from now on:
+    /// it counts among those that wait, its id is used up, and its deadline is that of a request picked now. Errors
+    /// are those of [`Dispatch::pick`], and too many open requests refuse it at once, so that it is not held.
+    ///
+    /// Whoever holds a request owes it one call, of [`Dispatch::admit`] or of [`Dispatch::answer_held`]; nobody
+    /// else may call either for its id. The call may come in the same breath or later, and none has to come:
+    ///
+    /// - at its deadline, [`Dispatch::tick`] refuses it with a time to come back, which is harmless, as no
+    ///   attempt of it was made; so do [`Dispatch::let_go`] and [`Dispatch::give_up`] before that;
+    /// - once its client has left ([`Report::Left`](super::Report::Left)) it is over, with no answer.
+    ///
+    /// After any of these it is held no more, and either call does nothing.
     pub fn hold(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
         if !self.take(now, request, 0)? {
             self.held.insert(request.id, request.clone());
@@ -54,7 +65,9 @@
         Ok(std::mem::take(&mut self.orders))
     }
 
-    /// A request that was held goes to the decisions.
+    /// A request that is held goes to the decisions, with what is left until its deadline; from here on it is as
+    /// one that was picked. For whoever held it alone, and once: for an id that is not held it does nothing. At
+    /// its deadline or later it does not go there any more, and [`Dispatch::tick`] refuses it.
     pub fn admit(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
         let Some(request) = self.held.remove(&id) else { return Vec::new() };
         match self.open.get(&id).filter(|o| !o.closed).map(|o| o.deadline) {
@@ -69,7 +82,10 @@
         }
     }
 
-    /// A request that was held has its answer.
+    /// A request that is held has its answer, which the decisions neither gave nor hear of. For whoever held it
+    /// alone, and once: for an id that is not held it does nothing. The answer has to be true by itself: refused
+    /// only where it never ran or may run twice. What is given to a request past its deadline still counts if
+    /// [`Dispatch::tick`] has not refused it yet.
     pub fn answer_held(&mut self, id: u64, answer: Answer<R>) -> Vec<Order<R>> {
         if self.held.remove(&id).is_some() && self.open.get(&id).is_some_and(|o| !o.closed) {
             self.answer(id, answer);
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -3,6 +3,7 @@
 
 mod ends;
 mod fleet;
+mod held;
 mod intake;
 
 const SETTINGS: &str = r#"{"balancers":1,"kinds":["k"],"domain":{"kindCores":[8],"parallelism":[1]},
