--- /dev/null
+++ b/src/net/session/mod.rs
@@ -0,0 +1,225 @@
+//! A client's connection.
+//!
+//! - `statements`: what a client's statement means.
+//! - `answers`: what is written to it.
+//! - `leaving`: what time does to it, and how it ends.
+
+mod answers;
+mod leaving;
+mod statements;
+
+use super::buffers::{Inbox, Outbox, Pool};
+use super::poll::{Key, Poll};
+use crate::api::Micros;
+use crate::codec::mysql::{Command, Error, Server};
+use crate::dispatch::Request;
+use crate::settings::Names;
+use statements::{Meant, understand};
+use std::collections::BTreeMap;
+use std::io::{self, Read};
+use std::net::TcpStream;
+use std::rc::Rc;
+
+/// A client that was told to go may send on so much while it reads the last bytes.
+const WASTE: usize = 256 * 1024;
+/// After an error of its own a client is not read for this long, twice as long after each further one; after
+/// so many in a row it has to go.
+const PAUSE: Micros = 10_000;
+const ERRORS: u32 = 8;
+
+/// What a client wants that the session can't answer by itself.
+#[derive(Debug)]
+pub enum Asked {
+    /// A request, the name of its class and its statement.
+    Request(Request, Rc<str>, Rc<str>),
+    /// The request of the connection with this id is to be given up.
+    Kill(u32),
+    /// It wants to go, or has to.
+    Close,
+}
+
+/// A client's connection.
+pub struct Session {
+    stream: TcpStream,
+    key: Key,
+    /// The connection id that the greeting told.
+    pub id: u32,
+    server: Server,
+    inbox: Inbox,
+    outbox: Outbox,
+    /// The request that is open.
+    pub open: Option<u64>,
+    /// When anything last happened on it.
+    pub touched: Micros,
+    /// When it connected.
+    opened: Micros,
+    /// Since when its next message has been here in part.
+    part_since: Option<Micros>,
+    /// Whether it ever brought a request or command whole, beside its login.
+    asked: bool,
+    /// Errors of its own in a row, and until when it is not read for them.
+    errors: u32,
+    paused_until: Option<Micros>,
+    /// Since when nothing more is taken from it; it closes once all is written and read.
+    closing: Option<Micros>,
+    waste: usize,
+    finished: bool,
+    /// Whether it is watched for reading and for writing.
+    watched: (bool, bool),
+}
+
+impl Session {
+    /// Takes a connection in and greets.
+    pub fn new(
+        stream: TcpStream,
+        poll: &Poll,
+        pool: &Pool,
+        id: u32,
+        scramble: &[u8; 20],
+        now: Micros,
+    ) -> io::Result<Session> {
+        stream.set_nonblocking(true)?;
+        stream.set_nodelay(true)?;
+        let key = poll.add(&stream, false)?;
+        let (mut server, mut greeting) = (Server::default(), Vec::new());
+        server.greet(id, scramble, &mut greeting);
+        let mut outbox = Outbox::new(pool);
+        outbox.append(&greeting);
+        let inbox = Inbox::new(pool);
+        Ok(Session {
+            stream,
+            key,
+            id,
+            server,
+            inbox,
+            outbox,
+            open: None,
+            touched: now,
+            opened: now,
+            part_since: None,
+            asked: false,
+            errors: 0,
+            paused_until: None,
+            closing: None,
+            waste: 0,
+            finished: false,
+            watched: (true, false),
+        })
+    }
+
+    /// Reads once. False once the client is gone.
+    pub fn read(&mut self, now: Micros) -> bool {
+        if self.closing.is_some() {
+            let mut waste = [0; 4096];
+            return match self.stream.read(&mut waste) {
+                Ok(n) => {
+                    self.waste += n;
+                    n > 0 && self.waste < WASTE
+                }
+                Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+            };
+        }
+        if self.paused_until.is_some() {
+            return true;
+        }
+        self.touched = now;
+        if self.inbox.full() {
+            return false;
+        }
+        match self.inbox.fill(&mut self.stream) {
+            Ok(n) => n > 0,
+            Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+        }
+    }
+
+    /// What a client may not do while its request is open: send another. A farewell is none.
+    pub fn overruns(&self) -> bool {
+        let bytes = self.inbox.bytes();
+        bytes.len() > 5 || (bytes.len() == 5 && !matches!(bytes, [1, 0, 0, _, 1]))
+    }
+
+    /// Whether the client said farewell while its request is open.
+    pub fn leaves(&self) -> bool {
+        self.open.is_some() && matches!(self.inbox.bytes(), [1, 0, 0, _, 1])
+    }
+
+    /// The next thing that the client wants; what the session can answer by itself, it answers.
+    pub fn next(&mut self, names: &Names, now: Micros) -> Option<Asked> {
+        while self.open.is_none() && self.closing.is_none() && self.paused_until.is_none() {
+            let (n, login, asked) = match self.server.next(self.inbox.bytes()) {
+                Ok(None) => {
+                    let part = !self.inbox.bytes().is_empty();
+                    self.part_since = part.then(|| self.part_since.unwrap_or(now));
+                    return None;
+                }
+                Ok(Some((n, command))) => (n, command == Command::Login, understand(&command, names)),
+                Err(e) => {
+                    tracing::info!(client = self.id, error = %e, "client closed");
+                    self.dismiss(&e, now);
+                    return None;
+                }
+            };
+            self.inbox.consume(n);
+            self.part_since = None;
+            self.asked |= !login;
+            match asked {
+                Ok(Meant::Ok) => self.put(|s, out| s.ok(out)),
+                Ok(Meant::Values(values)) => {
+                    let names: Vec<&str> = values.iter().map(|(n, _)| n.as_str()).collect();
+                    self.put(|s, out| {
+                        s.columns(&names, out);
+                        s.row(values.iter().map(|(_, v)| v.as_bytes()), out);
+                        s.end_of_part(out);
+                    });
+                }
+                Ok(Meant::Asked(asked)) => return Some(asked),
+                Err(e) => self.at_fault(&e, now),
+            }
+        }
+        None
+    }
+
+    /// Answers a mistake of the client's at once, and reads on only after a pause: some repeat it for ever.
+    pub fn at_fault(&mut self, error: &Error, now: Micros) {
+        self.errors += 1;
+        if self.errors >= ERRORS {
+            return self.dismiss(error, now);
+        }
+        self.error(error);
+        self.paused_until = Some(now + (PAUSE << self.errors));
+    }
+
+    /// Closes it.
+    pub fn close(self, poll: &Poll) {
+        poll.remove(&self.stream);
+    }
+}
+
+/// The clients' connections, by key and by the id that greetings tell.
+#[derive(Default)]
+pub struct Sessions {
+    /// By key at the poller.
+    pub by_key: BTreeMap<Key, Session>,
+    /// Keys by connection id.
+    pub by_id: BTreeMap<u32, Key>,
+}
+
+impl Sessions {
+    /// Takes one in.
+    pub fn insert(&mut self, s: Session) -> Key {
+        let key = s.key;
+        self.by_id.insert(s.id, key);
+        self.by_key.insert(key, s);
+        key
+    }
+
+    /// Takes one out.
+    pub fn remove(&mut self, key: Key) -> Option<Session> {
+        let s = self.by_key.remove(&key)?;
+        self.by_id.remove(&s.id);
+        Some(s)
+    }
+}
+
+#[cfg(test)]
+mod tests;
