--- /dev/null
+++ b/src/net/executors/attempts.rs
@@ -0,0 +1,98 @@
+//! The dispatcher's orders: attempts and probes.
+
+use super::{Due, Executors, Job, PROBE_SLACK};
+use crate::api::Micros;
+use crate::dispatch::{Echo, End, ExecutorId, Report, Ticket};
+use crate::must;
+use crate::net::connection::{Outgoing, Stream};
+use crate::net::poll::{Key, Poll};
+use rand_core::RngCore;
+
+/// From this attempt on a request that lost all before shares no connection: it may be why they were lost.
+const SUSPECT: u32 = 2;
+
+impl Executors {
+    /// Sends an attempt.
+    #[allow(clippy::too_many_arguments)]
+    pub fn start(
+        &mut self,
+        t: Ticket,
+        to: ExecutorId,
+        job: Job,
+        memory_mb: f64,
+        priority: u8,
+        until: Micros,
+        now: Micros,
+        poll: &Poll,
+    ) {
+        let id = t.request;
+        let most = if t.attempt < SUSPECT { self.transport.streams_per_conn } else { 1 };
+        let Some(key) = self.connection(to, now, poll, |c| c.takes(id, most, now)) else {
+            self.reports.push_back(Report::Ended(t, End::NeverSent, None));
+            return;
+        };
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        let (rows, written) = (Vec::new(), false);
+        conn.streams.insert(id, Stream { ticket: t, written, pages: 0, rows, bytes: 0, since: now });
+        conn.queue.push_back(Outgoing::Pull { id, job, memory_mb, priority, until });
+        must!(self.places.insert(t, key).is_none(), "an attempt was started twice");
+        self.write(key, now, poll);
+    }
+
+    /// Gives an attempt up; nothing more is told of it.
+    pub fn stop(&mut self, t: Ticket, now: Micros, poll: &Poll) {
+        let Some(key) = self.places.remove(&t) else { return };
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        let id = t.request;
+        let Some(stream) = conn.streams.remove(&id) else { return };
+        let waiting = |o: &Outgoing| matches!(o, Outgoing::Pull { id: i, .. } if *i == id);
+        if let Some(at) = conn.queue.iter().position(waiting) {
+            conn.queue.remove(at);
+            return;
+        }
+        if conn.writing == Some(id) && !conn.outbox.begun() {
+            conn.writing = None;
+            conn.outbox.clear();
+            return self.write(key, now, poll);
+        }
+        conn.spent.insert(id, now);
+        conn.queue.push_back(if stream.pages > 0 { Outgoing::Discard(id) } else { Outgoing::Kill(id) });
+        self.write(key, now, poll);
+    }
+
+    /// A new priority for an attempt.
+    pub fn boost(&mut self, t: Ticket, priority: u8, now: Micros, poll: &Poll) {
+        let Some(key) = self.places.get(&t).copied() else { return };
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        for o in &mut conn.queue {
+            if let Outgoing::Pull { id, priority: p, .. } = o
+                && *id == t.request
+            {
+                *p = priority;
+                return;
+            }
+        }
+        if conn.streams.get(&t.request).is_some_and(|s| s.pages == 0) {
+            conn.queue.push_back(Outgoing::Boost(t.request, priority));
+            self.write(key, now, poll);
+        }
+    }
+
+    /// Probes an executor.
+    pub fn probe(&mut self, to: ExecutorId, now: Micros, poll: &Poll) {
+        let Some(key) = self.connection(to, now, poll, |c| !c.retired && !c.doubtful(now)) else {
+            self.reports.push_back(Report::Probed(to, Echo::Unreachable, 0));
+            return;
+        };
+        self.meter(key, now, poll);
+    }
+
+    pub(super) fn meter(&mut self, key: Key, now: Micros, poll: &Poll) {
+        let tag = self.tags.next_u64() | 1;
+        let Some(conn) = self.conns.get_mut(&key) else { return };
+        conn.probes.insert(tag, now);
+        conn.queue.push_back(Outgoing::Meter(tag));
+        self.timers.set(now + self.transport.dial_timeout + PROBE_SLACK, Due::Probe(key, tag));
+        self.write(key, now, poll);
+    }
+}
--- /dev/null
+++ b/src/net/executors/mod.rs
@@ -0,0 +1,126 @@
+//! Executors and the connections to them.
+//!
+//! A connection belongs to one executor by its uid, whatever its address becomes. It carries one attempt as
+//! long as descriptors last: a spoilt answer ends its connection with all that is open there. A request that
+//! ended in any way on a connection never goes out on that one again, so that a late answer or a second copy
+//! can't be taken for a new one.
+//!
+//! - `listing`: news of the list, and what it ends.
+//! - `attempts`: the dispatcher's orders.
+//! - `pool`: which connection is used, dialed or closed.
+//! - `traffic`: what is read and written.
+//! - `silence`: what falls due when nothing comes.
+
+mod attempts;
+mod listing;
+mod pool;
+mod silence;
+mod traffic;
+
+use super::buffers::Pool;
+use super::connection::Conn;
+pub use super::connection::{Job, Rows};
+use super::poll::Key;
+use super::timers::Timers;
+use crate::api::Micros;
+use crate::codec::coordinator::State;
+use crate::dispatch::{ExecutorId, Report, Ticket, executor_id};
+use crate::settings::Transport;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::net::SocketAddr;
+
+/// An answer that has begun has to be here whole within this time.
+const PART: Micros = 700_000;
+/// A probe may take this much longer than a dial.
+const PROBE_SLACK: Micros = 50_000;
+
+struct Executor {
+    uid: String,
+    address: Option<SocketAddr>,
+    state: State,
+    conns: Vec<Key>,
+    /// When anything came from it, on any connection.
+    heard: Micros,
+}
+
+/// What falls due here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Due {
+    Dial(Key),
+    Probe(Key, u64),
+    /// An answer in part.
+    Part(Key),
+    /// Word on what was written.
+    Word(Key),
+}
+
+/// Counters of the connections.
+#[derive(Debug, Default)]
+pub struct Wire {
+    /// Dials begun.
+    pub dials: u64,
+    /// Lines that could not be used.
+    pub bad_lines: u64,
+    /// Answers to what is not open, and second copies.
+    pub stray: u64,
+    /// Connections that fell silent while their executor did not.
+    pub mute: u64,
+    /// Attempts written whole.
+    pub forwards: u64,
+}
+
+/// All executors, and the connections to them.
+pub struct Executors {
+    transport: Transport,
+    most_conns: usize,
+    pool: Pool,
+    list: BTreeMap<ExecutorId, Executor>,
+    /// Whose each address is; it may have moved on, which its entry in the list tells.
+    addresses: HashMap<SocketAddr, ExecutorId>,
+    conns: BTreeMap<Key, Conn>,
+    /// Where each attempt is.
+    places: BTreeMap<Ticket, Key>,
+    timers: Timers<Due>,
+    tags: Pcg64Mcg,
+    scratch: Vec<u8>,
+    /// What the dispatcher has to be told, in order.
+    pub reports: VecDeque<Report<Rows>>,
+    /// Counters.
+    pub wire: Wire,
+}
+
+impl Executors {
+    /// None yet; `most_conns` bounds the connections in all, `seed` makes tags that nobody can know ahead.
+    pub fn new(transport: Transport, most_conns: usize, seed: u64, pool: &Pool) -> Executors {
+        Executors {
+            transport,
+            most_conns,
+            pool: pool.clone(),
+            list: BTreeMap::new(),
+            addresses: HashMap::new(),
+            conns: BTreeMap::new(),
+            places: BTreeMap::new(),
+            timers: Timers::default(),
+            tags: Pcg64Mcg::seed_from_u64(!seed),
+            scratch: Vec::new(),
+            reports: VecDeque::new(),
+            wire: Wire::default(),
+        }
+    }
+
+    /// Whether work is out on an executor, or waits for a connection to it.
+    pub fn busy(&self, uid: &str) -> bool {
+        let conns = self.list.get(&executor_id(uid)).into_iter().flat_map(|e| &e.conns);
+        conns.filter_map(|k| self.conns.get(k)).any(|c| !c.streams.is_empty())
+    }
+
+    /// Open connections.
+    pub fn connections(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/executors/tests.rs
@@ -0,0 +1,94 @@
+use super::*;
+use crate::codec::coordinator::Target;
+use crate::dispatch::{End, Load};
+use crate::net::poll::Poll;
+use crate::net::room::Room;
+use std::net::TcpListener;
+
+const TRANSPORT: Transport =
+    Transport { most_held: 9, streams_per_conn: 1, conn_idle: 30_000_000, dial_timeout: 250_000 };
+
+fn listed(e: &mut Executors, at: &TcpListener, state: State, boot_ms: u64, now: Micros, poll: &Poll) {
+    let endpoint = at.local_addr().ok();
+    let (uid, az, model) = ("e1".to_string(), String::new(), String::new());
+    let target =
+        Target { uid, endpoint, az, model, pod_group: 0, state, capacity_hint: None, boot_ms, weight: None };
+    e.listed(&[target], false, now, poll);
+}
+
+fn start(e: &mut Executors, request: u64, now: Micros, poll: &Poll) -> Ticket {
+    let ticket = Ticket { request, attempt: 0 };
+    let job = Job { kind: "read".into(), statement: "SELECT 1".into() };
+    e.start(ticket, executor_id("e1"), job, 0.0, 1, now + 9_000_000, now, poll);
+    ticket
+}
+
+// A pull that waits for its connection must not go out seconds after the engine drains: it is taken back
+// while that proves that it never ran.
+#[test]
+fn a_pull_that_waits_is_taken_back_when_its_executor_drains() {
+    let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
+    let at = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
+    listed(&mut e, &at, State::Up, 0, 1, &poll);
+    let ticket = start(&mut e, 7, 2, &poll);
+    assert!(e.reports.is_empty());
+    listed(&mut e, &at, State::Draining, 0, 3, &poll);
+    assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent, _)) if t == ticket));
+    let key = *e.conns.keys().next().unwrap();
+    e.ready(key, false, true, 4, &poll);
+    assert!(e.conns[&key].queue.is_empty() && e.conns[&key].outbox.is_empty());
+}
+
+// A process that started anew knows nothing of what an old connection asked; one opened since does. A
+// full connection takes no more, and a dial that never comes up proves that nothing ran.
+#[test]
+fn a_new_start_ends_what_is_older_and_nothing_else() {
+    let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
+    let at = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut e = Executors::new(TRANSPORT, 2, 7, &pool);
+    listed(&mut e, &at, State::Up, 0, 1, &poll);
+    let old = start(&mut e, 7, 1_000, &poll);
+    let old_key = *e.conns.keys().next().unwrap();
+    while !e.conns[&old_key].up {
+        e.ready(old_key, false, true, 1_001, &poll);
+    }
+    let new = start(&mut e, 8, 9_000, &poll);
+    let over = start(&mut e, 9, 9_000, &poll);
+    assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent, _)) if t == over));
+    listed(&mut e, &at, State::Up, 5, 10_000, &poll);
+    assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::Lost, _)) if t == old));
+    assert!(e.reports.is_empty() && e.places.contains_key(&new));
+    e.tick(9_000 + TRANSPORT.dial_timeout, &poll);
+    assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent, _)) if t == new));
+}
+
+// At a site where executors tell their load in every answer and are never probed, the decisions saw no
+// load at all: the answer's gauges were read for probes only. An answer's report must reach the decisions.
+#[test]
+fn the_load_an_answer_carries_goes_on_with_its_end() {
+    use std::io::{Read, Write};
+    let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
+    let at = TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
+    listed(&mut e, &at, State::Up, 0, 1, &poll);
+    let ticket = start(&mut e, 0x2a, 2, &poll);
+    let key = *e.conns.keys().next().unwrap();
+    let (mut engine, _) = at.accept().unwrap();
+    let mut seen = Vec::new();
+    while !seen.windows(4).any(|w| w == b"PULL") {
+        e.ready(key, false, true, 3, &poll);
+        let mut chunk = [0u8; 512];
+        engine.set_read_timeout(Some(std::time::Duration::from_millis(50))).unwrap();
+        if let Ok(n) = engine.read(&mut chunk) {
+            seen.extend_from_slice(&chunk[..n]);
+        }
+    }
+    engine.write_all(b"2a BUSY gauges=inflight:7;util:0.61 0\r\n\r\n").unwrap();
+    while e.reports.is_empty() {
+        e.ready(key, true, false, 4, &poll);
+    }
+    let load = Load { inflight: Some(7.0), util: Some(0.61), ..Load::default() };
+    let found = e.reports.pop_front();
+    assert!(matches!(found, Some(Report::Ended(t, End::Full, Some(l))) if t == ticket && l == load));
+}
