--- /dev/null
+++ b/src/membership/members/guard.rs
@@ -0,0 +1,86 @@
+//! What holds a list back until it is confirmed.
+
+use super::{Act, Entry, Held, Loss, Lost, Members, Merged, micros};
+use crate::api::Micros;
+use crate::membership::keep::Acceptance;
+use crate::membership::list::{Digest, List};
+use crate::settings::options::Safeguard;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+impl Members {
+    /// Puts a list in force, or holds it back if it takes too much away and nobody has accepted that.
+    pub(super) fn try_list(&mut self, now: Micros, rank: usize, list: Arc<List>, acts: &mut Vec<Act>) {
+        let first = self.files.get(&rank).is_none_or(|f| f.list.is_none());
+        let guarded = !self.terms.without.contains(&Safeguard::Guard);
+        let next = self.merged(Some((rank, &list)));
+        let lost = self.lost_by(&next.0);
+        if guarded && !first && !self.accepted(now, rank, &list) {
+            let losses = self.losses(now, &lost);
+            if !losses.is_empty() {
+                let (source, digest) = (self.names[rank].clone(), list.digest);
+                acts.push(Act::Held { source, digest, losses: losses.clone(), since: now, again: false });
+                let remind_at = now + micros(self.terms.guard.remind);
+                if let Some(file) = self.files.get_mut(&rank) {
+                    file.held = Some(Held { list, losses, since: now, remind_at });
+                }
+                return;
+            }
+        }
+        self.take(now, rank, list, next, lost, acts);
+    }
+
+    /// Accepted by its digest lately, or confirmed by the second seal of every file that is new in it.
+    pub(super) fn accepted(&self, now: Micros, rank: usize, list: &List) -> bool {
+        let Some(file) = self.files.get(&rank) else { return false };
+        let fresh = |a: &Acceptance| {
+            a.at.saturating_mul(1_000_000).saturating_add(micros(self.terms.guard.accepted_for)) > now
+        };
+        let old = file.list.iter().flat_map(|l| &l.files);
+        let known: BTreeSet<(&str, Digest)> = old.map(|f| (&*f.name, f.digest)).collect();
+        let mut new = list.files.iter().filter(|f| !known.contains(&(&*f.name, f.digest))).peekable();
+        let confirmed = new.peek().is_some() && new.all(|f| f.confirm == Some(f.digest));
+        confirmed || file.accepted.iter().any(|a| a.names(&list.digest) && fresh(a))
+    }
+
+    /// Rooms that would lose too much, with what lists took away lately.
+    fn losses(&mut self, now: Micros, lost: &Lost) -> Vec<Loss> {
+        let window = micros(self.terms.guard.window);
+        self.lost.retain(|(at, ..)| now < at + window);
+        let mut rooms = lost.clone();
+        for (_, room, before) in &self.lost {
+            if let Some((all, lost)) = rooms.get_mut(room).filter(|(_, lost)| *lost > 0.0) {
+                (*all, *lost) = (*all + before, *lost + before);
+            }
+        }
+        let over = |(room, (all, lost)): (Arc<str>, (f64, f64))| {
+            let share = if all > 0.0 { lost / all } else { 0.0 };
+            (share > self.terms.guard.most_loss + 1e-9).then_some(Loss { room, share })
+        };
+        rooms.into_iter().filter_map(over).collect()
+    }
+
+    /// For each room in force: its capacity, and what of it another list takes away. Weights count against the
+    /// largest of their time, as only their ratio matters.
+    fn lost_by(&self, next: &Merged) -> Lost {
+        let most = |all: &mut dyn Iterator<Item = &Entry>| {
+            all.filter(|e| e.takes()).map(Entry::weight).fold(f64::MIN_POSITIVE, f64::max)
+        };
+        let was_most = most(&mut self.force.values().filter(|p| p.leaving.is_none()).map(|p| &p.entry));
+        let is_most = most(&mut next.values().map(|(_, e)| e));
+        let cores = |e: &Entry| self.terms.cores.get(e.kind()).copied().unwrap_or(1.0);
+        let part = |e: &Entry, most: f64| if e.takes() { cores(e) * e.weight() / most } else { 0.0 };
+        let mut rooms = Lost::new();
+        for (uid, p) in self.force.iter().filter(|(_, p)| p.leaving.is_none()) {
+            let was = part(&p.entry, was_most);
+            // The same motor under another address is another process.
+            let stays = next.get(uid).filter(|(_, e)| e.address() == p.entry.address());
+            let lost = (was - stays.map_or(0.0, |(_, e)| part(e, is_most))).max(0.0);
+            match rooms.get_mut(p.entry.room()) {
+                Some(sum) => *sum = (sum.0 + was, sum.1 + lost),
+                None => drop(rooms.insert(p.entry.room_name(), (was, lost))),
+            }
+        }
+        rooms
+    }
+}
--- /dev/null
+++ b/src/membership/members/tests/mod.rs
@@ -0,0 +1,63 @@
+use super::*;
+use crate::membership::list::{ListFile, Motor, Wanted};
+use std::net::SocketAddr;
+
+mod drains;
+mod guard;
+mod precedence;
+mod sequences;
+
+const S: Micros = 1_000_000;
+
+fn sources(precedence: &[&str]) -> Sources {
+    Sources {
+        precedence: precedence.iter().map(|n| (*n).to_string()).collect(),
+        guard: Guard { most_loss: 1.0, ..Guard::default() },
+        drain_limit: Duration::from_secs(60),
+        cores: [("k".to_string(), 8.0)].into(),
+        without: BTreeSet::new(),
+    }
+}
+
+/// A motor as tests word it: uid, port, weight, whether it is up.
+type Line = (u8, u16, f64, bool);
+
+fn file(name: &str, generation: Option<u64>, room: &str, lines: &[Line]) -> ListFile {
+    let motor = |(uid, port, weight, up): &Line| {
+        Arc::new(Motor {
+            uid: format!("e{uid}").into(),
+            room: room.into(),
+            address: SocketAddr::from(([10, 0, 0, 1], *port)),
+            kind: "k".into(),
+            weight: *weight,
+            state: if *up { Wanted::Up } else { Wanted::Draining },
+        })
+    };
+    let motores: Vec<_> = lines.iter().map(motor).collect();
+    let digest = crate::membership::list::digest(generation, &motores);
+    let places = vec![Default::default(); motores.len()];
+    ListFile { name: name.into(), generation, motores, places, seal: None, confirm: None, digest }
+}
+
+fn list(generation: Option<u64>, lines: &[Line]) -> List {
+    List::new(vec![file("f", generation, "a", lines)])
+}
+
+fn fed(uid: u8, port: u16, state: State) -> Target {
+    let endpoint = Some(SocketAddr::from(([10, 0, 0, 1], port)));
+    let (uid, az, model) = (format!("e{uid}"), "a".to_string(), "k".to_string());
+    Target { uid, endpoint, az, model, pod_group: 0, state, capacity_hint: None, boot_ms: 0, weight: None }
+}
+
+fn states(m: &Members) -> Vec<(String, State)> {
+    m.in_force().into_iter().map(|t| (t.uid, t.state)).collect()
+}
+
+fn up(uids: &[&str]) -> Vec<(String, State)> {
+    uids.iter().map(|u| ((*u).to_string(), State::Up)).collect()
+}
+
+fn changes(acts: &[Act]) -> Vec<(&str, State)> {
+    let targets = acts.iter().filter_map(|a| if let Act::Change(t) = a { Some(t) } else { None });
+    targets.flatten().map(|t| (t.uid.as_str(), t.state)).collect()
+}
--- /dev/null
+++ b/src/membership/members/tests/precedence.rs
@@ -0,0 +1,56 @@
+use super::*;
+
+// The feed and a file never fight over a motor: the first source in order owns it, whatever the other says,
+// and when it lets go the other has it.
+#[test]
+fn a_motor_has_one_owner() {
+    let mut m = Members::new(sources(&["f", "feed"]));
+    m.feed(S, true, &[fed(1, 1, State::Up), fed(2, 2, State::Up)]);
+    m.list(2 * S, "f", list(None, &[(1, 1, 1.0, false), (3, 3, 1.0, true)]));
+    let draining = ("e1".to_string(), State::Draining);
+    assert_eq!(states(&m), [&[draining][..], &up(&["e2", "e3"])].concat());
+    assert_eq!(
+        changes(&m.feed(3 * S, false, &[fed(1, 1, State::Removed), fed(2, 2, State::Removed)])),
+        [("e2", State::Removed)]
+    );
+    m.feed(4 * S, false, &[fed(1, 1, State::Up)]);
+    assert_eq!(changes(&m.list(5 * S, "f", list(None, &[(3, 3, 1.0, true)]))), [("e1", State::Up)]);
+}
+
+// One machine under two names would get twice its share: the address goes to the first source, told once.
+#[test]
+fn an_address_has_one_motor_across_sources() {
+    let mut m = Members::new(sources(&["f", "feed"]));
+    m.list(S, "f", list(None, &[(1, 1, 1.0, true)]));
+    let acts = m.feed(2 * S, true, &[fed(7, 1, State::Up), fed(8, 8, State::Up)]);
+    assert!(matches!(&acts[0], Act::Shadowed { uid, by, .. } if &**uid == "e7" && &**by == "e1"), "{acts:?}");
+    assert_eq!(states(&m), up(&["e1", "e8"]));
+    let acts = m.feed(3 * S, false, &[fed(8, 8, State::Up)]);
+    assert!(!acts.iter().any(|a| matches!(a, Act::Shadowed { .. })));
+}
+
+// An old version that comes back by a late copy or a wrong button must not undo a newer one.
+#[test]
+fn a_generation_does_not_go_back() {
+    let mut m = Members::new(sources(&["f"]));
+    let (one, two) = ([(1, 1, 1.0, true)], [(1, 1, 1.0, true), (2, 2, 1.0, true)]);
+    m.list(S, "f", list(Some(5), &one));
+    for (generation, why) in
+        [(Some(4), "older than 5"), (Some(5), "with another content"), (None, "no generation")]
+    {
+        let acts = m.list(2 * S, "f", list(generation, &two));
+        assert!(matches!(&acts[..], [Act::Refused(_, _, w)] if w.contains(why)), "{acts:?}");
+        assert_eq!(states(&m), up(&["e1"]));
+    }
+    m.list(3 * S, "f", list(Some(6), &two));
+    assert_eq!(states(&m), up(&["e1", "e2"]));
+}
+
+// The same address under a new uid is another process: the old one drains, the new one is there at once.
+#[test]
+fn an_address_under_a_new_uid_is_another_motor() {
+    let mut m = Members::new(sources(&["f"]));
+    m.list(S, "f", list(None, &[(1, 1, 1.0, true), (2, 2, 1.0, true)]));
+    let acts = m.list(2 * S, "f", list(None, &[(9, 1, 1.0, true), (2, 2, 1.0, true)]));
+    assert_eq!(changes(&acts), [("e1", State::Draining), ("e9", State::Up)]);
+}
--- /dev/null
+++ b/src/membership/members/tests/sequences.rs
@@ -0,0 +1,131 @@
+use super::*;
+use proptest::prelude::*;
+
+/// What happens to the sources.
+#[derive(Debug, Clone)]
+enum Step {
+    List(usize, Vec<Line>),
+    Feed(bool, Vec<(u8, u16, State)>),
+    Tick(u64),
+}
+
+fn lines() -> impl Strategy<Value = Vec<Line>> {
+    let line = (0u8..12, 0u16..14, prop::sample::select(vec![0.0, 0.5, 1.0, 2.0]), any::<bool>());
+    prop::collection::vec(line, 0..8).prop_map(|mut all| {
+        // As the check leaves them: one motor a uid, one an address.
+        let (mut uids, mut ports) = (BTreeSet::new(), BTreeSet::new());
+        all.retain(|l| uids.insert(l.0) && ports.insert(l.1));
+        all
+    })
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let state = prop::sample::select(vec![State::Up, State::Draining, State::Removed]);
+    prop_oneof![
+        3 => (0usize..2, lines()).prop_map(|(s, l)| Step::List(s, l)),
+        2 => (any::<bool>(), prop::collection::vec((0u8..12, state), 0..5))
+            .prop_map(|(w, t)| Step::Feed(w, t.into_iter().map(|(u, s)| (u, u16::from(u) + 7, s)).collect())),
+        2 => (1u64..3 * S).prop_map(Step::Tick),
+    ]
+}
+
+const NAMES: [&str; 3] = ["one", "two", "feed"];
+
+fn play(m: &mut Members, now: Micros, step: &Step, busy: &dyn Fn(&str) -> bool) -> Vec<Act> {
+    match step {
+        Step::List(s, lines) => m.list(now, NAMES[*s], list(None, lines)),
+        Step::Feed(whole, t) => {
+            let targets: Vec<Target> = t.iter().map(|(u, p, s)| fed(*u, *p, *s)).collect();
+            m.feed(now, *whole, &targets)
+        }
+        Step::Tick(_) => m.tick(now, busy),
+    }
+}
+
+proptest! {
+    // Any order and interleaving of versions ends in the list that the last version of each source alone makes,
+    // and whoever follows the changes alone has that list.
+    #[test]
+    fn the_list_in_force_follows_from_the_latest_versions(steps in prop::collection::vec(step(), 1..60)) {
+        let mut m = Members::new(sources(&NAMES));
+        let (mut now, mut followed) = (S, BTreeMap::new());
+        let (mut last, mut feed) = ([None, None], BTreeMap::new());
+        let follow = |followed: &mut BTreeMap<String, Target>, acts: &[Act]| {
+            for t in acts.iter().filter_map(|a| if let Act::Change(t) = a { Some(t) } else { None }).flatten() {
+                match t.state {
+                    State::Removed => drop(followed.remove(&t.uid)),
+                    _ => drop(followed.insert(t.uid.clone(), t.clone())),
+                }
+            }
+        };
+        for s in &steps {
+            now += if let Step::Tick(t) = s { *t } else { 1 };
+            let acts = play(&mut m, now, s, &|_| true);
+            follow(&mut followed, &acts);
+            match s {
+                Step::List(i, l) => last[*i] = Some(l.clone()),
+                Step::Feed(whole, t) => {
+                    if *whole { feed.clear(); }
+                    for (u, p, s) in t {
+                        if *s == State::Removed { feed.remove(u); } else { feed.insert(*u, (*p, *s)); }
+                    }
+                }
+                Step::Tick(_) => {}
+            }
+        }
+        // All that drains is done; then only the latest versions count.
+        follow(&mut followed, &m.tick(now, &|_| false));
+        let mut alone = Members::new(sources(&NAMES));
+        let told: Vec<Target> = feed.iter().map(|(u, (p, s))| fed(*u, *p, *s)).collect();
+        alone.feed(now, true, &told);
+        for (i, l) in last.iter().enumerate() {
+            if let Some(l) = l { alone.list(now, NAMES[i], list(None, l)); }
+        }
+        alone.tick(now, &|_| false);
+        prop_assert_eq!(m.in_force(), alone.in_force());
+        prop_assert_eq!(m.in_force(), followed.into_values().collect::<Vec<_>>());
+    }
+
+    // Two motores never share an address across sources, and a motor that drains, is left out or is gone is told
+    // in the very turn: none can get new work two seconds later.
+    #[test]
+    fn drains_are_told_at_once_and_addresses_are_nobody_elses(steps in prop::collection::vec(step(), 1..60)) {
+        let mut m = Members::new(sources(&NAMES));
+        let (mut now, mut told) = (S, BTreeMap::new());
+        for s in &steps {
+            now += if let Step::Tick(t) = s { *t } else { 1 };
+            for t in play(&mut m, now, s, &|uid| uid.len() % 2 == 0).iter()
+                .filter_map(|a| if let Act::Change(t) = a { Some(t) } else { None }).flatten() {
+                told.insert(t.uid.clone(), t.state);
+            }
+            let force = m.in_force();
+            for (uid, state) in &told {
+                let is = force.iter().find(|t| t.uid == *uid).map_or(State::Removed, |t| t.state);
+                prop_assert_eq!(is, *state, "{} after {:?}", uid, s);
+            }
+            let mut ports = BTreeSet::new();
+            for t in force.iter().filter(|t| t.state == State::Up) {
+                prop_assert!(ports.insert(t.endpoint), "{:?}", force);
+            }
+        }
+    }
+
+    // A version that is refused or held back changes nothing at all.
+    #[test]
+    fn a_version_that_is_not_taken_changes_nothing(
+        first in lines(), second in lines(), generations in (2u64..5, 0u64..3), most in 0.0f64..0.9,
+    ) {
+        let mut terms = sources(&["f", "feed"]);
+        terms.guard.most_loss = most;
+        let mut m = Members::new(terms);
+        m.feed(S, true, &[fed(11, 30, State::Up)]);
+        m.list(S, "f", list(Some(generations.0), &first));
+        let (before, digest) = (m.in_force(), m.digest("f"));
+        let acts = m.list(2 * S, "f", list(Some(generations.0 + generations.1), &second));
+        if !acts.iter().any(|a| matches!(a, Act::Taken { .. })) {
+            prop_assert_eq!(m.in_force(), before);
+            prop_assert_eq!(m.digest("f"), digest);
+            prop_assert!(changes(&acts).is_empty());
+        }
+    }
+}
