Share a fleet's world, faults, clients and lanes among the lab's measurements

crates/lab/src/fleet has the world, the schedule of faults, clients with their accounts, what holds of accounts whatever is measured, costs, and fleets beside each other; takeover and maintenance use it. A world takes more text in its peers block and beside it, motores of different kinds and a log filter, gives each dispatcher a folder of its own, and keeps what a killed dispatcher said last. What is drawn and checked is as it was. A stand-in's test waits for the last note of an answer instead of racing it.

--- a/crates/lab/src/daemon.rs
+++ b/crates/lab/src/daemon.rs
@@ -107,9 +107,11 @@
         self.process.signal(name);
     }
 
-    /// Ends it at once, with all that it has in hand.
-    pub fn kill(self) {
-        drop(self);
+    /// Ends it at once, with all that it has in hand; tells the log lines that nobody had read.
+    pub fn kill(self) -> Vec<Event> {
+        let Daemon { process, events, .. } = self;
+        drop(process);
+        events.iter().collect()
     }
 
     /// Tells it to end, by SIGTERM.
--- /dev/null
+++ b/crates/lab/src/fleet/accounts.rs
@@ -0,0 +1,117 @@
+//! What holds of the accounts of clients and motores, whatever is measured.
+
+use super::clients::{Account, Ended};
+use standins::engine::Pull;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// A motor that is told to stop, or whose connection ends, may take this long to see it.
+const NOTICED: Duration = Duration::from_millis(60);
+
+/// What the clients got, counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Answers {
+    /// Requests.
+    pub asked: usize,
+    /// Of these, without an answer at the end of all patience.
+    pub unanswered: usize,
+    /// With two answers, or with bytes after the one.
+    pub two: usize,
+    /// Loads that failed, and may have run.
+    pub failed_loads: usize,
+    /// Reads that failed.
+    pub failed_reads: usize,
+    /// Tries that had no answer in their time though the connection stood.
+    pub mute: u64,
+}
+
+/// Counts what clients got.
+pub fn answers<'a>(accounts: impl Iterator<Item = &'a Account>) -> Answers {
+    let mut all = Answers::default();
+    for a in accounts {
+        let failed = a.end == Some(Ended::Failed);
+        all.asked += 1;
+        all.unanswered += usize::from(a.end.is_none());
+        all.two += usize::from(a.answers > 1 || a.second);
+        all.failed_loads += usize::from(failed && a.load);
+        all.failed_reads += usize::from(failed && !a.load);
+        all.mute += u64::from(a.mute);
+    }
+    all
+}
+
+/// What the motores saw.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Seen {
+    /// Loads that reached motores more than once.
+    pub twice: u64,
+    /// Reads that ran at two motores at once.
+    pub beside: Vec<u64>,
+    /// Requests that reached motores, and sends of them.
+    pub requests: u64,
+    /// All sends.
+    pub sends: u64,
+}
+
+fn name_in(p: &Pull, mark: char) -> Option<u64> {
+    let token = p
+        .statement
+        .split(['(', ')', ' '])
+        .find(|w| w.len() > 2 && w.starts_with(mark) && w.ends_with(mark))?;
+    u64::from_str_radix(&token[1..token.len() - 1], 16).ok()
+}
+
+/// The name that a request's statement carries.
+pub fn ask_of(p: &Pull) -> Option<u64> {
+    name_in(p, 't')
+}
+
+/// Reads what the motores saw: sends of each name, and which ran beside each other.
+pub fn seen<'a>(pulls: impl Iterator<Item = &'a Pull>, excused: &BTreeSet<u64>) -> Seen {
+    let mut of: BTreeMap<u64, Vec<&Pull>> = BTreeMap::new();
+    for p in pulls {
+        if let Some(ask) = ask_of(p) {
+            of.entry(ask).or_default().push(p);
+        }
+    }
+    let mut seen = Seen { requests: of.len() as u64, ..Seen::default() };
+    for (ask, mut all) in of {
+        seen.sends += all.len() as u64;
+        let load = all.iter().any(|p| p.class() == "load");
+        seen.twice += u64::from(load && all.len() > 1);
+        all.sort_by_key(|p| p.at);
+        let beside = all.windows(2).any(|w| w[0].ended.is_none_or(|end| w[1].at + NOTICED < end));
+        if !load && beside && !excused.contains(&ask) {
+            seen.beside.push(ask);
+        }
+    }
+    seen
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::time::SystemTime;
+
+    fn pull(class: &str, statement: &str, from_ms: u64, to_ms: u64) -> Pull {
+        let at = |ms| SystemTime::UNIX_EPOCH + Duration::from_millis(ms);
+        let fields = format!("kind={class},ms=9");
+        let (statement, ended) = (statement.into(), Some(at(to_ms)));
+        Pull { id: String::new(), fields, statement, at: at(from_ms), answered: None, ended }
+    }
+
+    // The checks of all measurements stand on these: a load sent twice, a read that runs at two motores at once.
+    #[test]
+    fn what_motores_saw_twice_is_found() {
+        let all = [
+            pull("load", "INSERT INTO s.t VALUES (t100t r101r)", 0, 50),
+            pull("load", "INSERT INTO s.t VALUES (t100t r102r)", 500, 550),
+            pull("read", "SELECT t200t FROM s.t", 0, 500),
+            pull("read", "SELECT t200t FROM s.t", 100, 300),
+            pull("read", "SELECT t300t FROM s.t", 0, 100),
+            pull("read", "SELECT t300t FROM s.t", 100, 300),
+        ];
+        let saw = seen(all.iter(), &BTreeSet::new());
+        assert_eq!(saw, Seen { twice: 1, beside: vec![0x200], requests: 3, sends: 6 });
+    }
+}
--- a/crates/lab/src/takeover/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -4,9 +4,7 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use standins::engine::Pull;
 use standins::scripted::{Client, Got};
-use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -15,12 +13,10 @@
 
 /// How long a client waits for the answer to one try, in milliseconds.
 const BUDGET_MS: u64 = 4_000;
-/// How long it goes on asking in all.
+/// How long it goes on asking in all, unless it is told otherwise.
 const PATIENCE: Duration = Duration::from_secs(15);
 /// An answer may be read this much after the budget: the client's own clock and threads.
 const SLACK: Duration = Duration::from_millis(300);
-/// A motor that is told to stop, or whose connection ends, may take this long to see it.
-const NOTICED: Duration = Duration::from_millis(60);
 /// One in so many requests is a load.
 const LOADS: u64 = 3;
 
@@ -33,6 +29,8 @@
     pub load: bool,
     /// Its tries.
     pub tries: u32,
+    /// When each try was asked, and whether it was refused.
+    pub asked: Vec<Asked>,
     /// Tries whose dispatcher was gone or ended the connection.
     pub lost: u32,
     /// Tries that had no answer in their time though the connection stood.
@@ -49,6 +47,17 @@
     pub at: SystemTime,
 }
 
+/// A try, as its client saw it.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Asked {
+    /// The name of the try.
+    pub rid: u64,
+    /// Before it was written, or its connection dialled.
+    pub at: SystemTime,
+    /// When it was refused with a time to come back, if it was.
+    pub refused: Option<SystemTime>,
+}
+
 /// How a request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Ended {
@@ -67,24 +76,46 @@
 
 static NEXT: AtomicU64 = AtomicU64::new(1);
 
+/// What clients do.
+#[derive(Debug, Clone, Copy)]
+pub struct Load {
+    /// How many there are.
+    pub clients: u32,
+    /// From one request of a client to its next, at least.
+    pub pause: Duration,
+    /// For their choices.
+    pub seed: u64,
+    /// How long one goes on asking for a request.
+    pub patience: Duration,
+    /// Whether a statement tells its try too, as `r` and the try's name and `r`.
+    pub marked: bool,
+}
+
+impl Load {
+    /// So many clients, with what is common.
+    pub fn new(clients: u32, pause: Duration, seed: u64) -> Load {
+        Load { clients, pause, seed, patience: PATIENCE, marked: false }
+    }
+}
+
 impl Traffic {
-    /// Starts so many clients; each pauses between its requests.
-    pub fn start(doors: &Doors, clients: u32, pause: Duration, seed: u64, named: bool) -> Traffic {
+    /// Starts the clients.
+    pub fn start(doors: &Doors, load: Load) -> Traffic {
         let (stop, accounts) = (Arc::new(AtomicBool::new(false)), Arc::new(Mutex::new(Vec::new())));
         let client = |n: u32| {
             let (doors, stop, accounts) = (doors.clone(), stop.clone(), accounts.clone());
             thread::spawn(move || {
-                let mut rng = StdRng::seed_from_u64(seed ^ u64::from(n) << 32);
-                thread::sleep(pause.mul_f64(rng.random()));
+                let mut rng = StdRng::seed_from_u64(load.seed ^ u64::from(n) << 32);
+                thread::sleep(load.pause.mul_f64(rng.random()));
                 while !stop.load(Ordering::SeqCst) {
                     let begun = Instant::now();
-                    let account = one(&doors, &mut rng, named);
+                    let account = one(&doors, &mut rng, &load);
                     accounts.lock().unwrap_or_else(PoisonError::into_inner).push(account);
-                    thread::sleep(pause.saturating_sub(begun.elapsed()));
+                    thread::sleep(load.pause.saturating_sub(begun.elapsed()));
                 }
             })
         };
-        Traffic { clients: (0..clients).map(client).collect(), stop, accounts }
+        Traffic { clients: (0..load.clients).map(client).collect(), stop, accounts }
     }
 
     /// Lets every client come to its end, and tells the accounts.
@@ -102,13 +133,14 @@
     others.choose(rng).or(open.first()).copied()
 }
 
-fn one(doors: &Doors, rng: &mut StdRng, named: bool) -> Account {
+fn one(doors: &Doors, rng: &mut StdRng, of: &Load) -> Account {
     let n = NEXT.fetch_add(1, Ordering::SeqCst);
     let (ask, load, begun) = (n << 8, n % LOADS == 0, Instant::now());
     let mut account = Account {
         ask,
         load,
         tries: 0,
+        asked: Vec::new(),
         lost: 0,
         mute: 0,
         end: None,
@@ -118,23 +150,25 @@
         at: SystemTime::now(),
     };
     let mut last = None;
-    while account.end.is_none() && begun.elapsed() < PATIENCE {
+    while account.end.is_none() && begun.elapsed() < of.patience {
         let Some(to) = another(doors, rng, last) else {
             thread::sleep(Duration::from_millis(20));
             continue;
         };
         account.tries += 1;
-        let name = if named { format!("ask={ask:016x},try={},", account.tries) } else { String::new() };
+        let name = format!("ask={ask:016x},try={},", account.tries);
         let rid = ask | u64::from(account.tries & 0xff);
+        let mark = if of.marked { format!(" r{rid:x}r") } else { String::new() };
         let (class, est, statement) = match load {
-            true => ("load", 300, format!("INSERT INTO sales_{}.t VALUES (t{ask:x}t)", n % 9)),
-            false => ("read", 200, format!("SELECT t{ask:x}t FROM sales_{}.t", n % 9)),
+            true => ("load", 300, format!("INSERT INTO sales_{}.t VALUES (t{ask:x}t{mark})", n % 9)),
+            false => ("read", 200, format!("SELECT t{ask:x}t{mark} FROM sales_{}.t", n % 9)),
         };
         let sql = format!(
             "/* method={class},rid={rid:016x},{name}budget={BUDGET_MS},est={est}.0,space=9 */ {statement}"
         );
         let wait = Duration::from_millis(BUDGET_MS) + SLACK;
         let asked = Instant::now();
+        account.asked.push(Asked { rid, at: SystemTime::now(), refused: None });
         let Some(mut client) = Client::dials(to, &sql, Duration::from_millis(500), wait) else {
             account.lost += 1;
             last = Some(to);
@@ -147,6 +181,7 @@
                 account.end = Some(Ended::Served);
             }
             Got::Error(1203 | 1040, text) => {
+                account.asked.iter_mut().last().into_iter().for_each(|a| a.refused = Some(SystemTime::now()));
                 let ms = text.split_once("backoff=").and_then(|(_, t)| {
                     t.chars().take_while(char::is_ascii_digit).collect::<String>().parse().ok()
                 });
@@ -174,45 +209,3 @@
     (account.took, account.at) = (begun.elapsed(), SystemTime::now());
     account
 }
-
-/// What the motores saw.
-#[derive(Debug, Clone, Default, PartialEq)]
-pub struct Seen {
-    /// Loads that reached motores more than once.
-    pub twice: u64,
-    /// Reads that ran at two motores at once.
-    pub beside: Vec<u64>,
-    /// Requests that reached motores, and sends of them.
-    pub requests: u64,
-    /// All sends.
-    pub sends: u64,
-}
-
-/// The name that a request's statement carries.
-pub fn ask_of(p: &Pull) -> Option<u64> {
-    let token =
-        p.statement.split(['(', ')', ' ']).find(|w| w.len() > 2 && w.starts_with('t') && w.ends_with('t'))?;
-    u64::from_str_radix(&token[1..token.len() - 1], 16).ok()
-}
-
-/// Reads what the motores saw: sends of each name, and which ran beside each other.
-pub fn seen<'a>(pulls: impl Iterator<Item = &'a Pull>, excused: &BTreeSet<u64>) -> Seen {
-    let mut of: BTreeMap<u64, Vec<&Pull>> = BTreeMap::new();
-    for p in pulls {
-        if let Some(ask) = ask_of(p) {
-            of.entry(ask).or_default().push(p);
-        }
-    }
-    let mut seen = Seen { requests: of.len() as u64, ..Seen::default() };
-    for (ask, mut all) in of {
-        seen.sends += all.len() as u64;
-        let load = all.iter().any(|p| p.class() == "load");
-        seen.twice += u64::from(load && all.len() > 1);
-        all.sort_by_key(|p| p.at);
-        let beside = all.windows(2).any(|w| w[0].ended.is_none_or(|end| w[1].at + NOTICED < end));
-        if !load && beside && !excused.contains(&ask) {
-            seen.beside.push(ask);
-        }
-    }
-    seen
-}
--- a/crates/lab/src/takeover/faults.rs
+++ b/crates/lab/src/fleet/faults.rs
@@ -1,11 +1,14 @@
 //! What goes wrong in an episode, drawn from a seed: the same seed draws the same faults.
 
+use super::Failure;
+use super::world::World;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use standins::link::Weather;
-use std::time::Duration;
+use std::thread;
+use std::time::{Duration, Instant};
 
 /// What is done to one dispatcher.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -86,6 +89,70 @@
     }
 }
 
+impl Fault {
+    /// It begins. Of `KillTwo` it is the first kill.
+    pub fn strikes(&self, world: &mut World) {
+        match self.kind {
+            Kind::Kill | Kind::KillTwo => drop(world.kill(self.who)),
+            Kind::Pause => world.pause(self.who, true),
+            Kind::CutMotores => world.motores(self.who, self.weather),
+            kind => world.peers(self.who, self.weather, kind == Kind::Deaf),
+        }
+    }
+
+    /// It ends: whoever was killed is started anew.
+    pub fn heals(&self, world: &mut World) -> Result<(), Failure> {
+        match self.kind {
+            Kind::Kill | Kind::KillTwo => world.restart(self.who)?,
+            Kind::Pause => world.pause(self.who, false),
+            Kind::CutMotores => world.motores(self.who, Weather::Clear),
+            _ => world.peers(self.who, Weather::Clear, false),
+        }
+        Ok(())
+    }
+
+    /// Begins, lasts and ends; whoever waits for that does nothing else.
+    pub fn passes(&self, world: &mut World) -> Result<(), Failure> {
+        self.strikes(world);
+        thread::sleep(self.length);
+        self.heals(world)
+    }
+}
+
+/// A fault on its way, for whoever does other things meanwhile.
+#[derive(Debug, Clone, Copy)]
+pub struct Coming {
+    fault: Option<Fault>,
+    strikes: Instant,
+    heals: Instant,
+    /// It has begun.
+    pub struck: bool,
+    /// It is over.
+    pub healed: bool,
+}
+
+impl Coming {
+    /// Counts its times from now; without a fault, times at which nothing is done.
+    pub fn new(fault: Option<Fault>, from: Duration, length: Duration) -> Coming {
+        let strikes = Instant::now() + from;
+        Coming { fault, strikes, heals: strikes + length, struck: false, healed: false }
+    }
+
+    /// Does what is due; whether it began just now.
+    pub fn turn(&mut self, world: &mut World) -> Result<bool, Failure> {
+        let begins = !self.struck && Instant::now() >= self.strikes;
+        if begins {
+            self.struck = true;
+            self.fault.iter().for_each(|f| f.strikes(world));
+        }
+        if self.struck && !self.healed && Instant::now() >= self.heals {
+            self.healed = true;
+            self.fault.iter().try_for_each(|f| f.heals(world))?;
+        }
+        Ok(begins)
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
--- /dev/null
+++ b/crates/lab/src/fleet/reach.rs
@@ -0,0 +1,124 @@
+//! What is done to a fleet's world from outside, and read of it.
+
+use super::world::{World, uid};
+use crate::daemon::{Daemon, Event};
+use standins::link::Weather;
+use standins::scripted::target_of;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::PoisonError;
+use std::time::{Duration, Instant, SystemTime};
+
+/// No start takes this long unless something hangs.
+pub(super) const PATIENCE: Duration = Duration::from_secs(20);
+
+impl World {
+    /// How many dispatchers there are.
+    pub fn len(&self) -> usize {
+        self.daemons.len()
+    }
+
+    /// A dispatcher's own folder: what it is told is written there before each of its starts.
+    pub fn own(&self, i: usize) -> PathBuf {
+        self.folder.join(format!("d{i}"))
+    }
+
+    pub(super) fn door(&self, i: usize, at: Option<SocketAddr>) {
+        self.doors.lock().unwrap_or_else(PoisonError::into_inner)[i] = at;
+    }
+
+    /// One call at the operators' address of a dispatcher; empty if it is down.
+    pub fn call(&self, i: usize, line: &str) -> String {
+        let Some(at) = self.operators[i].filter(|_| self.daemons[i].is_some()) else { return String::new() };
+        let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_secs(1)) else {
+            return String::new();
+        };
+        let mut answer = String::new();
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+        let _ = stream.write_all(format!("{line}\n").as_bytes());
+        let _ = stream.read_to_string(&mut answer);
+        answer
+    }
+
+    /// Tells all dispatchers what the list says of a motor, which they reach without a link from then on.
+    pub fn list(&self, motor: usize, state: &str, boot_ms: u64) {
+        let entry = target_of(&uid(motor), self.engines[motor].address, (self.kind)(motor), state);
+        self.feed.tell(false, &[entry.replace(r#""boot_ms":0"#, &format!(r#""boot_ms":{boot_ms}"#))]);
+    }
+
+    /// Waits until every dispatcher that runs has a lease, by its log.
+    pub fn settled(&self, what: &mut dyn FnMut(usize, &Event)) -> bool {
+        let end = Instant::now() + PATIENCE;
+        let mut held = vec![!self.with_peers; self.len()];
+        while Instant::now() < end {
+            for (i, d) in self.daemons.iter().enumerate() {
+                let Some(d) = d else { continue };
+                while let Some(e) = d.event(Duration::from_millis(1)) {
+                    held[i] |= e.message() == "fleet: lease held";
+                    what(i, &e);
+                }
+            }
+            if held.iter().all(|h| *h) {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Hands on what the logs say since they were last read.
+    pub fn read_logs(&self, what: &mut dyn FnMut(usize, &Event)) {
+        for (i, d) in self.daemons.iter().enumerate() {
+            let Some(d) = d else { continue };
+            while let Some(e) = d.event(Duration::ZERO) {
+                what(i, &e);
+            }
+        }
+    }
+
+    /// Kills one at once; when that was.
+    pub fn kill(&mut self, i: usize) -> SystemTime {
+        self.door(i, None);
+        let at = SystemTime::now();
+        if let Some(d) = self.daemons[i].take() {
+            self.last_words.extend(d.kill().into_iter().map(|e| (i, e)));
+        }
+        at
+    }
+
+    /// What those that were killed said that nobody had read before, since this was last asked.
+    pub fn last_words(&mut self) -> Vec<(usize, Event)> {
+        std::mem::take(&mut self.last_words)
+    }
+
+    /// Stops one, or lets it go on.
+    pub fn pause(&self, i: usize, stop: bool) {
+        if let Some(d) = &self.daemons[i] {
+            d.signal(if stop { "STOP" } else { "CONT" });
+        }
+    }
+
+    /// The weather on the links of one to its peers and back; `only_in` leaves the way from it clear.
+    pub fn peers(&self, i: usize, weather: Weather, only_in: bool) {
+        for ((from, to), link) in &self.peers {
+            if *to == i || (*from == i && !only_in) {
+                link.set(weather);
+            }
+        }
+    }
+
+    /// The weather on the links of one to every second motor.
+    pub fn motores(&self, i: usize, weather: Weather) {
+        self.motores[i].iter().step_by(2).for_each(|l| l.set(weather));
+    }
+
+    /// Processor time that the dispatchers have used so far, in seconds.
+    pub fn cpu_s(&self) -> f64 {
+        self.daemons.iter().flatten().map(Daemon::cpu_s).sum()
+    }
+
+    /// Ends all of them in order; whether all ended well.
+    pub fn end(mut self) -> bool {
+        self.daemons.drain(..).flatten().all(Daemon::stop)
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -3,6 +3,7 @@
 
 mod chart;
 mod daemon;
+mod fleet;
 mod maintenance;
 mod motor_lists;
 mod retry_storms;
@@ -10,6 +11,7 @@
 mod traffic;
 
 use clap::{Parser, Subcommand};
+use std::error::Error;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -81,6 +83,10 @@
     },
 }
 
+fn plain(e: fleet::Failure) -> Box<dyn Error> {
+    e
+}
+
 fn main() -> ExitCode {
     let cli = Cli::parse();
     let done = match cli.command {
@@ -88,10 +94,12 @@
             motor_lists::prove(&cli.program, &cli.results.join("motor-lists"), swaps, seed, slice)
         }
         Command::Maintenance { plans, lanes, seed, slice } => {
-            maintenance::prove(&cli.program, &cli.results.join("maintenance"), plans, lanes, seed, slice)
+            let results = cli.results.join("maintenance");
+            maintenance::prove(&cli.program, &results, plans, lanes, seed, slice).map_err(plain)
         }
         Command::Takeover { runs, lanes, seed, slice } => {
-            takeover::prove(&cli.program, &cli.results.join("takeover"), runs, lanes, seed, slice)
+            let results = cli.results.join("takeover");
+            takeover::prove(&cli.program, &results, runs, lanes, seed, slice).map_err(plain)
         }
         Command::RetryStorms { clients, outage } => {
             retry_storms::prove(&cli.program, &cli.results.join("retry-storms"), clients, outage)
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -246,7 +246,13 @@
             .min()
             .unwrap();
         assert!(best >= Duration::from_millis(50) && best < Duration::from_millis(75), "{best:?}");
-        assert_eq!(engine.pulls().iter().filter(|p| p.answered.is_some()).count(), 5);
+        // It is noted once it is written: the last note may come after the client has read the answer.
+        let (begun, noted) =
+            (Instant::now(), || engine.pulls().iter().filter(|p| p.answered.is_some()).count());
+        while noted() < 5 && begun.elapsed() < Duration::from_secs(10) {
+            thread::sleep(Duration::from_millis(1));
+        }
+        assert_eq!(noted(), 5);
     }
 
     // A killed request is not answered, and what runs beside it is.
--- a/crates/standins/src/scripted.rs
+++ b/crates/standins/src/scripted.rs
@@ -44,10 +44,15 @@
     stream
 }
 
-/// An entry of the executors' list.
+/// An entry of the executors' list, of kind `k`.
 pub fn target(uid: &str, at: SocketAddr, state: &str) -> String {
+    target_of(uid, at, "k", state)
+}
+
+/// An entry of the executors' list, of a kind.
+pub fn target_of(uid: &str, at: SocketAddr, kind: &str, state: &str) -> String {
     format!(
-        r#"{{"uid":"{uid}","endpoint":"{at}","az":"a","model":"k","pod_group":0,"state":"{state}","capacity_hint":1,"boot_ms":0}}"#
+        r#"{{"uid":"{uid}","endpoint":"{at}","az":"a","model":"{kind}","pod_group":0,"state":"{state}","capacity_hint":1,"boot_ms":0}}"#
     )
 }
 
@@ -117,13 +122,15 @@
     pub settings: String,
     /// Descriptors that it may use.
     pub sockets: usize,
+    /// What it logs, as a filter's text; its own choice if none.
+    pub log: Option<String>,
 }
 
 impl Launch {
     /// The program with no arguments and the stories' settings.
     pub fn new(program: impl Into<PathBuf>, folder: impl Into<PathBuf>) -> Launch {
         let (program, folder) = (program.into(), folder.into());
-        Launch { program, folder, arguments: Vec::new(), settings: SETTINGS.into(), sockets: 256 }
+        Launch { program, folder, arguments: Vec::new(), settings: SETTINGS.into(), sockets: 256, log: None }
     }
 
     /// Adds arguments.
@@ -153,13 +160,19 @@
             .env_remove("OTTERCROFT_SETTINGS")
             .env_remove("OTTERCROFT_LOG_FORMAT")
             .env_remove("RUST_LOG");
+        command.envs(self.log.iter().map(|filter| ("RUST_LOG", filter)));
         (command.stderr(Stdio::piped()).spawn().unwrap(), path)
     }
 
     /// The configuration of a dispatcher that follows a coordinator and knows these executors.
     pub fn config(&self, coordinator: SocketAddr, executors: &[(&str, SocketAddr)]) -> String {
         let targets: Vec<String> = executors.iter().map(|(uid, at)| target(uid, *at, "up")).collect();
-        let known = event(1, true, &targets);
+        self.config_of(coordinator, &targets)
+    }
+
+    /// The same, with entries of the executors' list.
+    pub fn config_of(&self, coordinator: SocketAddr, targets: &[String]) -> String {
+        let known = event(1, true, targets);
         format!(
             r#"{{"name":"t","listen":"127.0.0.1:0","seed":"1f","limits":{{"sockets":{}}},"coordinator":"{coordinator}",
             "known":{{"index":1,"updates":[{known}]}},"settings":{},"more":0}}"#,
