Measure a fleet's agreed policy under faults in the middle of switches

Whether dispatchers ever act by two policies at once can only be told from outside, with real processes that are killed, paused or cut off while a switch is under way.

Checked: nothing asked after the new side has served reaches the old one; no admission by the logs under an older number after a newer one; no switch half done; one answer to each request, no load twice; no refusal with nobody down; that quiet switches take hold.

Not run against dispatchers yet.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms prove-takeover prove-takeover-slice prove-maintenance prove-maintenance-slice
+.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms prove-takeover prove-takeover-slice prove-maintenance prove-maintenance-slice prove-policy prove-policy-slice
 
 build:
 	cargo build --release --locked
@@ -38,3 +38,10 @@
 
 prove-maintenance-slice: build
 	cargo run --release --locked --quiet -p lab -- maintenance --slice
+
+# Policies switched by fleets under faults: about half an hour.
+prove-policy: build
+	cargo run --release --locked --quiet -p lab -- policy
+
+prove-policy-slice: build
+	cargo run --release --locked --quiet -p lab -- policy --slice
--- a/crates/lab/src/daemon.rs
+++ b/crates/lab/src/daemon.rs
@@ -33,6 +33,11 @@
         self.fields.get(name).and_then(Value::as_str).unwrap_or("")
     }
 
+    /// Whether a field is true.
+    pub fn yes(&self, name: &str) -> bool {
+        self.fields.get(name).and_then(Value::as_bool).unwrap_or(false)
+    }
+
     /// A number.
     pub fn number(&self, name: &str) -> Option<u64> {
         self.fields.get(name).and_then(Value::as_u64)
--- a/crates/lab/src/fleet/accounts.rs
+++ b/crates/lab/src/fleet/accounts.rs
@@ -66,6 +66,11 @@
     name_in(p, 't')
 }
 
+/// The try that a request's statement is of, where its clients mark it.
+pub fn try_of(p: &Pull) -> Option<u64> {
+    name_in(p, 'r')
+}
+
 /// Reads what the motores saw: sends of each name, and which ran beside each other.
 pub fn seen<'a>(pulls: impl Iterator<Item = &'a Pull>, excused: &BTreeSet<u64>) -> Seen {
     let mut of: BTreeMap<u64, Vec<&Pull>> = BTreeMap::new();
@@ -113,5 +118,6 @@
         ];
         let saw = seen(all.iter(), &BTreeSet::new());
         assert_eq!(saw, Seen { twice: 1, beside: vec![0x200], requests: 3, sends: 6 });
+        assert_eq!((try_of(&all[1]), try_of(&all[2])), (Some(0x102), None));
     }
 }
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -6,7 +6,7 @@
 pub(crate) mod cost;
 pub(crate) mod faults;
 pub(crate) mod lanes;
-mod reach;
+pub(crate) mod reach;
 pub(crate) mod world;
 
 use crate::chart;
--- a/crates/lab/src/fleet/reach.rs
+++ b/crates/lab/src/fleet/reach.rs
@@ -1,5 +1,6 @@
 //! What is done to a fleet's world from outside, and read of it.
 
+use super::Failure;
 use super::world::{World, uid};
 use crate::daemon::{Daemon, Event};
 use standins::link::Weather;
@@ -13,6 +14,17 @@
 /// No start takes this long unless something hangs.
 pub(super) const PATIENCE: Duration = Duration::from_secs(20);
 
+/// One call at an operators' address; what was read in a few seconds, empty if nobody takes it.
+pub fn call_at(at: SocketAddr, line: &str) -> String {
+    let mut answer = String::new();
+    if let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_secs(1)) {
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+        let _ = stream.write_all(format!("{line}\n").as_bytes());
+        let _ = stream.read_to_string(&mut answer);
+    }
+    answer
+}
+
 impl World {
     /// How many dispatchers there are.
     pub fn len(&self) -> usize {
@@ -24,21 +36,23 @@
         self.folder.join(format!("d{i}"))
     }
 
+    /// Gives a dispatcher platform settings of its own, from its next start on.
+    pub fn tell_platform(&mut self, i: usize, settings: &str) {
+        self.platform[i] = settings.into();
+    }
+
     pub(super) fn door(&self, i: usize, at: Option<SocketAddr>) {
         self.doors.lock().unwrap_or_else(PoisonError::into_inner)[i] = at;
     }
 
+    /// The operators' address of a dispatcher; none if it is down.
+    pub fn operator(&self, i: usize) -> Option<SocketAddr> {
+        self.operators[i].filter(|_| self.daemons[i].is_some())
+    }
+
     /// One call at the operators' address of a dispatcher; empty if it is down.
     pub fn call(&self, i: usize, line: &str) -> String {
-        let Some(at) = self.operators[i].filter(|_| self.daemons[i].is_some()) else { return String::new() };
-        let Ok(mut stream) = TcpStream::connect_timeout(&at, Duration::from_secs(1)) else {
-            return String::new();
-        };
-        let mut answer = String::new();
-        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
-        let _ = stream.write_all(format!("{line}\n").as_bytes());
-        let _ = stream.read_to_string(&mut answer);
-        answer
+        self.operator(i).map(|at| call_at(at, line)).unwrap_or_default()
     }
 
     /// Tells all dispatchers what the list says of a motor, which they reach without a link from then on.
@@ -91,6 +105,15 @@
         std::mem::take(&mut self.last_words)
     }
 
+    /// Ends one in order, and starts it anew.
+    pub fn roll(&mut self, i: usize) -> Result<(), Failure> {
+        self.door(i, None);
+        if let Some(d) = self.daemons[i].take() {
+            d.stop();
+        }
+        self.restart(i)
+    }
+
     /// Stops one, or lets it go on.
     pub fn pause(&self, i: usize, stop: bool) {
         if let Some(d) = &self.daemons[i] {
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -60,6 +60,8 @@
     pub with_peers: bool,
     /// The platform's settings.
     pub settings: &'a str,
+    /// Dispatchers whose platform's settings are others, by place.
+    pub differing: &'a [(usize, &'a str)],
     /// Motores.
     pub motores: usize,
     /// The kind of each motor, by place.
@@ -82,6 +84,7 @@
             dispatchers: 3,
             with_peers: true,
             settings: super::SETTINGS,
+            differing: &[],
             motores: MOTORES,
             kind: |_| "k",
             in_peers: "",
@@ -127,6 +130,7 @@
             with_peers: shape.with_peers,
             last_words: Vec::new(),
         };
+        shape.differing.iter().for_each(|(i, settings)| world.tell_platform(*i, settings));
         for i in 0..dispatchers {
             std::fs::create_dir_all(world.own(i))?;
             let mut links = Vec::new();
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 mod fleet;
 mod maintenance;
 mod motor_lists;
+mod policy;
 mod retry_storms;
 mod takeover;
 mod traffic;
@@ -72,6 +73,21 @@
         #[arg(long)]
         slice: bool,
     },
+    /// A policy that a fleet switches at one time, with faults in the middle of switches
+    Policy {
+        /// Switches, each with a trouble of its own
+        #[arg(long, default_value_t = 1_000)]
+        runs: u32,
+        /// Fleets beside each other
+        #[arg(long, default_value_t = 4)]
+        lanes: u32,
+        /// For the troubles
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// A short run for CI: nothing is kept
+        #[arg(long)]
+        slice: bool,
+    },
     /// An outage of all motores under many clients, with the storm module and without it
     RetryStorms {
         /// Clients
@@ -101,6 +117,10 @@
             let results = cli.results.join("takeover");
             takeover::prove(&cli.program, &results, runs, lanes, seed, slice).map_err(plain)
         }
+        Command::Policy { runs, lanes, seed, slice } => {
+            let results = cli.results.join("policy");
+            policy::prove(&cli.program, &results, runs, lanes, seed, slice).map_err(plain)
+        }
         Command::RetryStorms { clients, outage } => {
             retry_storms::prove(&cli.program, &cli.results.join("retry-storms"), clients, outage)
         }
--- /dev/null
+++ b/crates/lab/src/policy/sides.rs
@@ -0,0 +1,117 @@
+//! The two policies that a fleet goes back and forth between, seen from outside by the kind of motor that serves.
+
+use crate::fleet::SETTINGS;
+use std::path::{Path, PathBuf};
+
+/// Motores of each kind: the old ones have the first places.
+pub const EACH: usize = 4;
+/// What switches policies on, in a dispatcher's own settings.
+pub const BLOCK: &str = "  policy {\n    vote_limit    = \"3s\"\n    close_limit   = \"3s\"\n    without_lease = \"refuse\"\n  }\n";
+/// The classes that the policies bind.
+pub const CLASSES: [&str; 2] = ["read", "load"];
+
+/// Which kind of motor the classes are bound to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Side {
+    /// Motores 0 to 3: what the platform's settings say.
+    Old,
+    /// Motores 4 to 7.
+    New,
+}
+
+impl Side {
+    /// The other.
+    pub fn other(self) -> Side {
+        match self {
+            Side::Old => Side::New,
+            Side::New => Side::Old,
+        }
+    }
+
+    /// The side that a motor is on, by place.
+    pub fn of(motor: usize) -> Side {
+        if motor < EACH { Side::Old } else { Side::New }
+    }
+
+    /// The kind's name.
+    pub fn kind(self) -> &'static str {
+        match self {
+            Side::Old => "old",
+            Side::New => "new",
+        }
+    }
+}
+
+/// The platform's settings with both classes bound to one side; `further` adds a class that only some know.
+pub fn platform(side: Side, further: bool) -> String {
+    let bound = format!(r#","boundTo":["{}"]}}"#, side.kind());
+    let classes = match further {
+        true => {
+            r#""effect":"non_idempotent"},{"name":"report","promise":3.0,"hardLimit":6.0,"effect":"read_like"}]"#
+        }
+        false => r#""effect":"non_idempotent"}]"#,
+    };
+    SETTINGS
+        .replace(r#""kinds":["k"]"#, r#""kinds":["old","new"]"#)
+        .replace(
+            r#""kindCores":[8],"memoryByKindMb":[16384]"#,
+            r#""kindCores":[8,8],"memoryByKindMb":[16384,16384]"#,
+        )
+        .replace(r#""effect":"non_idempotent"}]"#, classes)
+        .replace(
+            r#""effect":"read_like"},{"name":"load""#,
+            &format!(r#""effect":"read_like"{bound},{{"name":"load""#),
+        )
+        .replace(r#""effect":"non_idempotent"}"#, &format!(r#""effect":"non_idempotent"{bound}"#))
+}
+
+/// Files to propose.
+#[derive(Debug, Clone)]
+pub struct Files {
+    folder: PathBuf,
+}
+
+impl Files {
+    /// Writes them all into a folder: a good and a bad one for each side.
+    pub fn new(folder: &Path) -> std::io::Result<Files> {
+        let files = Files { folder: folder.into() };
+        for side in [Side::Old, Side::New] {
+            let kinds = format!("kinds = [\"{}\"]", side.kind());
+            let class = |name: &str| format!("  class \"{name}\" {{\n    {kinds}\n  }}\n");
+            let both: String = CLASSES.map(class).concat();
+            let name = side.kind();
+            std::fs::write(files.good(side), format!("policy \"{name}\" {{\n{both}}}\n"))?;
+            let bad = both + &class("report");
+            std::fs::write(files.bad(side), format!("policy \"{name}\" {{\n{bad}}}\n"))?;
+        }
+        Ok(files)
+    }
+
+    /// One that all can follow.
+    pub fn good(&self, side: Side) -> PathBuf {
+        self.folder.join(format!("{}.hcl", side.kind()))
+    }
+
+    /// One that names a class that the last dispatcher does not know.
+    pub fn bad(&self, side: Side) -> PathBuf {
+        self.folder.join(format!("{}-bad.hcl", side.kind()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    // A replacement that does not fit would leave both policies alike, and every check would pass.
+    #[test]
+    fn the_platform_binds_both_classes() {
+        for (side, further) in [(Side::Old, false), (Side::New, true)] {
+            let all: serde_json::Value = serde_json::from_str(&platform(side, further)).unwrap();
+            assert_eq!(all["kinds"], serde_json::json!(["old", "new"]));
+            let classes = all["requestClasses"].as_array().unwrap();
+            assert_eq!(classes.len(), if further { 3 } else { 2 });
+            assert!(classes[..2].iter().all(|c| c["boundTo"] == serde_json::json!([side.kind()])));
+            assert_eq!(all["domain"]["kindCores"].as_array().unwrap().len(), 2);
+        }
+    }
+}
