Agree in the fleet's log on a window of schema versions, and when one ends

While executors are upgraded in turn some hold the old schema and some the new. Nothing said which versions may be used, nor when nobody uses the old one any more.

A machine for the log: closed, opening, closing, back. A version ends once every holder of a lease has said in that step that it has nothing of it in hand, and not before `linger` is over, in which dispatchers without word of the fleet stop by themselves. Executors' versions are kept with the start of their process; words that contradict make one disputed. Capacity for each version's clients is counted by the maintenance budget.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`ledger`]: the record of work in hand.
 //! - [`plan`]: machines that are taken out for work, one after the other.
 //! - [`policy`]: what all admit requests by, changed everywhere or nowhere.
+//! - [`schema`]: which versions of the schema queries may run under while machines are upgraded in turn.
 //! - [`group`]: the replicated log: how a fleet is founded, joined again after a restart, and written to.
 //! - [`log`]: the log in memory, with snapshots of the state.
 //! - [`wire`]: the frames between peers.
@@ -26,6 +27,7 @@
 pub mod machine;
 pub mod plan;
 pub mod policy;
+pub mod schema;
 pub mod wire;
 
 pub use agreed::{Agreed, Part};
--- /dev/null
+++ b/crates/fleet/tests/schema.rs
@@ -0,0 +1,171 @@
+//! The window of schema versions: its steps told as stories, and under any order of commands, leases and delays.
+
+use fleet::plan::{self, Budget, Plan};
+use fleet::schema::capacity::{Short, Use, may_leave};
+use fleet::schema::motors::{Held, MOST};
+use fleet::schema::window::Window;
+use fleet::schema::{Command, Schema};
+use fleet::{Holder, Machine, Micros, life};
+use std::collections::{BTreeMap, BTreeSet};
+
+#[path = "schema/world.rs"]
+mod world;
+
+const S: Micros = 1_000_000;
+
+fn holder(peer: u8) -> Holder {
+    Holder { life: life(peer, 1), term: 1 }
+}
+
+fn tell(id: &str, version: u16, started: Micros) -> Command {
+    Command::Tell(id.into(), version, started)
+}
+
+/// At 7, with four executors of it, two of which are at 8 where the window is open.
+fn fleet(open: bool, alive: &BTreeSet<Holder>) -> Schema {
+    let mut s = Schema::default();
+    s.apply(Command::Found(7, S), alive);
+    (0..4).for_each(|n| assert!(s.apply(tell(&format!("m{n}"), 7, 1), alive)));
+    if open {
+        assert!(s.apply(Command::Open(8, s.step()), alive));
+        (0..2).for_each(|n| assert!(s.apply(tell(&format!("m{n}"), 8, 2), alive)));
+    }
+    s
+}
+
+fn linger(s: &mut Schema) {
+    (1..=3).for_each(|n| assert!(s.sweep(n * S)));
+}
+
+// An upgrade from 7 to 8, each command twice as after a leader that was killed; a holder that comes in the middle
+// counts, and a dispatcher that has no lease does not hold the end up.
+#[test]
+fn a_version_ends_once_every_holder_has_said_so_and_no_sooner() {
+    let mut alive: BTreeSet<Holder> = [holder(1), holder(2)].into();
+    let mut s = fleet(true, &alive);
+    let refused = s.accepts(&Command::Open(9, s.step())).unwrap_err();
+    assert_eq!(refused, "an upgrade from 7 to 8 is under way, on its way on: one at a time");
+    let close = Command::Close(s.step());
+    assert!(s.apply(close.clone(), &alive) && !s.apply(close, &alive));
+    assert_eq!((s.starts(None), s.window().ends(), s.window().versions()), (vec![8], Some(7), vec![7, 8]));
+    linger(&mut s);
+    assert_eq!(s.word_of(holder(1), |v| v == 7), None, "it has some in hand");
+    let word = s.word_of(holder(1), |_| false).unwrap();
+    assert!(s.apply(word.clone(), &alive) && !s.apply(word, &alive));
+    alive = [holder(1), holder(3)].into();
+    assert!(s.leases(&alive) && s.window().ending().unwrap().waits().contains(&holder(3)));
+    assert!(!s.apply(Command::Clear(holder(2), 7, s.step()), &alive), "it has no lease");
+    assert!(!s.leases(&alive) && s.status().contains("waits for 1 holders and 0 ms"), "{}", s.status());
+    assert!(s.apply(s.word_of(holder(3), |_| false).unwrap(), &alive));
+    assert_eq!(s.window(), &Window::Closed(8));
+    assert!(s.accepts(&Command::Open(8, s.step())).is_err() && s.accepts(&Command::Back(s.step())).is_err());
+}
+
+// A word of one step that arrives in a later one would end a version that is in hand again.
+#[test]
+fn a_word_counts_for_its_step_only_and_a_late_call_moves_nothing() {
+    let alive: BTreeSet<Holder> = [holder(1)].into();
+    let mut s = fleet(true, &alive);
+    let (first_back, early) = (Command::Back(s.step()), Command::Close(s.step()));
+    assert!(s.apply(first_back.clone(), &alive) && !s.apply(early, &alive));
+    let late = s.word_of(holder(1), |_| false).unwrap();
+    linger(&mut s);
+    assert!(s.apply(late.clone(), &alive));
+    assert_eq!(s.window(), &Window::Closed(7));
+    assert!(s.apply(Command::Open(8, s.step()), &alive) && !s.apply(first_back, &alive));
+    assert!(s.apply(Command::Back(s.step()), &alive));
+    linger(&mut s);
+    assert!(!s.apply(late, &alive));
+    assert_eq!(s.window().ends(), Some(8));
+}
+
+// Half of the executors are at 8 as the operator says BACK, while the window closes already: 8 ends, and who comes
+// back at 7 serves again.
+#[test]
+fn back_in_the_middle_ends_at_the_old_version() {
+    let alive: BTreeSet<Holder> = [holder(1), holder(2)].into();
+    let mut s = fleet(true, &alive);
+    assert!(s.apply(Command::Close(s.step()), &alive));
+    assert!(s.apply(s.word_of(holder(1), |_| false).unwrap(), &alive));
+    assert!(s.apply(Command::Back(s.step()), &alive));
+    assert_eq!((s.starts(None), s.window().ends()), (vec![7], Some(8)));
+    linger(&mut s);
+    assert!(s.apply(s.word_of(holder(1), |_| false).unwrap(), &alive));
+    assert_eq!(s.window().ends(), Some(8), "a word on 7 is none on 8");
+    assert!(s.apply(tell("m0", 7, 3), &alive));
+    assert!(s.apply(s.word_of(holder(2), |_| false).unwrap(), &alive));
+    assert_eq!(s.window(), &Window::Closed(7));
+    assert_eq!((s.motors().version("m0"), s.motors().version("m1")), (Some(7), Some(8)));
+}
+
+// One that is cut off must begin nothing that may have ended: never what was ending, and in an open window nothing
+// once the fleet could have ended either. A leader's clock that jumps must not shorten that.
+#[test]
+fn who_is_cut_off_stops_before_a_version_can_end() {
+    let alive: BTreeSet<Holder> = [holder(1)].into();
+    let mut s = fleet(true, &alive);
+    assert_eq!((s.starts(Some(S / 2 - 1)), s.starts(Some(S / 2))), (vec![7, 8], vec![]));
+    s.apply(Command::Close(s.step()), &alive);
+    assert_eq!((s.starts(Some(0)), s.starts(Some(S))), (vec![8], vec![]));
+    assert!(s.apply(s.word_of(holder(1), |_| false).unwrap(), &alive));
+    assert!([50, 0, 90, 91].map(|at| s.sweep(at * S / 2)) == [true; 4] && s.window().ends() == Some(7));
+    assert!(s.sweep(46 * S) && s.window() == &Window::Closed(8));
+    assert_eq!(s.starts(Some(900 * S)), [8]);
+}
+
+// An executor that comes back with the wrong version is out of use until somebody settles it, and a late word on a
+// former process changes nothing.
+#[test]
+fn an_executor_whose_answers_contradict_is_disputed_until_settled() {
+    let alive = BTreeSet::new();
+    let mut s = fleet(true, &alive);
+    let says = |v, at| Command::Says("m0".into(), v, at);
+    assert!(!s.apply(says(8, 2), &alive) && !s.apply(says(7, 1), &alive) && s.apply(says(7, 2), &alive));
+    assert_eq!(s.motors().held("m0"), Some(Held::Disputed { told: 8, said: 7 }));
+    assert_eq!((s.motors().version("m0"), s.apply(says(8, 2), &alive)), (None, false));
+    assert!(s.status().contains("1 disputed: m0 (told 8, says 7)"), "{}", s.status());
+    assert!(!s.apply(Command::Settle("m0".into(), 7, 1), &alive));
+    assert!(s.apply(Command::Settle("m0".into(), 7, 2), &alive));
+    assert_eq!(s.motors().version("m0"), Some(7));
+    assert!(s.apply(says(9, 5), &alive) && s.apply(tell("m0", 8, 6), &alive), "a new process is told anew");
+    assert_eq!(s.motors().version("m0"), Some(8));
+    assert!(s.apply(tell("m0", 7, 6), &alive), "two lists that differ");
+    assert_eq!(s.motors().version("m0"), None);
+    assert!(
+        !s.apply(Command::Gone("m0".into(), 5), &alive) && s.apply(Command::Gone("m0".into(), 6), &alive)
+    );
+}
+
+// The state goes whole into snapshots: a list without end must not make it grow without end.
+#[test]
+fn the_executors_known_are_bounded() {
+    let (mut s, alive) = (fleet(false, &BTreeSet::new()), BTreeSet::new());
+    let taken = (0..MOST).filter(|n| s.apply(tell(&format!("x{n}"), 7, 1), &alive)).count();
+    assert_eq!((taken, s.motors().len()), (MOST - 4, MOST));
+    assert!(s.apply(Command::Gone("x0".into(), 1), &alive) && !s.apply(tell(&"y".repeat(200), 7, 1), &alive));
+}
+
+// An upgrade that takes the next executor too early would leave those who speak only the old version short.
+#[test]
+fn an_executor_stays_while_a_version_would_be_short_without_it() {
+    let alive = BTreeSet::new();
+    let s = fleet(true, &alive);
+    let machine = |_| plan::Machine { hall: 0, cores: 8.0, up: true, started: 0 };
+    let machines: BTreeMap<String, _> = (0..4).map(|n| (format!("m{n}"), machine(n))).collect();
+    let budget = Budget { machines: 1, headroom: 1.25, at_once: 1, drain_limit: S, out_limit: S, ramp: S };
+    let both = ((7, 8), Use { busy: 12.0, sessions: 9 });
+    let ask = |id: &str, plan: &Plan, old: f64, more: Use| {
+        let demand = [((1, 7), Use { busy: old, sessions: 1 }), ((8, 8), more), both].into();
+        may_leave(id, &s, plan, &machines, &demand, &budget)
+    };
+    let (none, mut plan) = (Use::default(), Plan::default());
+    assert_eq!(ask("m3", &plan, 6.4, none), Ok(()));
+    let short = ask("m3", &plan, 6.5, none).unwrap_err();
+    assert_eq!(short.to_string(), "m3: schema 7 would be left 8.0 of the 8.1 cores needed");
+    let all = Short::Cores { id: "m0".into(), span: (7, 8), left: 24.0, needed: 26.25 };
+    assert_eq!(ask("m0", &plan, 5.0, Use { busy: 4.0, sessions: 1 }), Err(all));
+    plan.apply(plan::Command::Ask(vec!["m0".into()]));
+    plan.apply(plan::Command::Begin("m0".into(), 1, 1));
+    let idle = Use { busy: 0.0, sessions: 3 };
+    assert_eq!(ask("m1", &plan, 0.0, idle), Err(Short::Last { id: "m1".into(), span: (8, 8), sessions: 3 }));
+}
--- /dev/null
+++ b/crates/fleet/tests/schema/world.rs
@@ -0,0 +1,187 @@
+//! A log, dispatchers that know it late, and calls that come late, twice or never.
+
+use fleet::schema::window::Window;
+use fleet::schema::{Command, Schema, Version};
+use fleet::{Holder, Machine, Micros, life};
+use proptest::prelude::*;
+use std::collections::{BTreeMap, BTreeSet};
+
+const S: Micros = 1_000_000;
+const LINGER: Micros = 4 * S;
+
+#[derive(Debug, Clone)]
+enum Entry {
+    Command(Command),
+    Leases(BTreeSet<Holder>),
+    Sweep(Micros),
+}
+
+/// A dispatcher: what it has seen of the log, and what it has in hand.
+#[derive(Debug, Clone, Default)]
+struct Peer {
+    view: (Schema, BTreeSet<Holder>),
+    seen: usize,
+    hand: BTreeMap<Version, u32>,
+    term: u32,
+}
+
+#[derive(Debug, Default)]
+struct World {
+    log: Vec<(Micros, Entry)>,
+    state: (Schema, BTreeSet<Holder>),
+    peers: [Peer; 3],
+    posted: Vec<Command>,
+    now: Micros,
+}
+
+fn take((schema, alive): &mut (Schema, BTreeSet<Holder>), entry: &Entry) {
+    let before = schema.clone();
+    let changed = match entry {
+        Entry::Command(c) => schema.apply(c.clone(), alive),
+        Entry::Leases(now) => {
+            *alive = now.clone();
+            schema.leases(alive)
+        }
+        Entry::Sweep(now) => schema.sweep(*now),
+    };
+    assert_eq!(changed, before != *schema, "{entry:?}");
+}
+
+impl World {
+    fn holder(&self, p: usize) -> Holder {
+        Holder { life: life(p as u8 + 1, 1), term: self.peers[p].term }
+    }
+
+    fn append(&mut self, entry: Entry) {
+        let before = self.state.0.window().clone();
+        take(&mut self.state, &entry);
+        if let (Some(ended), Window::Closed(_)) = (before.ends(), self.state.0.window()) {
+            for p in (0..3).filter(|p| self.state.1.contains(&self.holder(*p))) {
+                assert!(!self.peers[p].hand.contains_key(&ended), "{ended} ended in the hands of {p}");
+            }
+            let goal = match before {
+                Window::Back { old, .. } => old,
+                _ => before.versions()[1],
+            };
+            assert_eq!(self.state.0.window(), &Window::Closed(goal));
+        }
+        self.log.push((self.now, entry));
+    }
+
+    fn catch_up(&mut self, p: usize, entries: usize) {
+        let peer = &mut self.peers[p];
+        for (_, entry) in self.log.iter().skip(peer.seen).take(entries) {
+            take(&mut peer.view, entry);
+            peer.seen += 1;
+        }
+    }
+
+    fn begin(&mut self, p: usize, draw: u8) {
+        // It is up to date as of the first entry that it has not seen.
+        let peer = &mut self.peers[p];
+        let silent = self.log.get(peer.seen).map(|(at, _)| self.now - at);
+        // It knows of a lease by the log, and by its own clock of the end of it, before the others do.
+        let holder = Holder { life: life(p as u8 + 1, 1), term: peer.term };
+        let alive = self.state.1.contains(&holder) && peer.view.1.contains(&holder);
+        let starts = peer.view.0.starts(silent.filter(|_| !alive));
+        let Some(&v) = starts.get(draw as usize % starts.len().max(1)) else { return };
+        if alive || !matches!(peer.view.0.window(), Window::Closed(_)) {
+            assert!(self.state.0.window().versions().contains(&v), "{v} began after its end");
+        }
+        *peer.hand.entry(v).or_default() += 1;
+    }
+
+    fn end(&mut self, p: usize, draw: u8) {
+        let hand = &mut self.peers[p].hand;
+        if let Some(&v) = hand.keys().nth(draw as usize % hand.len().max(1)) {
+            hand.entry(v).and_modify(|n| *n -= 1);
+            hand.retain(|_, n| *n > 0);
+        }
+    }
+
+    fn post_word(&mut self, p: usize) {
+        let (peer, holder) = (&self.peers[p], self.holder(p));
+        self.posted.extend(peer.view.0.word_of(holder, |v| peer.hand.contains_key(&v)));
+    }
+
+    fn sweep(&mut self, time: Micros) {
+        self.now += time;
+        // Leaders' clocks differ: by more than an hour, and back.
+        let skew = (self.now / (7 * S) % 3) * 5_000 * S;
+        self.append(Entry::Sweep(self.now + skew));
+    }
+
+    fn step(&mut self, (op, a, b): (u8, u8, u8)) {
+        let p = a as usize % 3;
+        let step = self.peers[p].view.0.step();
+        let (id, version) = (format!("m{}", b % 4), Version::from(1 + a % 4));
+        match op {
+            0 | 1 => self.posted.push(Command::Open(self.peers[p].view.0.window().versions()[0] + 1, step)),
+            2 => self.posted.push(Command::Close(step)),
+            3 => self.posted.push(Command::Back(step)),
+            4 => self.append(Entry::Command(Command::Tell(id, version, u64::from(a / 16)))),
+            5 => self.append(Entry::Command(Command::Says(id, version, u64::from(a / 16)))),
+            6 => self.append(Entry::Command(Command::Settle(id, version, u64::from(a / 16)))),
+            7 => self.append(Entry::Command(Command::Gone(id, u64::from(a / 16)))),
+            8..=11 => self.catch_up(p, b as usize % 16),
+            12..=14 => self.begin(p, b),
+            15 | 16 => self.end(p, b),
+            17 | 18 => self.post_word(p),
+            // Whatever was posted arrives, some of it late or again.
+            19..=23 if !self.posted.is_empty() => {
+                let back = if op == 23 { b as usize } else { b as usize % 3 };
+                let i = self.posted.len() - 1 - back % self.posted.len();
+                self.append(Entry::Command(self.posted[i].clone()));
+            }
+            24 => {
+                let mut alive = self.state.1.clone();
+                if !alive.remove(&self.holder(p)) {
+                    self.peers[p].term += 1;
+                    alive.insert(self.holder(p));
+                }
+                self.append(Entry::Leases(alive));
+            }
+            _ => self.sweep(u64::from(b) * S / 100),
+        }
+    }
+}
+
+proptest! {
+    // No version ends in the hands of somebody alive, nobody begins under one that has ended, whatever arrives late,
+    // twice or never; BACK ends at the older; the same log gives the same state, bounded, and the same when read again.
+    #[test]
+    fn any_order_of_commands_leases_and_delays(
+        steps in prop::collection::vec((0u8..32, any::<u8>(), any::<u8>()), 1..400),
+    ) {
+        let mut w = World::default();
+        w.append(Entry::Command(Command::Found(1, LINGER)));
+        (0..3).for_each(|p| { w.catch_up(p, 1); w.step((24, p as u8, 0)); });
+        // Somebody has 2, so that the first window can close.
+        w.append(Entry::Command(Command::Tell("m9".into(), 2, 1)));
+        steps.into_iter().for_each(|s| w.step(s));
+        let bytes = postcard::to_stdvec(&w.state.0).unwrap();
+        prop_assert!(bytes.len() < 400, "{}", bytes.len());
+        prop_assert_eq!(postcard::from_bytes::<Schema>(&bytes).unwrap(), w.state.0.clone());
+        let mut again = (Schema::default(), BTreeSet::new());
+        w.log.iter().for_each(|(_, e)| take(&mut again, e));
+        prop_assert_eq!(&again, &w.state);
+        // Rolled back now, wherever it is; the fleet goes on and everybody ends what it has.
+        let window = w.state.0.window().clone();
+        w.append(Entry::Command(Command::Back(w.state.0.step())));
+        for p in 0..3 {
+            if !w.state.1.contains(&w.holder(p)) {
+                w.step((24, p as u8, 0));
+            }
+        }
+        for p in 0..3 {
+            w.catch_up(p, usize::MAX);
+            w.peers[p].hand.clear();
+            w.post_word(p);
+            if let Some(word) = w.posted.pop().filter(|c| matches!(c, Command::Clear(..))) {
+                w.append(Entry::Command(word));
+            }
+        }
+        (0..30).for_each(|_| w.sweep(S));
+        prop_assert_eq!(w.state.0.window(), &Window::Closed(window.versions()[0]));
+    }
+}
