Have all dispatchers of a fleet admit by one policy, changed everywhere or nowhere

Need: each dispatcher reads its own file, so that while one is down, cut off or has a bad file the fleet runs two policies.

Change: with a policy block under peers, an operator proposes a policy at any dispatcher (POLICY PROPOSE FILE, STATUS, ABORT, BACK). Each checks it against its own settings (src/policies) and votes; once all have said yes each stops admitting, and what arrives waits; once all have stopped it is in force and what waited is admitted by it (src/net/policy.rs). What is open ends under the policy that admitted it: places and attempts stand with the query, and a request on record carries its policy's number to whoever takes it over. Without a lease all is refused with a time, or the stricter of the two known policies holds, as the settings say. Without the block POLICY is an unknown call, and a request's way has one look at an Option more.

--- a/crates/fleet/src/policy/apply.rs
+++ b/crates/fleet/src/policy/apply.rs
@@ -9,6 +9,7 @@
             return false;
         }
         self.last = (self.last + 1).max(least);
+        self.taken = Some((self.last, by, at));
         let vote = at.saturating_add(limits[0]);
         self.pending = Some(Proposal {
             policy: Policy { number: self.last, ..p },
--- a/crates/fleet/src/policy/mod.rs
+++ b/crates/fleet/src/policy/mod.rs
@@ -117,6 +117,8 @@
     ended: Vec<Ended>,
     /// The highest number ever given.
     last: u64,
+    /// The change that was taken last.
+    taken: Option<(u64, Peer, Micros)>,
     /// The number that was in force in a fleet before, whose record is lost: nobody admits by less.
     least: u64,
 }
@@ -153,6 +155,11 @@
         self.pending.as_ref()
     }
 
+    /// The change that was taken last: its number, through whom it came, and when by that one's clock.
+    pub fn last(&self) -> Option<(u64, Peer, Micros)> {
+        self.taken
+    }
+
     /// What came of earlier changes, the latest first.
     pub fn ended(&self) -> impl Iterator<Item = &Ended> {
         self.ended.iter()
--- a/crates/fleet/src/policy/part.rs
+++ b/crates/fleet/src/policy/part.rs
@@ -56,6 +56,11 @@
         self.known.number
     }
 
+    /// Whether the fleet's state is known, and by what to admit.
+    pub fn abreast(&self) -> bool {
+        self.abreast
+    }
+
     /// What a request that arrives meets, with the lease that holds at this very moment.
     pub fn gate(&self, holder: Option<Holder>) -> Gate {
         match holder {
--- a/src/codec/operator.rs
+++ b/src/codec/operator.rs
@@ -3,6 +3,8 @@
 //! A connection carries one line and gets one answer: a line that starts with `+OK` or `-ERR`; `DUMP` is
 //! answered `+OK`, the figures and a line `.`. Everything here is sans-I/O: bytes and calls in, answers out.
 
+pub mod policy;
+
 use std::fmt;
 
 /// The longest line taken, its end included, in bytes.
@@ -31,6 +33,8 @@
     PlanAbort,
     /// An executor that is out, or failed, is well again.
     PlanMend(String),
+    /// What all dispatchers of the fleet admit requests by.
+    Policy(policy::Ask),
 }
 
 /// Why a line is not a call; told after `-ERR`.
@@ -55,6 +59,7 @@
         match self {
             Fault::Unknown(word) => write!(f, "unknown call {word:?}"),
             Fault::Missing("DRAIN") => write!(f, "DRAIN takes PLAN ID,ID,..., STATUS, ABORT or MEND ID"),
+            Fault::Missing("POLICY") => write!(f, "POLICY takes PROPOSE FILE, STATUS, ABORT or BACK"),
             Fault::Missing(call) => write!(f, "{call} takes an executor id"),
             Fault::Extra(call) => write!(f, "too many words for {call}"),
             Fault::TooLong => write!(f, "line longer than {LONGEST_LINE} bytes"),
@@ -111,8 +116,10 @@
     let text = std::str::from_utf8(line).map_err(|_| Fault::NotText)?;
     let mut words = text.split([' ', '\t']).filter(|w| !w.is_empty());
     let name = words.next().ok_or(Fault::Empty)?.to_ascii_uppercase();
-    if name == "DRAIN" {
-        return drain(words);
+    match name.as_str() {
+        "DRAIN" => return drain(words),
+        "POLICY" => return policy::parse(words).map(Call::Policy),
+        _ => {}
     }
     let (id, more) = (words.next(), words.next().is_some());
     let bare = |call: Call, name: &'static str| match id {
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -131,7 +131,7 @@
         let q = &self.queries[&id];
         let further = !q.attempts.is_empty();
         let over = q.done || q.streaming || self.now >= q.deadline;
-        let most = q.attempts.len() >= self.s.max_attempts as usize;
+        let most = q.attempts.len() >= q.most_attempts as usize;
         let copy = q.out() > 0 && !self.s.second_copies;
         if over || most || copy || !self.has_turn(id) || (further && !self.budget_allows()) {
             return false;
--- a/src/control/guards.rs
+++ b/src/control/guards.rs
@@ -5,16 +5,17 @@
 impl Gateway {
     /// Placement: zone and kind, at every attempt.
     pub(super) fn placed(&self, class: ClassId, e: &Engine) -> bool {
-        let c = &self.s.classes[class];
-        c.only_zones.as_ref().is_none_or(|z| z.contains(&e.entry.zone))
-            && c.only_kinds.as_ref().is_none_or(|k| k.contains(&e.entry.kind))
+        e.within(&self.s.classes[class].only_zones, &self.s.classes[class].only_kinds)
     }
 
     /// Whether the rules let an attempt of the query go to the engine now.
     pub(super) fn permitted(&self, q: &Query, i: usize) -> bool {
         let e = &self.engines[i];
         // Drains: nothing from the moment the list tells of it, well inside the grace.
-        e.listed() && self.placed(q.class, e) && self.effect_allows(q, e) && self.cold_allows(q, e)
+        e.listed()
+            && e.within(&q.only_zones, &q.only_kinds)
+            && self.effect_allows(q, e)
+            && self.cold_allows(q, e)
     }
 
     /// Effects: unsafe only after proven non-runs; keyed inside its group and window.
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -28,6 +28,20 @@
         Ok(Gateway::empty(settings, seed, rules, CACHE_SIZE, models))
     }
 
+    /// Admits by other settings of the same classes, tenants and machines from now on; what is open ends as it was
+    /// admitted. Rules that stay keep what is in their buckets.
+    pub fn take_on(&mut self, settings: Settings) -> Result<Settings, SettingsError> {
+        check(&settings)?;
+        let mut rules = rules::build_rules(&settings);
+        rules.iter_mut().for_each(|r| r.keep(&self.rules));
+        self.rules = rules;
+        let old = std::mem::replace(&mut self.s, settings);
+        for i in 0..self.engines.len() {
+            self.engines[i].pool = self.pool_of(&self.engines[i]);
+        }
+        Ok(old)
+    }
+
     /// Takes one event at time `now` and appends what is to be done, in order.
     pub fn handle(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if self.started && now > self.now + STALL {
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -15,7 +15,7 @@
         let admitted = self.admit(&a, cost);
         let (homes, c) = (self.homes(a.class, a.group), &self.s.classes[a.class]);
         let aim = c.aim + (c.aim_stretch * cost / f64::from(c.threads) * 1e6) as Micros;
-        let q = Query::new(&a, self.now, cost, aim, homes, c.keep_order);
+        let q = Query::new(&a, self.now, cost, aim, homes, c, self.s.max_attempts);
         let key = q.key;
         self.queries.insert(a.query, q);
         if let Err(wait) = admitted {
--- a/src/dispatch/intake.rs
+++ b/src/dispatch/intake.rs
@@ -2,8 +2,9 @@
 
 use super::open::Open;
 use super::request::{arrival, grace};
-use super::{Answer, BACKOFF_MS, Class, Dispatch, Order, Request};
-use crate::api::{Event, Micros};
+use super::{Answer, BACKOFF_MS, Class, Dispatch, KEY_REST, Order, Request};
+use crate::api::{Event, Micros, Settings, SettingsError};
+use crate::must;
 
 impl<R> Dispatch<R> {
     /// Whether a request can be taken at all: its class, its budget, and an id that was not used.
@@ -32,18 +33,41 @@
     /// Takes a request in: it is sent, held or answered by what is returned here or later. An id that is
     /// still open is an error, as its answer could not be told from the other's.
     pub fn pick(&mut self, now: Micros, request: &Request) -> Result<Vec<Order<R>>, &'static str> {
-        self.adopt(now, request, 0)
+        self.adopt(now, request, 0, None)
     }
 
-    /// The same for a request that a lost dispatcher had in hand and tried so often already.
+    /// The same for a request that a lost dispatcher had in hand and tried so often already, and had admitted under
+    /// these settings, if they were others.
     pub fn adopt(
         &mut self,
         now: Micros,
         request: &Request,
         before: usize,
+        under: Option<&Settings>,
     ) -> Result<Vec<Order<R>>, &'static str> {
-        let full = self.take(now, request, before)?;
-        Ok(if full { std::mem::take(&mut self.orders) } else { self.run(now, arrival(request)) })
+        if self.take(now, request, before)? {
+            return Ok(std::mem::take(&mut self.orders));
+        }
+        let own = under.and_then(|s| self.gateway.take_on(self.quiet(s.clone())).ok());
+        let orders = self.run(now, arrival(request));
+        if let Some(own) = own {
+            let back = self.gateway.take_on(own);
+            must!(back.is_ok(), "own settings were in use");
+        }
+        Ok(orders)
+    }
+
+    /// Admits by other settings of the same classes, tenants and machines from now on; what is open ends as it was
+    /// admitted. An error changes nothing.
+    pub fn take_on(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        let settings = self.quiet(settings);
+        self.gateway.take_on(settings).map(drop)
+    }
+
+    /// Settings with the rest of keys that is needed here.
+    fn quiet(&self, mut settings: Settings) -> Settings {
+        settings.key_quiet = Some(settings.key_quiet.unwrap_or(0).max(KEY_REST));
+        settings
     }
 
     /// Takes a request in that the decisions get later, once there is word of the fleet. It is open from now on:
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,8 +10,9 @@
 //! - [`net`] is the dispatcher on sockets: one event loop.
 //! - [`membership`] is which motores there are: lists from files beside the coordinator's feed.
 //! - [`takeover`] has work in hand survive its dispatcher, where our settings name peers.
-//! - [`storm`] sees retry storms, damps them and tells clients when to come back.
+//! - [`policies`] are what a whole fleet admits requests by, read and applied.
 //! - [`schema`] settles which version of the schema each request runs under while motores are upgraded.
+//! - [`storm`] sees retry storms, damps them and tells clients when to come back.
 //! - [`settings`] read what it is told: the platform's file and our own HCL; [`cli`] is the command line.
 //! - [`operator`] are the operators' figures and bans, [`invariant`] counts what must not happen.
 
@@ -24,6 +25,7 @@
 pub mod membership;
 pub mod net;
 pub mod operator;
+pub mod policies;
 pub mod schema;
 pub mod settings;
 mod state;
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -21,6 +21,11 @@
             {
                 return unknown();
             }
+            Ok(Call::Policy(_)) | Err(Fault::Missing("POLICY") | Fault::Extra("POLICY"))
+                if self.hands.as_ref().is_none_or(|h| h.rules.is_none()) =>
+            {
+                return Some(ops::refusal(&Fault::Unknown("POLICY".into())));
+            }
             Ok(call) => call,
             Err(fault) => return Some(ops::refusal(&fault)),
         };
@@ -28,6 +33,7 @@
             Call::Plan(_) | Call::PlanStatus | Call::PlanAbort | Call::PlanMend(_) => {
                 return self.plan_call(caller, now, call);
             }
+            Call::Policy(ask) => return self.policy_call(caller, now, &ask),
             Call::Health => self.readiness().answer(),
             Call::Dump => format!("+OK figures\n{}.", self.dump(now)),
             Call::Leave => {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -153,6 +153,9 @@
                 Some(Asked::Kill(id)) => self.kill(key, id, now),
                 Some(Asked::Request(mut request, kind, statement)) => {
                     request.budget = request.budget.saturating_sub(self.behind);
+                    if let Some(hands) = &self.hands {
+                        hands.cap(&mut request);
+                    }
                     let id = request.id;
                     if s.overruns() {
                         return self.overrun(key, now);
--- a/src/net/hands.rs
+++ b/src/net/hands.rs
@@ -7,6 +7,7 @@
 use super::peers::Peers;
 use super::poll::{Key, Poll};
 use super::room::Room;
+use super::rules::Rules;
 use super::upkeep::Upkeep;
 use crate::api::{Effect, Micros, Settings};
 use crate::dispatch::{Answer, Order, Request, Ticket};
@@ -34,6 +35,8 @@
     cores: Vec<f64>,
     /// Machines that are taken out for work.
     pub(super) upkeep: Upkeep,
+    /// What all admit requests by, where our settings say that it is agreed on.
+    pub(super) rules: Option<Rules>,
 }
 
 /// What the settings know of the classes: names and whether they may repeat, by index.
@@ -48,6 +51,8 @@
     pub cores: Vec<f64>,
     /// How long a machine warms up.
     pub ramp: Micros,
+    /// All of them.
+    pub base: Settings,
 }
 
 impl Classes {
@@ -61,6 +66,7 @@
             attempts: settings.max_attempts as usize,
             cores: settings.kinds.iter().map(|k| k.cores).collect(),
             ramp: settings.cold.ramp,
+            base: settings.clone(),
         }
     }
 }
@@ -110,9 +116,10 @@
             out_limit: micros(o.out_limit),
             ramp: classes.ramp,
         };
+        let rules = o.policy.map(|p| Rules::new(p, me, bounds.backoff_ms, classes.base.clone()));
         let (upkeep, Classes { names, repeats, cores, .. }) =
             (Upkeep::new(budget, 2 * micros(o.lease), now), classes);
-        Ok(Hands { takeover, peers, classes: names, repeats, cores, upkeep })
+        Ok(Hands { takeover, peers, classes: names, repeats, cores, upkeep, rules })
     }
 
     /// Cores of a machine of a kind; those of the smallest where its kind is not known.
@@ -138,7 +145,7 @@
                 statement: r.ask.map(|_| job.statement.to_string()),
                 deadline: now + r.budget,
                 tried: Vec::new(),
-                policy: 0,
+                policy: self.rules.as_ref().map_or(0, |r| r.part.number()),
             },
         }
     }
@@ -159,8 +166,8 @@
 }
 
 impl Node {
-    /// What becomes of a request that arrives: whether the decisions get it now.
-    pub(super) fn gate(&mut self, now: Micros, request: &Request, job: &Job) -> Gate {
+    /// What becomes of a request that is admitted: whether the decisions get it now.
+    pub(super) fn on_hands(&mut self, now: Micros, request: &Request, job: &Job) -> Gate {
         let Some(hands) = &mut self.hands else { return Gate::Go };
         let attempt = hands.attempt(now, request, job);
         hands.takeover.arrives(now, attempt)
@@ -228,6 +235,8 @@
     pub(super) fn keep_hands(&mut self, now: Micros) {
         let Some(hands) = self.hands.as_mut().filter(|h| h.takeover.next_due() <= now) else { return };
         hands.takeover.tick(now);
+        // What was lost with the time that has passed is known before anything else is done.
+        self.keep_policy(now);
         self.move_hands(now);
     }
 
@@ -239,13 +248,15 @@
                 hands.takeover.hears(now, from, message);
             }
             hands.takeover.flush(now);
+            self.keep_policy(now);
+            let Some(hands) = &mut self.hands else { return };
             for (to, message) in std::mem::take(&mut hands.takeover.fleet.messages) {
                 hands.peers.send(to, &message, now);
             }
             hands.peers.flush(now, &self.poll);
             let Some(next) = hands.takeover.moves.pop_front() else { return };
             let orders = match next {
-                Move::Admit(rid) => self.dispatch.admit(now, rid),
+                Move::Admit(rid) => self.admit_recorded(now, rid),
                 Move::Answer(rid, reply) => {
                     let answer = self.answer_of(reply);
                     self.dispatch.answer_held(rid, answer)
@@ -277,7 +288,9 @@
             repeated: true,
         };
         self.jobs.insert(record.rid, (NOBODY, Job { kind, statement: statement.into() }));
-        match self.dispatch.adopt(now, &request, record.tried.len()) {
+        let under = hands.rules.as_ref().filter(|r| r.part.number() != record.policy);
+        let under = under.and_then(|r| r.under(record.policy));
+        match self.dispatch.adopt(now, &request, record.tried.len(), under) {
             Ok(orders) => orders,
             Err(e) => {
                 tracing::warn!(
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -14,8 +14,11 @@
 mod operator;
 mod orders;
 mod peers;
+mod policy;
+mod policy_calls;
 mod poll;
 mod room;
+mod rules;
 mod session;
 pub mod signals;
 mod timers;
@@ -372,6 +375,7 @@
         }
         self.keep_hands(now);
         self.keep_plan(now);
+        self.keep_policy(now);
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
             self.look_after_clients(now);
--- /dev/null
+++ b/src/net/policy.rs
@@ -0,0 +1,186 @@
+//! What all dispatchers of the fleet admit requests by, where our settings say so: requests pass by here before all
+//! else, and wait here while a change takes hold.
+
+use super::Node;
+use super::executors::{Job, Rows};
+use super::hands::Hands;
+use super::rules::Held;
+use crate::api::Micros;
+use crate::dispatch::{Order, Request};
+use crate::settings::options::WithoutLease;
+use crate::takeover::{Gate, Reply};
+use fleet::agreed::{self, Agreed};
+use fleet::policy::{Act, Gate as Door};
+
+impl Hands {
+    /// A request whose client would wait longer than the policy allows is given up when that says.
+    pub(super) fn cap(&self, request: &mut Request) {
+        let settings = self.rules.as_ref().and_then(|r| r.under(r.part.number()));
+        if let Some(class) = settings.and_then(|s| s.classes.get(request.class)) {
+            request.budget = request.budget.min(class.deadline);
+        }
+    }
+}
+
+impl Node {
+    /// What a request that arrives meets, by a look at the clock of this very moment; `None` where no policy is agreed
+    /// on at all.
+    pub(super) fn door(&mut self) -> Option<Door> {
+        let rules = self.hands.as_ref()?.rules.as_ref()?;
+        let now = self.clock.now();
+        Some(rules.door(self.hands.as_ref()?.takeover.fleet.holds(now)))
+    }
+
+    /// What becomes of a request that arrives: whether the decisions get it now.
+    pub(super) fn gate(&mut self, now: Micros, request: &Request, job: &Job) -> Gate {
+        match self.door() {
+            None => self.on_hands(now, request, job),
+            Some(Door::Admit(number)) => {
+                let gate = self.on_hands(now, request, job);
+                if gate == Gate::Go {
+                    told(request.id, number);
+                }
+                gate
+            }
+            Some(Door::Hold) => {
+                self.hold_for_policy(request.id, Some(request.clone()));
+                Gate::Hold
+            }
+            Some(Door::Refuse) => Gate::Answer(self.no_policy()),
+        }
+    }
+
+    fn no_policy(&mut self) -> Reply {
+        let rules = self.hands.as_mut().and_then(|h| h.rules.as_mut());
+        Reply::Refused(rules.map_or(0, |r| {
+            r.tally[1] += 1;
+            r.backoff_ms
+        }))
+    }
+
+    fn hold_for_policy(&mut self, rid: u64, request: Option<Request>) {
+        let Some(rules) = self.hands.as_mut().and_then(|h| h.rules.as_mut()) else { return };
+        // Those whose clients have left go: as many wait as are open, and no more.
+        if rules.held.len() > self.jobs.len() + 1_024 {
+            rules.held.retain(|h| self.jobs.contains_key(&h.rid));
+        }
+        rules.tally[0] += 1;
+        rules.held.push_back(Held { rid, request });
+    }
+
+    /// A request that is on the fleet's record goes to the decisions, unless a change is taking hold.
+    pub(super) fn admit_recorded(&mut self, now: Micros, rid: u64) -> Vec<Order<Rows>> {
+        match self.door() {
+            Some(Door::Hold) => {
+                self.hold_for_policy(rid, None);
+                Vec::new()
+            }
+            Some(Door::Refuse) => {
+                let answer = self.no_policy();
+                let answer = self.answer_of(answer);
+                self.dispatch.answer_held(rid, answer)
+            }
+            door => {
+                if let Some(Door::Admit(number)) = door {
+                    told(rid, number);
+                }
+                self.dispatch.admit(now, rid)
+            }
+        }
+    }
+
+    /// Looks at what the fleet holds alike, says what is to be said of it, and lets requests go that waited.
+    pub(super) fn keep_policy(&mut self, now: Micros) {
+        let Some(hands) = &mut self.hands else { return };
+        let Some(rules) = &mut hands.rules else { return };
+        let restless = !rules.waiting.is_empty() || !rules.part.abreast();
+        if !std::mem::take(&mut hands.takeover.ruled) && !restless {
+            return;
+        }
+        let fleet = &mut hands.takeover.fleet;
+        let holder = fleet.holds(now);
+        let acts = rules.look(now, holder, fleet.agreed().map(Agreed::policy), &self.names);
+        fleet.policy = rules.part.number();
+        let mut change = None;
+        for act in acts {
+            match act {
+                Act::Say(command) => {
+                    if !fleet.agree(now, agreed::Command::Policy(command)) {
+                        rules.part.unsaid();
+                        hands.takeover.ruled = true;
+                    }
+                }
+                Act::Voted(number, faults) => {
+                    tracing::info!(
+                        number,
+                        yes = faults.is_empty(),
+                        faults = faults.join("; "),
+                        "policy: voted"
+                    );
+                }
+                Act::Closing(number) => tracing::info!(number, "policy: closing"),
+                Act::GivenUp(number, why, faults) => {
+                    tracing::warn!(number, why, ?faults, "policy: given up");
+                }
+                Act::InForce(policy) => {
+                    tracing::info!(number = policy.number, "policy: in force");
+                    change = rules.under(policy.number).cloned();
+                }
+            }
+        }
+        if holder.is_some() == rules.fallen_back {
+            // A lease came or went, and with it the right to act by what the fleet holds.
+            let stricter = rules.terms.without_lease == WithoutLease::Stricter;
+            rules.fallen_back = holder.is_none();
+            if stricter {
+                change = if holder.is_some() {
+                    rules.under(rules.part.number()).cloned()
+                } else {
+                    rules.fallback()
+                };
+            }
+        }
+        if let Some(settings) = change
+            && let Err(e) = self.dispatch.take_on(settings)
+        {
+            tracing::error!(error = %e, "policy: can't be done here");
+        }
+        self.release(now);
+        self.answer_policy_calls(now);
+    }
+
+    /// Lets go of what waited, in its order, once it may be told by what it is admitted.
+    fn release(&mut self, now: Micros) {
+        let door = self.door();
+        if door == Some(Door::Hold) {
+            return;
+        }
+        let held = self.hands.as_mut().and_then(|h| h.rules.as_mut()).map(|r| std::mem::take(&mut r.held));
+        for Held { rid, request } in held.unwrap_or_default() {
+            let Some((_, job)) = self.jobs.get(&rid) else { continue };
+            let job = job.clone();
+            let orders = match (door, request) {
+                (Some(Door::Refuse), _) => {
+                    let answer = self.no_policy();
+                    let answer = self.answer_of(answer);
+                    self.dispatch.answer_held(rid, answer)
+                }
+                (_, None) => self.admit_recorded(now, rid),
+                (_, Some(request)) => match self.gate(now, &request, &job) {
+                    Gate::Go => self.dispatch.admit(now, rid),
+                    Gate::Hold => Vec::new(),
+                    Gate::Answer(reply) => {
+                        let answer = self.answer_of(reply);
+                        self.dispatch.answer_held(rid, answer)
+                    }
+                },
+            };
+            self.settle(now, orders);
+        }
+    }
+}
+
+/// Tells of an admission, for whoever wants to see that no two policies hold at once.
+fn told(rid: u64, number: u64) {
+    tracing::debug!(target: "ottercroft::policies", request = format_args!("{rid:016x}"), policy = number, "admitted");
+}
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -16,6 +16,10 @@
         Just(Call::PlanStatus),
         Just(Call::PlanAbort),
         id.prop_map(Call::PlanMend),
+        "/[a-z0-9./-]{1,60}".prop_map(|path| Call::Policy(policy::Ask::Propose(path))),
+        Just(Call::Policy(policy::Ask::Status)),
+        Just(Call::Policy(policy::Ask::Abort)),
+        Just(Call::Policy(policy::Ask::Back)),
     ]
 }
 
@@ -31,6 +35,10 @@
         Call::PlanStatus => "DRAIN STATUS".into(),
         Call::PlanAbort => "drain abort".into(),
         Call::PlanMend(id) => format!("DRAIN MEND {id}"),
+        Call::Policy(policy::Ask::Propose(path)) => format!("POLICY PROPOSE {path}"),
+        Call::Policy(policy::Ask::Status) => "policy status".into(),
+        Call::Policy(policy::Ask::Abort) => "POLICY ABORT".into(),
+        Call::Policy(policy::Ask::Back) => "POLICY BACK".into(),
     }
 }
 
--- /dev/null
+++ b/src/policies/apply.rs
@@ -0,0 +1,138 @@
+//! What a policy makes of one dispatcher's settings, and whether it fits them.
+
+use super::Policy;
+use crate::api::{self, Micros, Settings};
+use crate::settings::Names;
+use crate::settings::hcl::{Fault, shown};
+use sha2::{Digest as _, Sha256};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// The digest by which a policy's text is known.
+pub fn digest(text: &str) -> [u8; 32] {
+    Sha256::digest(text.as_bytes()).into()
+}
+
+fn micros(d: Duration) -> Micros {
+    Micros::try_from(d.as_micros()).unwrap_or(Micros::MAX)
+}
+
+struct Check<'a> {
+    base: &'a Settings,
+    names: &'a Names,
+    faults: Vec<String>,
+}
+
+impl Check<'_> {
+    fn fault(&mut self, place: &str, name: &str, what: impl std::fmt::Display) {
+        self.faults.push(format!("{place} \"{}\": {what}", shown(name)));
+    }
+
+    fn index(&mut self, place: &str, name: &str, known: &BTreeMap<String, usize>) -> Option<usize> {
+        let found = known.get(name).copied();
+        if found.is_none() {
+            let all: Vec<&str> = known.keys().take(8).map(String::as_str).collect();
+            self.fault(place, name, format_args!("unknown; known here: {}", all.join(", ")));
+        }
+        found
+    }
+
+    fn indices(&mut self, place: &str, names: &[String], known: &BTreeMap<String, usize>) -> Vec<usize> {
+        names.iter().filter_map(|n| self.index(place, n, known)).collect()
+    }
+
+    fn class(&mut self, s: &mut Settings, p: &super::Class) {
+        let Some(i) = self.index("class", &p.name, &self.names.classes) else { return };
+        let base = &self.base.classes[i];
+        let to = &mut s.classes[i];
+        to.aim = p.aim.map_or(to.aim, micros);
+        to.deadline = p.deadline.map_or(to.deadline, micros);
+        to.worth = p.worth.unwrap_or(to.worth);
+        to.late_worth = p.late_worth.unwrap_or(to.late_worth);
+        if to.deadline > base.deadline {
+            let most = humantime::format_duration(Duration::from_micros(base.deadline));
+            self.fault("class", &p.name, format_args!("deadline: its clients wait {most} at most"));
+        }
+        if to.aim > to.deadline {
+            self.fault("class", &p.name, "aim: later than its deadline");
+        }
+        let places: [(&str, &Option<Vec<String>>, &BTreeMap<String, usize>, &Option<Vec<usize>>); 2] = [
+            ("kind", &p.kinds, &self.names.kinds, &base.only_kinds),
+            ("zone", &p.zones, &self.names.zones, &base.only_zones),
+        ];
+        let mut bound = Vec::new();
+        for (place, wanted, known, platform) in places {
+            let found = wanted.as_ref().map(|names| self.indices(place, names, known));
+            // The platform's own bounds stay: a policy may narrow them.
+            if let (Some(found), Some(platform)) = (&found, platform)
+                && !found.iter().all(|i| platform.contains(i))
+            {
+                self.fault("class", &p.name, format_args!("{place}s: more than the settings allow it"));
+            }
+            bound.push(found);
+        }
+        let to = &mut s.classes[i];
+        to.only_zones = bound.pop().flatten().or(to.only_zones.take());
+        to.only_kinds = bound.pop().flatten().or(to.only_kinds.take());
+    }
+}
+
+/// The settings of a dispatcher under a policy; else all that is wrong with it here.
+pub fn applied(policy: &Policy, base: &Settings, names: &Names) -> Result<Settings, Vec<String>> {
+    let mut s = base.clone();
+    let mut check = Check { base, names, faults: Vec::new() };
+    policy.classes.iter().for_each(|c| check.class(&mut s, c));
+    for (name, quota) in &policy.tenants {
+        if let Some(i) = check.index("tenant", name, &names.tenants) {
+            s.tenants[i].quota_per_s = *quota;
+        }
+    }
+    s.over_share_worth = policy.over_share_worth.unwrap_or(s.over_share_worth);
+    let a = &policy.attempts;
+    if let Some(most) = a.most {
+        s.max_attempts = most;
+        if most > base.max_attempts {
+            check.fault("attempts", "most", format_args!("the settings allow {}", base.max_attempts));
+        }
+    }
+    if a.free.or(a.ratio).is_some() || a.span.is_some() {
+        let own = base.budget.unwrap_or(api::Budget { free: f64::MAX, ratio: f64::MAX, span: 10_000_000 });
+        let budget = api::Budget {
+            free: a.free.unwrap_or(own.free),
+            ratio: a.ratio.unwrap_or(own.ratio),
+            span: a.span.map_or(own.span, micros),
+        };
+        // A ration of the platform may be made tighter, not wider; where there is none, this is one.
+        if base.budget.is_some()
+            && (budget.free > own.free || budget.ratio > own.ratio || budget.span < own.span)
+        {
+            check.fault("attempts", "ration", "wider than the settings allow");
+        }
+        if budget.free == f64::MAX || budget.ratio == f64::MAX {
+            check.fault(
+                "attempts",
+                "ration",
+                "free and ratio are both needed where the settings have no ration",
+            );
+        }
+        s.budget = Some(budget);
+    }
+    if let Err(e) = api::check(&s) {
+        check.faults.push(e.to_string());
+    }
+    if check.faults.is_empty() { Ok(s) } else { Err(check.faults) }
+}
+
+/// The settings under a policy of the fleet, by its text and that text's digest; else all that is wrong.
+pub fn ready(
+    policy: &fleet::policy::Policy,
+    base: &Settings,
+    names: &Names,
+) -> Result<Settings, Vec<String>> {
+    if policy.number > 0 && digest(&policy.text) != policy.digest {
+        return Err(vec!["its text does not match its digest".into()]);
+    }
+    let told = |faults: Vec<Fault>| faults.iter().map(Fault::to_string).collect::<Vec<_>>();
+    let read = Policy::parse(&format!("policy {}", policy.number), &policy.text).map_err(told)?;
+    applied(&read, base, names)
+}
--- a/src/settings/options/mod.rs
+++ b/src/settings/options/mod.rs
@@ -4,10 +4,11 @@
 //!
 //! - [`lists`]: motor lists from files, and [`terms`], what may be in them and what holds them back.
 //! - [`storms`]: retry storms.
-//! - [`peers`]: the other dispatchers.
+//! - [`peers`]: the other dispatchers, and [`policy`], what all of them admit requests by.
 
 pub mod lists;
 pub mod peers;
+pub mod policy;
 pub mod storms;
 pub mod terms;
 #[cfg(test)]
@@ -15,6 +16,7 @@
 
 pub use lists::{Empty, Lists, Safeguard, Source, accept_path};
 pub use peers::Peers;
+pub use policy::{PolicyTerms, WithoutLease};
 pub use storms::Storms;
 pub use terms::{FEED, Guard, Terms};
 
--- a/src/settings/options/peers.rs
+++ b/src/settings/options/peers.rs
@@ -1,6 +1,7 @@
 //! Other dispatchers, with which work in hand is kept on record.
 
 use super::MS;
+use super::policy::{self, PolicyTerms};
 use crate::settings::hcl::{self, Fault, Table};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +47,8 @@
     pub drain_limit: Duration,
     /// How long a motor may be out before the plan stops.
     pub out_limit: Duration,
+    /// What all admit requests by; none where each goes by its own settings.
+    pub policy: Option<PolicyTerms>,
 }
 
 /// Reads the block.
@@ -65,7 +68,7 @@
         "max_result",
         "max_frame",
     ];
-    t.only(&keys, &["peer", "maintenance"], faults);
+    t.only(&keys, &["peer", "maintenance", "policy"], faults);
     let mut p = Peers {
         me: t.need("me", faults, hcl::string).unwrap_or_default(),
         listen: t.need("listen", faults, hcl::parsed("10.0.0.1:7100")).unwrap_or(([127, 0, 0, 1], 0).into()),
@@ -86,6 +89,7 @@
         at_once: 1,
         drain_limit: MS(600_000),
         out_limit: MS(1_800_000),
+        policy: t.block("policy", faults).map(|b| policy::read(&b, faults)),
     };
     t.set("lease", &mut p.lease, faults, hcl::duration(MS(200)..=MS(60_000)));
     t.set("margin", &mut p.margin, faults, hcl::duration(MS(10)..=MS(60_000)));
--- a/src/state/engine.rs
+++ b/src/state/engine.rs
@@ -58,6 +58,12 @@
         self.lots = self.cold.clone();
     }
 
+    /// Of one of the only zones and kinds allowed, if bound.
+    pub(crate) fn within(&self, zones: &Option<Vec<ZoneId>>, kinds: &Option<Vec<KindId>>) -> bool {
+        zones.as_ref().is_none_or(|z| z.contains(&self.entry.zone))
+            && kinds.as_ref().is_none_or(|k| k.contains(&self.entry.kind))
+    }
+
     /// In the list, and taking queries.
     pub(crate) fn listed(&self) -> bool {
         self.present && self.entry.readiness == Readiness::Active
--- a/src/state/query.rs
+++ b/src/state/query.rs
@@ -23,6 +23,10 @@
     pub(crate) done: bool,
     pub(crate) streaming: bool,
     pub(crate) late: bool,
+    /// Where it may go and how often, by the settings that it was admitted by.
+    pub(crate) only_zones: Option<Vec<ZoneId>>,
+    pub(crate) only_kinds: Option<Vec<KindId>>,
+    pub(crate) most_attempts: u32,
 }
 
 impl Query {
@@ -33,11 +37,12 @@
         cost: f64,
         aim: Micros,
         homes: Vec<EngineId>,
-        keep_order: bool,
+        class: &Class,
+        most_attempts: u32,
     ) -> Query {
         Query {
             class: a.class,
-            key: a.key.filter(|_| keep_order),
+            key: a.key.filter(|_| class.keep_order),
             group: a.group,
             homes,
             arrived: now,
@@ -46,6 +51,9 @@
             cost,
             estimate: a.estimate_s,
             memory_estimate: a.memory_mb,
+            only_zones: class.only_zones.clone(),
+            only_kinds: class.only_kinds.clone(),
+            most_attempts,
             ..Query::default()
         }
     }
--- a/src/state/rule.rs
+++ b/src/state/rule.rs
@@ -38,3 +38,13 @@
     pub(crate) open: f64,
     pub(crate) bucket: TokenBucket,
 }
+
+impl Rule {
+    /// Goes on with what is in the bucket of the one alike among those before.
+    pub(crate) fn keep(&mut self, before: &[Rule]) {
+        let alike = |o: &&Rule| (o.class, o.tenant, o.priority) == (self.class, self.tenant, self.priority);
+        if let Some(old) = before.iter().find(alike) {
+            (self.bucket, self.open) = (old.bucket.clone(), old.open);
+        }
+    }
+}
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -471,6 +471,7 @@
 
     fn news(&mut self, now: Micros) {
         while let Some(news) = self.fleet.news.pop_front() {
+            self.ruled |= matches!(news, News::Held(_) | News::Lost(_) | News::Joined(_) | News::GivenUp(_));
             match news {
                 News::Opened(ask) => self.opened(now, ask),
                 News::Taken(ask) => self.taken(now, ask),
