--- a/crates/lab/src/policy/episode.rs
+++ b/crates/lab/src/policy/episode.rs
@@ -60,7 +60,7 @@
     pub took_hold: bool,
     /// All dispatchers told the same in time, and nothing was under way.
     pub settled: bool,
-    /// The operators' last answers, where it did not settle.
+    /// What the calls were answered; where it did not settle, the last answers on how policies stand too.
     pub answers: Vec<String>,
 }
 
@@ -69,11 +69,22 @@
 }
 
 impl Fleet {
-    /// Begins with what the platform's settings bind to, all with their leases.
-    pub fn new(world: World, files: Files) -> Fleet {
-        let number = Status::of(&world.call(0, "POLICY STATUS")).map_or(0, |s| s.in_force);
+    /// Binds to the old side first; all have their leases.
+    pub fn new(world: World, files: Files) -> Result<Fleet, Failure> {
+        let said = world.call(0, &file_call(&files.good(Side::Old)));
+        let number = proposed(&said).ok_or(said)?;
         let (lines, leases, side) = (Vec::new(), vec![true; world.len()], Side::Old);
-        Fleet { world, files, lines, leader: 0, side, number, can_go_back: false, leases, broken: 0 }
+        let fleet =
+            Fleet { world, files, lines, leader: 0, side, number, can_go_back: false, leases, broken: 0 };
+        let end = Instant::now() + PATIENCE;
+        while Instant::now() < end {
+            let answers = fleet.ask();
+            if same(&answers).is_some_and(|all| all.iter().all(|s| s.in_force == number)) {
+                return Ok(fleet);
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+        Err("the first policy did not come into force".into())
     }
 
     /// Reads the logs on.
@@ -149,7 +160,7 @@
             calls.push(self.operator_call(other, file_call(&self.files.good(to))));
         }
         let (mut settled, mut quiet, mut answers) = (None, None::<Instant>, Vec::new());
-        let mut numbers = Vec::new();
+        let (mut numbers, mut said) = (Vec::new(), Vec::new());
         while settled.is_none() && start.elapsed() < PATIENCE {
             thread::sleep(Duration::from_millis(20));
             let begins = coming.turn(&mut self.world)?;
@@ -168,6 +179,7 @@
             for c in done {
                 let answer = c.join().unwrap_or_default();
                 numbers.extend(proposed(&answer));
+                said.push(answer);
             }
             answers = self.ask();
             let over = calls.is_empty().then(|| same(&answers)).flatten();
@@ -189,8 +201,10 @@
             self.can_go_back = !(numbers.len() > 1 && numbers.iter().any(|n| *n > was && *n < self.number));
         }
         let window = Window { begun, over: SystemTime::now(), to };
-        let answers = if settled.is_some() { Vec::new() } else { answers };
-        let (number, settled) = (self.number, settled.is_some());
+        if settled.is_none() {
+            said.extend(answers);
+        }
+        let (number, settled, answers) = (self.number, settled.is_some(), said);
         Ok(Switch { trouble, window, proposed: numbers, number, back, took_hold, settled, answers })
     }
 }
--- a/crates/lab/src/policy/harm.rs
+++ b/crates/lab/src/policy/harm.rs
@@ -29,7 +29,7 @@
 
 /// Makes so many switches of three dispatchers.
 pub fn harm(program: &Path, folder: &Path, runs: u32, seed: u64, spans: Spans) -> Result<Harm, Failure> {
-    let settings = platform(Side::Old, false);
+    let settings = platform(&[Side::Old], false);
     let shape = Shape { remember: spans.remember, ..shape(3, &settings, false) };
     let mut world = World::start(program, folder, &shape)?;
     if !world.settled(&mut |_, _| ()) {
@@ -43,7 +43,7 @@
         side = side.other();
         let begun = SystemTime::now();
         for i in 0..world.len() {
-            world.tell_platform(i, &platform(side, false));
+            world.tell_platform(i, &platform(&[side], false));
             world.roll(i)?;
             thread::sleep(STEP);
         }
--- a/crates/lab/src/policy/lane.rs
+++ b/crates/lab/src/policy/lane.rs
@@ -3,7 +3,7 @@
 use super::check::{Reached, Window, Wrong, admitted_late, halves, refusals, took, wrong_side};
 use super::episode::{Fleet, Switch};
 use super::lines::Line;
-use super::sides::{BLOCK, EACH, Files, Side, platform};
+use super::sides::{BLOCK, BOTH, EACH, Files, Side, platform};
 use crate::fleet::Failure;
 use crate::fleet::accounts::{Answers, Seen, answers, seen, try_of};
 use crate::fleet::clients::{Account, Load, Traffic};
@@ -115,7 +115,7 @@
 
 /// Runs the switches of a fleet.
 pub fn run(task: &Task, seed: u64, spans: Spans) -> Result<Lane, Failure> {
-    let (knows_more, knows_less) = (platform(Side::Old, true), platform(Side::Old, false));
+    let (knows_more, knows_less) = (platform(&BOTH, true), platform(&BOTH, false));
     let n = task.dispatchers;
     let log = Some("info,ottercroft::policies=debug");
     // The last one knows a class less, so that it has to vote against a policy that names it.
@@ -127,9 +127,9 @@
     }
     thread::sleep(spans.remember);
     let files = Files::new(&world.own(0))?;
-    let traffic = Traffic::start(&world.doors, load(n, seed, spans));
+    let mut fleet = Fleet::new(world, files)?;
+    let traffic = Traffic::start(&fleet.world.doors, load(n, seed, spans));
     thread::sleep(Duration::from_millis(500));
-    let mut fleet = Fleet::new(world, files);
     let mut switches = Vec::new();
     for &number in &task.numbers {
         let mut rng = StdRng::seed_from_u64(seed ^ u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15));
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -20,14 +20,14 @@
 use harm::harm;
 use lane::{Spans, shape};
 use report::Report;
-use sides::{Side, platform};
+use sides::{BOTH, platform};
 use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::Duration;
 
 /// Pairs of costs, one after the other: with policies on, and without.
 fn costs(program: &Path, folder: &Path, pairs: u32, span: Duration) -> Result<Vec<(Cost, Cost)>, Failure> {
-    let settings = platform(Side::Old, false);
+    let settings = platform(&BOTH, false);
     let of = |pair: u32, on: bool| {
         let folder = folder.join(format!("cost-{pair}-{on}"));
         cost(program, &folder, &Shape { work: quick, ..shape(3, &settings, on) }, span)
--- a/crates/lab/src/policy/sides.rs
+++ b/crates/lab/src/policy/sides.rs
@@ -13,7 +13,7 @@
 /// Which kind of motor the classes are bound to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Side {
-    /// Motores 0 to 3: what the platform's settings say.
+    /// Motores 0 to 3.
     Old,
     /// Motores 4 to 7.
     New,
@@ -42,9 +42,11 @@
     }
 }
 
-/// The platform's settings with both classes bound to one side; `further` adds a class that only some know.
-pub fn platform(side: Side, further: bool) -> String {
-    let bound = format!(r#","boundTo":["{}"]}}"#, side.kind());
+/// The platform's settings with both classes bound to these sides; `further` adds a class that only some know.
+/// A policy may narrow what they allow, and no more.
+pub fn platform(sides: &[Side], further: bool) -> String {
+    let kinds: Vec<String> = sides.iter().map(|s| format!("{:?}", s.kind())).collect();
+    let bound = format!(r#","boundTo":[{}]}}"#, kinds.join(","));
     let classes = match further {
         true => {
             r#""effect":"non_idempotent"},{"name":"report","promise":3.0,"hardLimit":6.0,"effect":"read_like"}]"#
@@ -65,6 +67,9 @@
         .replace(r#""effect":"non_idempotent"}"#, &format!(r#""effect":"non_idempotent"{bound}"#))
 }
 
+/// Both sides.
+pub const BOTH: [Side; 2] = [Side::Old, Side::New];
+
 /// Files to propose.
 #[derive(Debug, Clone)]
 pub struct Files {
@@ -75,7 +80,7 @@
     /// Writes them all into a folder: a good and a bad one for each side.
     pub fn new(folder: &Path) -> std::io::Result<Files> {
         let files = Files { folder: folder.into() };
-        for side in [Side::Old, Side::New] {
+        for side in BOTH {
             let kinds = format!("kinds = [\"{}\"]", side.kind());
             let class = |name: &str| format!("  class \"{name}\" {{\n    {kinds}\n  }}\n");
             let both: String = CLASSES.map(class).concat();
@@ -105,12 +110,13 @@
     // A replacement that does not fit would leave both policies alike, and every check would pass.
     #[test]
     fn the_platform_binds_both_classes() {
-        for (side, further) in [(Side::Old, false), (Side::New, true)] {
-            let all: serde_json::Value = serde_json::from_str(&platform(side, further)).unwrap();
+        for (sides, further) in [(&[Side::Old][..], false), (&BOTH, true)] {
+            let all: serde_json::Value = serde_json::from_str(&platform(sides, further)).unwrap();
+            let kinds: Vec<&str> = sides.iter().map(|s| s.kind()).collect();
             assert_eq!(all["kinds"], serde_json::json!(["old", "new"]));
             let classes = all["requestClasses"].as_array().unwrap();
             assert_eq!(classes.len(), if further { 3 } else { 2 });
-            assert!(classes[..2].iter().all(|c| c["boundTo"] == serde_json::json!([side.kind()])));
+            assert!(classes[..2].iter().all(|c| c["boundTo"] == serde_json::json!(kinds)));
             assert_eq!(all["domain"]["kindCores"].as_array().unwrap().len(), 2);
         }
     }
