--- a/src/policies/apply.rs
+++ b/src/policies/apply.rs
@@ -56,7 +56,7 @@
         if to.aim > to.deadline {
             self.fault("class", &p.name, "aim: later than its deadline");
         }
-        let places: [(&str, &Option<Vec<String>>, &BTreeMap<String, usize>, &Option<Vec<usize>>); 2] = [
+        let places = [
             ("kind", &p.kinds, &self.names.kinds, &base.only_kinds),
             ("zone", &p.zones, &self.names.zones, &base.only_zones),
         ];
