--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -28,8 +28,8 @@
         Ok(Gateway::empty(settings, seed, rules, CACHE_SIZE, models))
     }
 
-    /// Admits by other settings of the same classes, tenants and machines from now on; what is open ends as it was
-    /// admitted. Rules that stay keep what is in their buckets.
+    /// Admits by other settings of the same classes, tenants and machines from now on; what is open ends as
+    /// it was admitted. Rules that stay keep what is in their buckets.
     pub fn take_on(&mut self, settings: Settings) -> Result<Settings, SettingsError> {
         check(&settings)?;
         let mut rules = rules::build_rules(&settings);
