Split work in hand by concern: what arrives, what ends, what the fleet tells

The types, arrivals, answers and news of the fleet have a file each; mod.rs keeps the record itself and the course of time. Public paths stay by re-exports; the decisions are unchanged. Log lines of the fleet's news name the new module, takeover::news.

--- /dev/null
+++ b/src/takeover/answers.rs
@@ -0,0 +1,141 @@
+//! Requests that end: their answers, and what becomes of those that waited for the same.
+
+use super::Takeover;
+use super::types::{Local, Move, Pages, Past, Reply, Stage};
+use crate::api::Micros;
+use fleet::ledger::End;
+
+impl Takeover {
+    /// The decisions have answered a request.
+    pub fn answered(&mut self, now: Micros, rid: u64, reply: Reply) {
+        let Some(ask) = self.asks.remove(&rid) else { return };
+        let Some(local) = self.local.get(&ask) else { return };
+        let Stage::Mine { rid: own, repeats, adopted, fenced } = local.stage else {
+            return self.waiter_gone(ask, rid);
+        };
+        if own != rid {
+            return self.waiter_gone(ask, rid);
+        }
+        let Some(mut local) = self.local.remove(&ask) else { return };
+        self.adopted -= usize::from(adopted && self.adopted > 0);
+        if fenced {
+            return self.turn_away(&mut local);
+        }
+        let pages = match &reply {
+            Reply::Served(pages) => Some(pages),
+            _ => None,
+        };
+        for peer in std::mem::take(&mut local.wanted) {
+            self.fleet.tell(peer, ask, pages.cloned());
+        }
+        let end = match (&reply, repeats) {
+            (Reply::Failed, false) => End::Failed,
+            (Reply::Served(pages), false) => End::Served(self.small(pages)),
+            _ => End::Gone,
+        };
+        let asked_for = !local.waiting.is_empty();
+        if let (true, false, Reply::Served(pages)) = (adopted, asked_for, &reply) {
+            // Nobody is here for it yet: it waits as long as its client does.
+            let until = self.fleet.ledger().and_then(|l| l.open(ask)).map_or(now, |(r, _)| r.deadline);
+            if self.adopted < self.bounds.adopted && until > now {
+                self.adopted += 1;
+                local.stage = Stage::Parked { pages: pages.clone(), until };
+                self.due.insert((until, ask));
+                self.local.insert(ask, local);
+                return;
+            }
+        }
+        self.fleet.close(now, ask, end);
+        self.answer_all(&mut local, &reply);
+    }
+
+    /// The client of a request has left. What must not run twice goes on; the rest was called off.
+    pub fn left(&mut self, now: Micros, rid: u64) {
+        let Some(ask) = self.asks.get(&rid).copied() else { return };
+        let Some(local) = self.local.get_mut(&ask) else { return };
+        match local.stage {
+            Stage::Mine { rid: own, repeats, fenced, .. } if own == rid => {
+                if !repeats {
+                    return;
+                }
+                self.asks.remove(&rid);
+                if fenced {
+                    self.local.remove(&ask);
+                    return;
+                }
+                self.fleet.close(now, ask, End::Gone);
+                self.open_again(now, ask);
+            }
+            _ => {
+                self.asks.remove(&rid);
+                self.waiter_gone(ask, rid);
+            }
+        }
+    }
+
+    /// A request whose client had left is over.
+    pub fn over(&mut self, now: Micros, rid: u64, past: Past) {
+        let Some(ask) = self.asks.remove(&rid) else { return };
+        let Some(mut local) = self.local.remove(&ask) else { return };
+        if matches!(local.stage, Stage::Mine { fenced: true, .. }) {
+            return self.turn_away(&mut local);
+        }
+        let (end, reply) = match past {
+            Past::Served(pages) => (End::Served(self.small(&pages)), Reply::Served(pages)),
+            Past::NeverRan => {
+                self.fleet.close(now, ask, End::Gone);
+                self.local.insert(ask, local);
+                return self.open_again(now, ask);
+            }
+            Past::MayHaveRan => (End::Unknown, Reply::Failed),
+        };
+        if let Reply::Served(pages) = &reply {
+            local.wanted.iter().for_each(|p| self.fleet.tell(*p, ask, Some(pages.clone())));
+        }
+        self.fleet.close(now, ask, end);
+        self.answer_all(&mut local, &reply);
+    }
+
+    fn small(&self, pages: &Pages) -> Option<Pages> {
+        (pages.iter().map(Vec::len).sum::<usize>() <= self.bounds.result).then(|| pages.clone())
+    }
+
+    /// One that waited waits no more. A record that is being opened for it goes to the next, or is closed.
+    fn waiter_gone(&mut self, ask: u64, rid: u64) {
+        let Some(local) = self.local.get_mut(&ask) else { return };
+        local.waiting.retain(|w| w.rid != rid);
+        if local.waiting.is_empty() && matches!(local.stage, Stage::Theirs { .. }) {
+            self.local.remove(&ask);
+        }
+    }
+
+    pub(super) fn answer_all(&mut self, local: &mut Local, reply: &Reply) {
+        for w in std::mem::take(&mut local.waiting) {
+            self.asks.remove(&w.rid);
+            self.tally.answered += 1;
+            self.moves.push_back(Move::Answer(w.rid, reply.clone()));
+        }
+    }
+
+    pub(super) fn turn_away(&mut self, local: &mut Local) {
+        let reply = Reply::Refused(self.bounds.backoff_ms);
+        self.answer_all(local, &reply);
+    }
+
+    /// The ask is free: the first that waits for it, if any, has it put on record as its own.
+    pub(super) fn open_again(&mut self, now: Micros, ask: u64) {
+        let Some(local) = self.local.get_mut(&ask) else { return };
+        let Some(first) = local.waiting.front() else {
+            self.local.remove(&ask);
+            return;
+        };
+        local.stage = Stage::Opening;
+        local.wanted.clear();
+        let record = first.attempt.record.clone();
+        if !self.fleet.open(now, ask, record, true)
+            && let Some(mut local) = self.local.remove(&ask)
+        {
+            self.turn_away(&mut local);
+        }
+    }
+}
--- /dev/null
+++ b/src/takeover/arrivals.rs
@@ -0,0 +1,115 @@
+//! Requests that arrive and go out: who may run, who waits, and what is put on record for it.
+
+use super::types::{Gate, Local, Reply, Stage, Try, Waiting};
+use super::{Takeover, reply};
+use crate::api::Micros;
+use fleet::ledger::End;
+use std::collections::{BTreeSet, VecDeque};
+
+impl Takeover {
+    /// A request arrives.
+    pub fn arrives(&mut self, now: Micros, mut attempt: Try) -> Gate {
+        let (rid, repeats) = (attempt.record.rid, attempt.record.repeats);
+        // Without a name nobody can come back for it: what may repeat needs no record then.
+        let ask = match attempt.ask {
+            Some(ask) => ask,
+            None if repeats => return Gate::Go,
+            None => rid,
+        };
+        if attempt.record.statement.as_ref().is_some_and(|s| !repeats || s.len() > self.bounds.statement) {
+            attempt.record.statement = None;
+        }
+        if self.fleet.holds(now).is_none() {
+            return if repeats { self.unrecorded(Gate::Go) } else { self.unrecorded(self.later()) };
+        }
+        if let Some(reply) = self.fleet.ledger().and_then(|l| l.ended(ask)).map(reply) {
+            self.tally.joined += 1;
+            self.tally.answered += 1;
+            return Gate::Answer(reply);
+        }
+        if let Some(local) = self.local.get_mut(&ask) {
+            self.tally.joined += 1;
+            if let Stage::Parked { pages, .. } = &mut local.stage {
+                let pages = std::mem::take(pages);
+                self.local.remove(&ask);
+                self.adopted = self.adopted.saturating_sub(1);
+                self.fleet.close(now, ask, End::Gone);
+                self.tally.answered += 1;
+                return Gate::Answer(Reply::Served(pages));
+            }
+            self.asks.insert(rid, ask);
+            local.waiting.push_back(Waiting { rid, attempt });
+            return Gate::Hold;
+        }
+        if repeats && !attempt.again {
+            return match self.fleet.open(now, ask, attempt.record, false) {
+                true => {
+                    self.keep(ask, rid, true, false);
+                    self.tally.recorded += 1;
+                    Gate::Go
+                }
+                false => self.unrecorded(Gate::Go),
+            };
+        }
+        // A young fleet may follow one that lost its record, and with it that of this one.
+        if !repeats && attempt.again && !self.fleet.vouches(now) && attempt.ask.is_some() {
+            return self.unrecorded(self.later());
+        }
+        self.fleet.open(now, ask, attempt.record.clone(), true);
+        self.asks.insert(rid, ask);
+        let waiting = VecDeque::from([Waiting { rid, attempt }]);
+        self.local.insert(ask, Local { stage: Stage::Opening, waiting, wanted: BTreeSet::new() });
+        Gate::Hold
+    }
+
+    fn later(&self) -> Gate {
+        Gate::Answer(Reply::Refused(self.bounds.backoff_ms))
+    }
+
+    fn unrecorded(&mut self, gate: Gate) -> Gate {
+        self.tally.unrecorded += 1;
+        gate
+    }
+
+    pub(super) fn keep(&mut self, ask: u64, rid: u64, repeats: bool, adopted: bool) {
+        self.asks.insert(rid, ask);
+        let local = self.local.entry(ask).or_insert_with(|| Local {
+            stage: Stage::Opening,
+            waiting: VecDeque::new(),
+            wanted: BTreeSet::new(),
+        });
+        local.stage = Stage::Mine { rid, repeats, adopted, fenced: false };
+    }
+
+    /// Whether an attempt of a request may go out now. One that may not is to be let go.
+    pub fn may_send(&self, now: Micros, rid: u64) -> bool {
+        let Some(local) = self.asks.get(&rid).and_then(|a| self.local.get(a)) else { return true };
+        match local.stage {
+            Stage::Mine { fenced, .. } => !fenced && self.fleet.holds(now).is_some(),
+            _ => true,
+        }
+    }
+
+    /// An attempt of a request went out.
+    pub fn sent(&mut self, now: Micros, rid: u64, executor: u32) {
+        if let Some(ask) = self.asks.get(&rid).copied() {
+            self.fleet.tried(now, ask, executor);
+        }
+    }
+
+    /// Whether what becomes of a request after its client left matters here.
+    pub fn follows(&self, rid: u64) -> bool {
+        self.asks.contains_key(&rid)
+    }
+
+    /// Whether the result of a request is needed beside its client's answer.
+    pub fn keeps_result(&self, rid: u64) -> bool {
+        let local = self.asks.get(&rid).and_then(|a| self.local.get(a));
+        local.is_some_and(|l| match l.stage {
+            Stage::Mine { repeats, adopted, .. } => {
+                !repeats || adopted || !l.waiting.is_empty() || !l.wanted.is_empty()
+            }
+            _ => false,
+        })
+    }
+}
--- /dev/null
+++ b/src/takeover/news.rs
@@ -0,0 +1,218 @@
+//! What the fleet tells: what is on record, what another has taken, whose lease is over.
+
+use super::types::{Local, Move, Pages, Reply, Stage};
+use super::{Takeover, reply};
+use crate::api::Micros;
+use fleet::ledger::End;
+use fleet::{Holder, News, Part, Peer};
+
+impl Takeover {
+    pub(super) fn news(&mut self, now: Micros) {
+        while let Some(news) = self.fleet.news.pop_front() {
+            self.ruled |= matches!(news, News::Held(_) | News::Lost(_) | News::Joined(_) | News::GivenUp(_));
+            match news {
+                News::Opened(ask) => self.opened(now, ask),
+                News::Taken(ask) => self.taken(now, ask),
+                News::Unrecorded(ask) => self.not_recorded(ask),
+                News::Claimed { ask, from, mine, .. } => self.claimed(now, ask, from, mine),
+                News::Closed(ask, end) => self.closed(now, ask, &end),
+                News::Fetch(peer, ask) => self.fetched(now, peer, ask),
+                News::Result(ask, pages) => self.result(ask, pages),
+                News::Changed(Part::Plan) => self.planned = true,
+                News::Changed(Part::Policy) => self.ruled = true,
+                News::Lost(holder) => self.lost(holder),
+                News::Held(h) => tracing::info!(term = h.term, "fleet: lease held"),
+                News::Ended(h) => {
+                    tracing::warn!(
+                        peer = fleet::peer_of(h.life),
+                        term = h.term,
+                        "fleet: a peer's lease is over"
+                    );
+                }
+                News::Joined(id) => tracing::info!(fleet = format_args!("{id:016x}"), "fleet: takes part"),
+                News::Leader(leader) => tracing::info!(?leader, "fleet: leader"),
+                News::GivenUp(id) => {
+                    let fleet = format_args!("{id:016x}");
+                    tracing::error!(fleet, "fleet: its majority has started anew; its record is lost");
+                }
+            }
+        }
+    }
+
+    fn opened(&mut self, now: Micros, ask: u64) {
+        let Some(local) = self.local.get_mut(&ask) else {
+            // Its client left before it was agreed: it never went out.
+            return self.fleet.close(now, ask, End::Gone);
+        };
+        if local.stage != Stage::Opening {
+            return;
+        }
+        let Some(first) = local.waiting.pop_front() else {
+            self.local.remove(&ask);
+            return self.fleet.close(now, ask, End::Gone);
+        };
+        self.tally.recorded += 1;
+        self.keep(ask, first.rid, first.attempt.record.repeats, false);
+        self.moves.push_back(Move::Admit(first.rid));
+    }
+
+    fn taken(&mut self, now: Micros, ask: u64) {
+        let Some(local) = self.local.get_mut(&ask) else { return };
+        if local.stage != Stage::Opening {
+            // It was sent before this was known, and goes on here; the other has the record.
+            self.tally.overlaps += 1;
+            return;
+        }
+        self.tally.joined += 1;
+        match self.fleet.ledger().and_then(|l| l.ended(ask)).map(reply) {
+            Some(reply) => {
+                if let Some(mut local) = self.local.remove(&ask) {
+                    self.answer_all(&mut local, &reply);
+                }
+            }
+            None => {
+                let fetch_at = now + self.bounds.fetch;
+                local.stage = Stage::Theirs { fetch_at };
+                self.due.insert((fetch_at, ask));
+                self.fleet.fetch(ask);
+            }
+        }
+    }
+
+    fn not_recorded(&mut self, ask: u64) {
+        self.tally.unrecorded += 1;
+        let Some(local) = self.local.get_mut(&ask).filter(|l| l.stage == Stage::Opening) else { return };
+        let Some(first) = local.waiting.front() else { return };
+        if !first.attempt.record.repeats {
+            if let Some(mut local) = self.local.remove(&ask) {
+                self.turn_away(&mut local);
+            }
+        } else if let Some(mut local) = self.local.remove(&ask) {
+            for w in std::mem::take(&mut local.waiting) {
+                self.asks.remove(&w.rid);
+                self.moves.push_back(Move::Admit(w.rid));
+            }
+        }
+    }
+
+    fn claimed(&mut self, now: Micros, ask: u64, from: Holder, mine: bool) {
+        if !mine {
+            if let Some(Local { stage: Stage::Theirs { fetch_at }, .. }) = self.local.get_mut(&ask) {
+                *fetch_at = now;
+                self.due.insert((now, ask));
+            }
+            return;
+        }
+        self.tally.claimed += 1;
+        let Some(record) = self.fleet.ledger().and_then(|l| l.open(ask)).map(|(r, _)| r.clone()) else {
+            return;
+        };
+        tracing::info!(
+            request = format_args!("{:016x}", record.rid),
+            peer = fleet::peer_of(from.life),
+            tried = record.tried.len(),
+            "fleet: taken over"
+        );
+        if let Some(local) = self.local.get_mut(&ask) {
+            // Its client is here already: that try takes its place.
+            if let Some(first) = local.waiting.pop_front() {
+                self.keep(ask, first.rid, first.attempt.record.repeats, false);
+                self.moves.push_back(Move::Admit(first.rid));
+                return;
+            }
+            if matches!(local.stage, Stage::Mine { .. } | Stage::Parked { .. }) {
+                return;
+            }
+            self.local.remove(&ask);
+        }
+        let left = record.deadline > now + self.bounds.fetch;
+        let sendable = record.statement.is_some() && record.tried.len() < self.bounds.attempts;
+        if !left || !sendable || self.adopted >= self.bounds.adopted || self.asks.contains_key(&record.rid) {
+            return self.fleet.close(now, ask, End::Gone);
+        }
+        self.adopted += 1;
+        self.tally.adopted += 1;
+        self.keep(ask, record.rid, true, true);
+        self.moves.push_back(Move::Adopt(record));
+    }
+
+    fn closed(&mut self, now: Micros, ask: u64, end: &End) {
+        let Some(local) = self.local.get(&ask) else { return };
+        if !matches!(local.stage, Stage::Theirs { .. }) {
+            return;
+        }
+        match end {
+            End::Gone => self.open_again(now, ask),
+            end => {
+                if let Some(mut local) = self.local.remove(&ask) {
+                    self.answer_all(&mut local, &reply(end));
+                }
+            }
+        }
+    }
+
+    fn fetched(&mut self, now: Micros, peer: Peer, ask: u64) {
+        match self.local.get_mut(&ask) {
+            Some(Local { stage: Stage::Parked { pages, .. }, .. }) => {
+                let pages = pages.clone();
+                self.fleet.tell(peer, ask, Some(pages));
+            }
+            Some(local) if matches!(local.stage, Stage::Mine { fenced: false, .. }) => {
+                local.wanted.insert(peer);
+            }
+            Some(_) => {}
+            None => {
+                // On record as this peer's, and not in its hands: nothing will come of it here.
+                let holder = self.fleet.holds(now);
+                let own =
+                    self.fleet.ledger().and_then(|l| l.open(ask)).is_some_and(|(_, h)| Some(h) == holder);
+                if own {
+                    self.fleet.close(now, ask, End::Gone);
+                }
+            }
+        }
+    }
+
+    fn result(&mut self, ask: u64, pages: Option<Pages>) {
+        let theirs = self.local.get(&ask).is_some_and(|l| matches!(l.stage, Stage::Theirs { .. }));
+        let Some(pages) = pages.filter(|_| theirs) else { return };
+        if let Some(mut local) = self.local.remove(&ask) {
+            self.answer_all(&mut local, &Reply::Served(pages));
+        }
+    }
+
+    /// The lease is over. What may repeat is another's from now on; what must not run twice will never be run
+    /// again by anybody, so that an answer that still comes may go to the client that waits for it here.
+    fn lost(&mut self, holder: Holder) {
+        tracing::warn!(
+            term = holder.term,
+            in_hand = self.local.len(),
+            "fleet: lease lost, all in hand is let go"
+        );
+        let asks: Vec<u64> = self.local.keys().copied().collect();
+        for ask in asks {
+            let Some(local) = self.local.get_mut(&ask) else { continue };
+            match &mut local.stage {
+                Stage::Mine { rid, fenced, repeats, .. } => {
+                    *fenced = true;
+                    let (rid, repeats) = (*rid, *repeats);
+                    let mut waiting = std::mem::take(&mut local.waiting);
+                    for w in waiting.drain(..) {
+                        self.asks.remove(&w.rid);
+                        self.moves.push_back(Move::Answer(w.rid, Reply::Refused(self.bounds.backoff_ms)));
+                    }
+                    if repeats {
+                        self.tally.let_go += 1;
+                        self.moves.push_back(Move::LetGo(rid));
+                    }
+                }
+                Stage::Opening | Stage::Theirs { .. } | Stage::Parked { .. } => {
+                    if let Some(mut local) = self.local.remove(&ask) {
+                        self.turn_away(&mut local);
+                    }
+                }
+            }
+        }
+        self.adopted = 0;
+    }
+}
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use fleet::Terms;
-use fleet::ledger::Limits;
+use fleet::ledger::{Limits, Record};
 
 const MS: Micros = 1_000;
 
