--- /dev/null
+++ b/src/net/upkeep/calls.rs
@@ -0,0 +1,92 @@
+//! Operators' calls on the plan.
+
+use super::words::{told, word};
+use crate::api::Micros;
+use crate::codec::operator::Call;
+use crate::net::Node;
+use crate::net::poll::Key;
+use fleet::plan::{self, Command, Plan, Step};
+use std::fmt::Write as _;
+
+/// A call is answered within a second, agreed or not.
+const AGREED: Micros = 800_000;
+
+/// An operator's call that waits to be agreed.
+pub(super) struct Waiting {
+    caller: Key,
+    call: Call,
+    until: Micros,
+}
+
+impl Node {
+    /// Carries out a call on the plan: its answer, or none as long as it waits to be agreed.
+    pub(in crate::net) fn plan_call(&mut self, caller: Key, now: Micros, call: Call) -> Option<String> {
+        let command = match &call {
+            Call::PlanStatus => return Some(self.plan_status(now)),
+            Call::Plan(ids) => {
+                if let Some(unknown) = ids.iter().find(|id| !self.targets.contains_key(*id)) {
+                    return Some(format!("-ERR no executor {unknown}"));
+                }
+                match self.plan().map(|p| p.accepts(ids)) {
+                    Some(Ok(())) => Command::Ask(ids.clone()),
+                    Some(Err(why)) => return Some(format!("-ERR {why}")),
+                    None => return Some("-ERR this dispatcher takes no part in a fleet now".into()),
+                }
+            }
+            Call::PlanMend(id) => match self.plan().and_then(|p| p.step(id)) {
+                Some(Step::Out(_) | Step::Failed(_)) => Command::Mend(id.clone(), now),
+                _ => return Some(format!("-ERR {id} is neither out nor failed")),
+            },
+            _ => Command::Abort,
+        };
+        let Some(hands) = &mut self.hands else { return Some("-ERR no fleet".into()) };
+        if !hands.takeover.fleet.agree(now, fleet::agreed::Command::Plan(command)) {
+            return Some("-ERR no lease: this dispatcher is cut off from the fleet".into());
+        }
+        hands.upkeep.waiting.push(Waiting { caller, call, until: now + AGREED });
+        hands.upkeep.look_at = now;
+        None
+    }
+
+    fn plan_status(&self, now: Micros) -> String {
+        let Some(plan) = self.plan() else {
+            return "-ERR this dispatcher takes no part in a fleet now".into();
+        };
+        let mut text = format!("+OK plan of {}\n", plan.steps().count());
+        for (id, step) in plan.steps() {
+            let _ = writeln!(text, "{id} {}", word(step, now));
+        }
+        if let Some(why) = plan.stopped() {
+            let _ = writeln!(text, "stopped: {why}");
+        } else if let (Some(next), Some(hands)) = (plan.next(), &self.hands) {
+            let busy = self.dispatch.busy(now);
+            if let Err(why) = plan::may_begin(plan, &self.machines(), busy, &hands.upkeep.budget) {
+                let _ = writeln!(text, "{next} is held up: {}", told(&why));
+            }
+        }
+        text + "."
+    }
+
+    pub(super) fn answer_calls(&mut self, plan: &Plan, now: Micros) {
+        let Some(hands) = &mut self.hands else { return };
+        let done = |call: &Call| match call {
+            Call::Plan(ids) => ids.iter().all(|id| plan.step(id).is_some_and(|s| !s.over())),
+            Call::PlanMend(id) => plan.step(id).is_some_and(|s| !s.banned()),
+            _ => plan.next().is_none() && !plan.steps().any(|(_, s)| matches!(s, Step::Drains(..))),
+        };
+        let (over, waiting): (Vec<Waiting>, Vec<Waiting>) =
+            hands.upkeep.waiting.drain(..).partition(|w| done(&w.call) || w.until <= now);
+        hands.upkeep.waiting = waiting;
+        for w in over {
+            let answer = match (done(&w.call), &w.call) {
+                (false, _) => "-ERR not agreed in time; DRAIN STATUS tells what came of it".into(),
+                (true, Call::Plan(ids)) => format!("+OK planned {}", ids.join(",")),
+                (true, Call::PlanMend(id)) => format!("+OK {id} comes back cold"),
+                (true, _) => "+OK aborted; what is out stays out until it is back".into(),
+            };
+            if let Some(o) = &mut self.operators {
+                o.answer(w.caller, &answer, &self.poll);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/net/upkeep/words.rs
@@ -0,0 +1,39 @@
+//! The plan in words, for the status and the log.
+
+use crate::api::Micros;
+use fleet::plan::{Holdup, Step};
+
+/// A step in a word, as the status and the log tell it.
+pub(super) fn word(step: &Step, now: Micros) -> String {
+    let since = |t: &Micros| now.saturating_sub(*t) / 1_000_000;
+    match step {
+        Step::Waits => "waits".into(),
+        Step::Drains(t, idle) => format!("drains {}s, idle at {}", since(t), idle.len()),
+        Step::Out(t) => format!("out {}s", since(t)),
+        Step::Warms(t) => format!("warms {}s", since(t)),
+        Step::Done => "done".into(),
+        Step::Failed(why) => format!("failed: {why}"),
+        Step::Aborted => "aborted".into(),
+    }
+}
+
+/// A step without its times, to see whether it changed.
+pub(super) fn kind(step: &Step) -> String {
+    match step {
+        Step::Drains(..) => "drains".into(),
+        Step::Out(_) => "out".into(),
+        Step::Warms(_) => "warms".into(),
+        step => word(step, 0),
+    }
+}
+
+/// What holds a machine up, as the status tells it.
+pub(super) fn told(why: &Holdup) -> String {
+    match why {
+        Holdup::Nothing => "nothing waits".into(),
+        Holdup::AtOnce(n) => format!("{n} out already"),
+        Holdup::Hall(hall) => format!("hall {hall} would fall short"),
+        Holdup::Machines(n) => format!("{n} machines would be left"),
+        Holdup::Cores(left, needed) => format!("{left:.0} cores would be left, {needed:.0} are needed"),
+    }
+}
