Take set-up and limits out of the event loop's file

Node::new stands in setup.rs and the constants in limits.rs, moved as they were; the loop and its state stay. No change of behaviour.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -8,7 +8,7 @@
 use crate::codec::mysql::Error;
 use crate::dispatch::{Answer, Report};
 use crate::operator::figures::Disposition;
-use crate::storm::Verdict;
+use crate::storm::{self, Verdict};
 use crate::takeover::Gate;
 use std::io;
 
--- /dev/null
+++ b/src/net/limits.rs
@@ -0,0 +1,34 @@
+//! The bounds and spans of time of the loop and of what it looks after.
+
+use crate::api::Micros;
+
+/// Housekeeping: idle connections, counters.
+pub(super) const SWEEP: Micros = 1_000_000;
+pub(super) const COUNTERS: Micros = 10_000_000;
+/// A turn of the loop that takes longer than this, or oversleeps so much, is logged.
+pub(super) const SLOW_TURN: Micros = 20_000;
+/// Accepting pauses this long when descriptors have run out.
+pub(super) const ACCEPT_PAUSE: Micros = 100_000;
+/// Clients honour waits up to this where nothing is said.
+pub(super) const LONGEST_WAIT: Micros = 1_000_000;
+/// What a client too many is told to wait.
+pub(super) const CLIENT_BACKOFF: Micros = 200_000;
+/// Connections accepted in one turn at most.
+pub(super) const ACCEPTS: usize = 64;
+/// Clients are looked after this often: pauses, and what they owe.
+pub(super) const CLIENTS: Micros = 100_000;
+/// A client that just connected has this long to say something before it may have to make room.
+pub(super) const PATIENCE: Micros = 100_000;
+/// Clients too many that may wait to read that they are.
+pub(super) const LINGERERS: usize = 16;
+/// Free buffers are kept up to this part of the memory.
+pub(super) const KEPT_PART: f64 = 8.0;
+/// Descriptors for everything but clients and engines.
+pub(super) const OWN: usize = 24;
+/// After SIGTERM: how long new work is taken, when what is open is given up, and the end.
+pub(super) const TAKES_ON: Micros = 700_000;
+pub(super) const GIVES_UP: Micros = 3_100_000;
+pub(super) const ENDS: Micros = 3_400_000;
+pub(super) const STOP_LOOK: Micros = 20_000;
+/// After `LEAVE`, a client that has not asked anything yet is let be this long before it may be closed.
+pub(super) const LEAVE_PATIENCE: Micros = 1_000_000;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 mod executors;
 mod feed;
 mod hands;
+mod limits;
 mod listen;
 mod lists;
 mod operator;
@@ -20,69 +21,38 @@
 mod room;
 mod rules;
 mod session;
+mod setup;
 pub mod signals;
 mod timers;
 mod upkeep;
 
 use crate::api::Micros;
 use crate::codec::coordinator::Target;
-use crate::dispatch::{Dispatch, News};
-use crate::membership::check::Catalog;
+use crate::dispatch::Dispatch;
 use crate::operator::bans::Bans;
 use crate::operator::figures::Figures;
 use crate::settings::Names;
 use crate::settings::config::{Config, ConfigError};
-use crate::settings::options::Options;
-use crate::storm::{self, Storm};
+use crate::storm::Storm;
 use buffers::Pool;
 use executors::{Executors, Job, Rows};
 use feed::Feed;
-use hands::{Classes, Hands};
+use hands::Hands;
+use limits::*;
 use lists::Lists;
 use operator::Operators;
 use poll::{Key, Poll};
 use room::Room;
 use session::Sessions;
+use setup::context;
 use signals::Signals;
 use std::collections::BTreeMap;
-use std::fmt::Display;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::time::Duration;
 use timers::Clock;
 
-/// Housekeeping: idle connections, counters.
-const SWEEP: Micros = 1_000_000;
-const COUNTERS: Micros = 10_000_000;
-/// A turn of the loop that takes longer than this, or oversleeps so much, is logged.
-const SLOW_TURN: Micros = 20_000;
-/// Accepting pauses this long when descriptors have run out.
-const ACCEPT_PAUSE: Micros = 100_000;
-/// Clients honour waits up to this where nothing is said.
-const LONGEST_WAIT: Micros = 1_000_000;
-/// What a client too many is told to wait.
-const CLIENT_BACKOFF: Micros = 200_000;
-/// Connections accepted in one turn at most.
-const ACCEPTS: usize = 64;
-/// Clients are looked after this often: pauses, and what they owe.
-const CLIENTS: Micros = 100_000;
-/// A client that just connected has this long to say something before it may have to make room.
-const PATIENCE: Micros = 100_000;
-/// Clients too many that may wait to read that they are.
-const LINGERERS: usize = 16;
-/// Free buffers are kept up to this part of the memory.
-const KEPT_PART: f64 = 8.0;
-/// Descriptors for everything but clients and engines.
-const OWN: usize = 24;
-/// After SIGTERM: how long new work is taken, when what is open is given up, and the end.
-const TAKES_ON: Micros = 700_000;
-const GIVES_UP: Micros = 3_100_000;
-const ENDS: Micros = 3_400_000;
-const STOP_LOOK: Micros = 20_000;
-/// After `LEAVE`, a client that has not asked anything yet is let be this long before it may be closed.
-const LEAVE_PATIENCE: Micros = 1_000_000;
-
 /// A dispatcher that is set up and has not begun to serve.
 pub struct Node {
     poll: Poll,
@@ -138,124 +108,7 @@
     onlined: BTreeMap<String, u64>,
 }
 
-fn context<E: Display>(what: &str) -> impl Fn(E) -> io::Error + '_ {
-    move |e| io::Error::other(format!("{what}: {e}"))
-}
-
 impl Node {
-    /// Sets a dispatcher up: from here on its address takes connections.
-    /// `load` reads the configuration again when SIGHUP asks for it.
-    pub fn new(
-        config: Config,
-        options: Options,
-        signals: Signals,
-        load: fn() -> Result<Config, ConfigError>,
-    ) -> io::Result<Node> {
-        let seed = config.seed();
-        let operator = config.operator().map_err(context("configuration: operator"))?;
-        let transport = config.settings.transport().map_err(context("configuration"))?;
-        let (settings, names) = config.settings.settings().map_err(context("configuration"))?;
-        let catalog = Catalog::of(&settings, &names);
-        let storm = options.storms.map(|o| {
-            let honoured = o.longest_wait.map(|d| d.as_micros() as Micros).or(settings.max_retry_after);
-            let (longest_wait, ramp) = (honoured.unwrap_or(LONGEST_WAIT), settings.cold.ramp);
-            Storm::new(
-                storm::Terms { longest_wait, repeats: o.repeats, remembered: o.remembered, ramp },
-                seed,
-            )
-        });
-        let classes = options.peers.as_ref().map(|_| Classes::of(&settings, &names));
-        let mut dispatch =
-            Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
-        let poll = Poll::new().map_err(context("poller"))?;
-        let listen_at = config.listen;
-        let listener = listen::bind_shared(listen_at).map_err(context(&format!("listen on {listen_at}")))?;
-        let (listener_key, address) = (poll.add(&listener, false)?, listener.local_addr()?);
-        let signal_key = poll.add(&signals.stream, false)?;
-        let pool = Pool::new((config.limits.memory_mb / KEPT_PART * 1024.0 * 1024.0) as usize);
-        let operators = match operator {
-            Some(at) => Some(Operators::bind(at, &poll, &pool).map_err(context(&format!("listen on {at}")))?),
-            None => None,
-        };
-        let figures = Figures::new();
-        names.classes.keys().for_each(|c| figures.class(c));
-        let bans_file =
-            std::env::temp_dir().join(format!("ottercroft-{}.bans", calls::file_name(&config.name)));
-        let bans = calls::handed_over(&bans_file, &config.name);
-        let mut clock = Clock::default();
-        let now = clock.now();
-        let hands = match (&options.peers, classes) {
-            (Some(o), Some(classes)) => {
-                dispatch.follow_left();
-                let hands = Hands::start(o, classes, seed, now, &poll);
-                Some(hands.map_err(context(&format!("peers: listen on {}", o.listen)))?)
-            }
-            _ => None,
-        };
-        // Clients hold a third of the descriptors at most as a rule; the rest of their half is for others.
-        let sockets = config.limits.sockets;
-        let (most_sessions, most_conns) =
-            ((sockets / 2).max(16), (sockets * 3 / 8).saturating_sub(OWN).max(8));
-        let mut node = Node {
-            poll,
-            names,
-            dispatch,
-            sessions: Sessions::default(),
-            executors: Executors::new(transport, most_conns, seed, &pool),
-            feed: Some(Feed::new(config.coordinator, config.known.index)),
-            lists: None,
-            storm,
-            hands,
-            jobs: BTreeMap::new(),
-            listener: Some((listener_key, listener)),
-            paused: None,
-            signals: (signal_key, signals),
-            load,
-            most_sessions,
-            // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
-            next_id: (seed ^ (seed >> 32) ^ now) as u32,
-            accept_at: None,
-            behind: 0,
-            sweep_at: now + SWEEP,
-            clients_at: now + CLIENTS,
-            counters_at: now + COUNTERS,
-            stopping: None,
-            given_up: false,
-            refused_clients: 0,
-            made_room: 0,
-            shed: 0,
-            operators,
-            leaving: None,
-            figures,
-            bans,
-            bans_file,
-            name: config.name.clone(),
-            address,
-            targets: BTreeMap::new(),
-            onlined: BTreeMap::new(),
-            pool,
-            clock,
-        };
-        let mut known = config.known.targets();
-        if let Some(lists) = options.lists {
-            let mut lists = Lists::start(lists, catalog, &known, now, &node.poll)?;
-            known = lists.take(usize::MAX);
-            if !lists.follows_feed() {
-                node.feed = None;
-            }
-            node.lists = Some(lists);
-        }
-        tracing::info!(name = config.name, motores = known.len(), "{} listens on {address}", config.name);
-        if let Some(o) = &node.operators {
-            tracing::info!("operators' address {}", o.address()?);
-        }
-        if let Some(h) = &node.hands {
-            tracing::info!("peers' address {}", h.peers.address()?);
-        }
-        node.members(now, News::Restored, &known);
-        Ok(node)
-    }
-
     /// Serves until SIGTERM, then until all that was taken has its answer.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = polling::Events::new();
--- /dev/null
+++ b/src/net/setup.rs
@@ -0,0 +1,143 @@
+//! How a dispatcher is set up.
+
+use super::buffers::Pool;
+use super::executors::Executors;
+use super::feed::Feed;
+use super::hands::{Classes, Hands};
+use super::limits::{CLIENTS, COUNTERS, KEPT_PART, LONGEST_WAIT, OWN, SWEEP};
+use super::lists::Lists;
+use super::operator::Operators;
+use super::poll::Poll;
+use super::session::Sessions;
+use super::signals::Signals;
+use super::timers::Clock;
+use super::{Node, calls, listen};
+use crate::api::Micros;
+use crate::dispatch::{Dispatch, News};
+use crate::membership::check::Catalog;
+use crate::operator::figures::Figures;
+use crate::settings::config::{Config, ConfigError};
+use crate::settings::options::Options;
+use crate::storm::{self, Storm};
+use std::collections::BTreeMap;
+use std::fmt::Display;
+use std::io;
+
+pub(super) fn context<E: Display>(what: &str) -> impl Fn(E) -> io::Error + '_ {
+    move |e| io::Error::other(format!("{what}: {e}"))
+}
+
+impl Node {
+    /// Sets a dispatcher up: from here on its address takes connections.
+    /// `load` reads the configuration again when SIGHUP asks for it.
+    pub fn new(
+        config: Config,
+        options: Options,
+        signals: Signals,
+        load: fn() -> Result<Config, ConfigError>,
+    ) -> io::Result<Node> {
+        let seed = config.seed();
+        let operator = config.operator().map_err(context("configuration: operator"))?;
+        let transport = config.settings.transport().map_err(context("configuration"))?;
+        let (settings, names) = config.settings.settings().map_err(context("configuration"))?;
+        let catalog = Catalog::of(&settings, &names);
+        let storm = options.storms.map(|o| {
+            let honoured = o.longest_wait.map(|d| d.as_micros() as Micros).or(settings.max_retry_after);
+            let (longest_wait, ramp) = (honoured.unwrap_or(LONGEST_WAIT), settings.cold.ramp);
+            Storm::new(
+                storm::Terms { longest_wait, repeats: o.repeats, remembered: o.remembered, ramp },
+                seed,
+            )
+        });
+        let classes = options.peers.as_ref().map(|_| Classes::of(&settings, &names));
+        let mut dispatch =
+            Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
+        let poll = Poll::new().map_err(context("poller"))?;
+        let listen_at = config.listen;
+        let listener = listen::bind_shared(listen_at).map_err(context(&format!("listen on {listen_at}")))?;
+        let (listener_key, address) = (poll.add(&listener, false)?, listener.local_addr()?);
+        let signal_key = poll.add(&signals.stream, false)?;
+        let pool = Pool::new((config.limits.memory_mb / KEPT_PART * 1024.0 * 1024.0) as usize);
+        let operators = match operator {
+            Some(at) => Some(Operators::bind(at, &poll, &pool).map_err(context(&format!("listen on {at}")))?),
+            None => None,
+        };
+        let figures = Figures::new();
+        names.classes.keys().for_each(|c| figures.class(c));
+        let bans_file =
+            std::env::temp_dir().join(format!("ottercroft-{}.bans", calls::file_name(&config.name)));
+        let bans = calls::handed_over(&bans_file, &config.name);
+        let mut clock = Clock::default();
+        let now = clock.now();
+        let hands = match (&options.peers, classes) {
+            (Some(o), Some(classes)) => {
+                dispatch.follow_left();
+                let hands = Hands::start(o, classes, seed, now, &poll);
+                Some(hands.map_err(context(&format!("peers: listen on {}", o.listen)))?)
+            }
+            _ => None,
+        };
+        // Clients hold a third of the descriptors at most as a rule; the rest of their half is for others.
+        let sockets = config.limits.sockets;
+        let (most_sessions, most_conns) =
+            ((sockets / 2).max(16), (sockets * 3 / 8).saturating_sub(OWN).max(8));
+        let mut node = Node {
+            poll,
+            names,
+            dispatch,
+            sessions: Sessions::default(),
+            executors: Executors::new(transport, most_conns, seed, &pool),
+            feed: Some(Feed::new(config.coordinator, config.known.index)),
+            lists: None,
+            storm,
+            hands,
+            jobs: BTreeMap::new(),
+            listener: Some((listener_key, listener)),
+            paused: None,
+            signals: (signal_key, signals),
+            load,
+            most_sessions,
+            // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
+            next_id: (seed ^ (seed >> 32) ^ now) as u32,
+            accept_at: None,
+            behind: 0,
+            sweep_at: now + SWEEP,
+            clients_at: now + CLIENTS,
+            counters_at: now + COUNTERS,
+            stopping: None,
+            given_up: false,
+            refused_clients: 0,
+            made_room: 0,
+            shed: 0,
+            operators,
+            leaving: None,
+            figures,
+            bans,
+            bans_file,
+            name: config.name.clone(),
+            address,
+            targets: BTreeMap::new(),
+            onlined: BTreeMap::new(),
+            pool,
+            clock,
+        };
+        let mut known = config.known.targets();
+        if let Some(lists) = options.lists {
+            let mut lists = Lists::start(lists, catalog, &known, now, &node.poll)?;
+            known = lists.take(usize::MAX);
+            if !lists.follows_feed() {
+                node.feed = None;
+            }
+            node.lists = Some(lists);
+        }
+        tracing::info!(name = config.name, motores = known.len(), "{} listens on {address}", config.name);
+        if let Some(o) = &node.operators {
+            tracing::info!("operators' address {}", o.address()?);
+        }
+        if let Some(h) = &node.hands {
+            tracing::info!("peers' address {}", h.peers.address()?);
+        }
+        node.members(now, News::Restored, &known);
+        Ok(node)
+    }
+}
