Lend slots for slow queries by the fleet's agreed record

Slow queries of one tenant fill the slots that others need, and each dispatcher sees only its part. The number of slots that each may fill has to be agreed, so that none is in two hands.

A lost holder's slots count as used until then. With a smaller total nothing is lent until enough came back; who has more than its part is asked for it, and can't renew it past the longest query. Borrower is the holder's side, which stops a margin before its lease ends. Nothing uses it yet.

--- /dev/null
+++ b/crates/fleet/src/lend/mod.rs
@@ -0,0 +1,224 @@
+//! Slots for slow queries, lent by the agreed record: numbered credits, each with one holder at most.
+//!
+//! A holder says how many it gives back and wants; the record lends what is free, the holder with the fewest first. So
+//! one that asks for too much gets an equal part and what the others leave. A lease's time counts from the first
+//! sweep after it was renewed, so that it ends no sooner than its term after the renewal was asked for; what a lost
+//! holder had counts as used until then. Fewer slots in all than are lent: nothing is lent until enough came back.
+//!
+//! [`Borrower`] is the holder's side.
+
+mod borrower;
+mod command;
+
+use crate::machine::Machine;
+use crate::{Holder, Micros};
+pub use borrower::Borrower;
+pub use command::{Command, Terms};
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Slots at most.
+pub const MOST: u16 = 4096;
+/// Holders that ask, at most.
+pub const HOLDERS: usize = 256;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Lent {
+    holder: Holder,
+    /// When it ends, by the leader's clock; `None` until the next sweep.
+    until: Option<Micros>,
+    /// Since when it is wanted back.
+    recalled: Option<Micros>,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+struct Ask {
+    number: u64,
+    want: u16,
+    most: u16,
+}
+
+/// The slots. Bounded by [`MOST`] and [`HOLDERS`].
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Slots {
+    terms: Terms,
+    lent: BTreeMap<u16, Lent>,
+    asks: BTreeMap<Holder, Ask>,
+    clock: Micros,
+}
+
+impl Slots {
+    /// The terms of the moment.
+    pub fn terms(&self) -> Terms {
+        self.terms
+    }
+
+    /// Slots lent, with their holders. Those of lost holders count until they end.
+    pub fn lent(&self) -> impl Iterator<Item = (u16, Holder)> + '_ {
+        self.lent.iter().map(|(n, l)| (*n, l.holder))
+    }
+
+    /// What a holder has, and how many of those are wanted back.
+    pub fn of(&self, holder: Holder) -> (u16, u16) {
+        let all = self.lent.values().filter(|l| l.holder == holder);
+        all.fold((0, 0), |(have, back), l| (have + 1, back + u16::from(l.recalled.is_some())))
+    }
+
+    /// When a slot that is lent ends, by the leader's clock; `None` if it is not lent or was renewed since the last
+    /// sweep.
+    pub fn until(&self, slot: u16) -> Option<Micros> {
+        self.lent.get(&slot).and_then(|l| l.until)
+    }
+
+    /// The number of a holder's last command that was taken; 0 if there was none.
+    pub fn taken(&self, holder: Holder) -> u64 {
+        self.asks.get(&holder).map_or(0, |a| a.number)
+    }
+
+    /// Slots that could be lent.
+    pub fn free(&self) -> u16 {
+        self.terms.total.saturating_sub(self.lent.len() as u16)
+    }
+
+    /// Slots that holders lack of their equal parts, or that are lent beyond the total, less the free ones.
+    pub fn lacking(&self) -> u16 {
+        let have = self.have();
+        let of = |h: &Holder| have.get(h).copied().unwrap_or(0);
+        let lack: u16 = self.parts().iter().map(|(h, part)| part.saturating_sub(of(h))).sum();
+        let over = (self.lent.len() as u16).saturating_sub(self.terms.total);
+        (lack + over).saturating_sub(self.free())
+    }
+
+    fn have(&self) -> BTreeMap<Holder, u16> {
+        let mut have = BTreeMap::new();
+        self.lent.values().for_each(|l| *have.entry(l.holder).or_default() += 1);
+        have
+    }
+
+    /// The total split over those who ask: nobody gets more than it wants, and who gets less has as many as anybody,
+    /// or one fewer.
+    fn parts(&self) -> BTreeMap<Holder, u16> {
+        let mut order: Vec<(u16, Holder)> = self.asks.iter().map(|(h, a)| (a.want, *h)).collect();
+        order.sort();
+        let (mut left, mut parts) = (self.terms.total, BTreeMap::new());
+        for (i, (want, holder)) in order.iter().enumerate() {
+            let rest = (order.len() - i) as u16;
+            let part = (*want).min(left.div_ceil(rest)).min(left);
+            left -= part;
+            parts.insert(*holder, part);
+        }
+        parts
+    }
+
+    /// Lends what is free: first to those below what they want, the one with the fewest first; then to those who
+    /// could fill more, the one that has the least over its share first.
+    fn lend(&mut self) -> bool {
+        let (mut free, mut have, mut changed) = (self.free(), self.have(), false);
+        while free > 0 {
+            let of = |h: &Holder| have.get(h).copied().unwrap_or(0);
+            let short = self.asks.iter().filter(|(h, a)| of(h) < a.want).min_by_key(|(h, _)| (of(h), **h));
+            let more = || {
+                let all = self.asks.iter().filter(|(h, a)| of(h) < a.most);
+                all.min_by_key(|(h, a)| (of(h).saturating_sub(a.want), **h))
+            };
+            let Some(holder) = short.or_else(more).map(|(h, _)| *h) else { break };
+            let Some(slot) = (0..self.terms.total).find(|n| !self.lent.contains_key(n)) else { break };
+            self.lent.insert(slot, Lent { holder, until: None, recalled: None });
+            *have.entry(holder).or_default() += 1;
+            (free, changed) = (free - 1, true);
+        }
+        changed
+    }
+
+    /// Wants back as many slots as are lacking, from those who have the most over their parts.
+    fn recall(&mut self) {
+        let (parts, mut have) = (self.parts(), self.have());
+        let mut back: BTreeMap<Holder, u16> = BTreeMap::new();
+        for _ in 0..self.lacking() {
+            let over = |(h, n): &(&Holder, &u16)| n.saturating_sub(parts.get(h).copied().unwrap_or(0));
+            // Those of lost holders come back by themselves.
+            let known = have.iter().filter(|(h, _)| parts.contains_key(h));
+            let Some((most, holder)) = known.map(|e| (over(&e), *e.0)).max() else { break };
+            if most == 0 {
+                break;
+            }
+            *have.entry(holder).or_default() -= 1;
+            *back.entry(holder).or_default() += 1;
+        }
+        // Slots recalled already come first, so that each has one time from which it counts.
+        let mut order: Vec<(bool, u16)> = self.lent.iter().map(|(n, l)| (l.recalled.is_none(), *n)).collect();
+        order.sort();
+        for (_, n) in order {
+            let Some(l) = self.lent.get_mut(&n) else { continue };
+            let left = back.entry(l.holder).or_default();
+            l.recalled = (*left > 0).then(|| l.recalled.unwrap_or(self.clock));
+            *left = left.saturating_sub(1);
+        }
+    }
+
+    fn hold(&mut self, holder: Holder, back: u16) {
+        let mine = self.lent.iter().filter(|(_, l)| l.holder == holder);
+        let mut mine: Vec<(bool, u16)> = mine.map(|(n, l)| (l.recalled.is_none(), *n)).collect();
+        // Those that are wanted back go first.
+        mine.sort();
+        mine.truncate(back.into());
+        for (_, n) in mine {
+            self.lent.remove(&n);
+        }
+        let (clock, longest) = (self.clock, self.terms.longest);
+        for l in self.lent.values_mut().filter(|l| l.holder == holder) {
+            if l.recalled.is_none_or(|at| clock.saturating_sub(at) < longest) {
+                l.until = None;
+            }
+        }
+    }
+}
+
+impl Machine for Slots {
+    type Command = Command;
+
+    fn apply(&mut self, command: Command, alive: &BTreeSet<Holder>) -> bool {
+        let was = self.clone();
+        match command {
+            Command::Set(terms) => self.terms = Terms { total: terms.total.min(MOST), ..terms },
+            Command::Hold { holder, number, back, want, most } => {
+                let room = self.asks.len() < HOLDERS || self.asks.contains_key(&holder);
+                if !alive.contains(&holder) || number <= self.taken(holder) || !room {
+                    return false;
+                }
+                let (want, most) = (want.min(MOST), most.min(MOST));
+                self.asks.insert(holder, Ask { number, want, most });
+                self.hold(holder, back);
+            }
+        }
+        self.lend();
+        self.recall();
+        *self != was
+    }
+
+    fn leases(&mut self, alive: &BTreeSet<Holder>) -> bool {
+        let before = self.asks.len();
+        self.asks.retain(|h, _| alive.contains(h));
+        let changed = self.asks.len() < before;
+        if changed {
+            self.lend();
+            self.recall();
+        }
+        changed
+    }
+
+    fn sweep(&mut self, now: Micros) -> bool {
+        self.clock = self.clock.max(now);
+        let (clock, term, mut changed) = (self.clock, self.terms.term, false);
+        let before = self.lent.len();
+        self.lent.retain(|_, l| l.until.is_none_or(|at| at > clock));
+        for l in self.lent.values_mut().filter(|l| l.until.is_none()) {
+            l.until = Some(clock.saturating_add(term));
+            changed = true;
+        }
+        changed |= self.lent.len() < before;
+        changed |= self.lend();
+        self.recall();
+        changed
+    }
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 //! - [`plan`]: machines that are taken out for work, one after the other.
 //! - [`policy`]: what all admit requests by, changed everywhere or nowhere.
 //! - [`schema`]: which versions of the schema queries may run under while machines are upgraded in turn.
+//! - [`lend`]: slots for slow queries, lent to holders for a short time.
 //! - [`group`]: the replicated log: how a fleet is founded, joined again after a restart, and written to.
 //! - [`log`]: the log in memory, with snapshots of the state.
 //! - [`wire`]: the frames between peers.
@@ -23,6 +24,7 @@
 pub mod group;
 pub mod leases;
 pub mod ledger;
+pub mod lend;
 pub mod log;
 pub mod machine;
 pub mod plan;
--- /dev/null
+++ b/crates/fleet/tests/lend.rs
@@ -0,0 +1,179 @@
+//! Slots lent by the record, under any order of commands, late sweeps, cuts and lost holders.
+
+use fleet::lend::{Borrower, Command, Slots, Terms};
+use fleet::{Holder, Machine, Micros, life};
+use proptest::prelude::*;
+use std::collections::BTreeSet;
+
+const MS: Micros = 1_000;
+const TERM: Micros = 3_000 * MS;
+const MARGIN: Micros = 500 * MS;
+
+fn holder(p: u8, term: u32) -> Holder {
+    Holder { life: life(p, 1), term }
+}
+
+fn set(total: u16) -> Command {
+    Command::Set(Terms { total, term: TERM, longest: 4_000 * MS })
+}
+
+/// One that borrows: what it knows of the record, what it wants, and whether it hears and is heard.
+struct Side {
+    me: Holder,
+    borrower: Borrower,
+    known: Slots,
+    cut: bool,
+    want: u16,
+    busy: u16,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Want(usize, u16),
+    Busy(usize, u16),
+    Cut(usize),
+    Lost(usize),
+    Total(u16),
+    Sweep,
+    Pass(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..4usize, 0..20u16).prop_map(|(h, n)| Step::Want(h, n)),
+        4 => (0..4usize, 0..20u16).prop_map(|(h, n)| Step::Busy(h, n)),
+        1 => (0..4usize).prop_map(Step::Cut),
+        1 => (0..4usize).prop_map(Step::Lost),
+        1 => (0..24u16).prop_map(Step::Total),
+        2 => Just(Step::Sweep),
+        6 => (1..1200u64).prop_map(Step::Pass),
+    ]
+}
+
+proptest! {
+    /// Guards against one slot in two hands: what any side may use, by its own clock and by what it knows, cut off
+    /// or not, is covered by the record; and the record never lends more than there are, nor anything new while
+    /// more is lent than there are.
+    #[test]
+    fn no_slot_is_lent_twice(steps in prop::collection::vec(step(), 1..200)) {
+        let mut record = Slots::default();
+        let mut alive: BTreeSet<Holder> = (0..4).map(|p| holder(p + 1, 1)).collect();
+        let side = |me| {
+            let borrower = Borrower::new(me, TERM, MARGIN, 20 * MS);
+            Side { me, borrower, known: Slots::default(), cut: false, want: 5, busy: 0 }
+        };
+        let mut sides: Vec<Side> = alive.iter().map(|&me| side(me)).collect();
+        let mut gone: Vec<Side> = Vec::new();
+        let (mut now, mut log): (Micros, Vec<Command>) = (1_000_000 * MS, vec![set(12)]);
+        for step in steps {
+            let before: Vec<(u16, Holder)> = record.lent().collect();
+            match step {
+                Step::Want(h, n) => sides[h].want = n,
+                Step::Busy(h, n) => sides[h].busy = n,
+                Step::Cut(h) => sides[h].cut = !sides[h].cut,
+                Step::Lost(h) => {
+                    // Its lease has ended; the same process goes on under a new term, and uses no more than it had.
+                    let old = sides[h].me;
+                    alive.remove(&old);
+                    record.leases(&alive);
+                    let new = Holder { term: old.term + 1, ..old };
+                    alive.insert(new);
+                    gone.push(std::mem::replace(&mut sides[h], side(new)));
+                }
+                Step::Total(n) => log.push(set(n)),
+                Step::Sweep => { record.sweep(now); }
+                Step::Pass(ms) => now += ms * MS,
+            }
+            for s in &mut sides {
+                let usable = s.borrower.usable(now, &s.known);
+                s.busy = s.busy.min(usable);
+                if let Some(c) = s.borrower.ask(now, &s.known, s.busy, s.want, s.want + 3)
+                    && !s.cut
+                {
+                    // It comes twice; once is enough.
+                    log.extend([c, c]);
+                }
+            }
+            for c in log.drain(..) {
+                let lent = record.lent().count();
+                record.apply(c, &alive);
+                let most = usize::from(record.terms().total).max(lent);
+                prop_assert!(record.lent().count() <= most);
+            }
+            let slots = record.lent().count();
+            prop_assert!(slots <= before.len().max(record.terms().total.into()));
+            sides.iter_mut().filter(|s| !s.cut).for_each(|s| s.known = record.clone());
+            for s in sides.iter().chain(&gone) {
+                prop_assert!(s.borrower.usable(now, &s.known) <= record.of(s.me).0);
+            }
+        }
+        // A peer that joins gets the same.
+        let copy: Slots = postcard::from_bytes(&postcard::to_stdvec(&record).unwrap()).unwrap();
+        prop_assert_eq!(copy, record);
+    }
+
+    /// Guards against a holder that asks for all and says that all is in use: the others come to what they want, up
+    /// to an equal part, in the longest query's time and a lease.
+    #[test]
+    fn one_that_asks_for_too_much_gets_its_part_and_what_is_left(
+        wants in prop::collection::vec(0..30u16, 2..6), total in 1..60u16,
+    ) {
+        let all: Vec<Holder> = (0..=wants.len()).map(|p| holder(p as u8 + 1, 1)).collect();
+        let alive: BTreeSet<Holder> = all.iter().copied().collect();
+        let (mut record, mut now) = (Slots::default(), 1_000_000 * MS);
+        record.apply(set(total), &alive);
+        for number in 1..=40 {
+            now += 500 * MS;
+            record.sweep(now);
+            let hold = |holder, want| Command::Hold { holder, number, back: 0, want, most: want };
+            record.apply(hold(all[0], u16::MAX), &alive);
+            // The others come late, when it has everything.
+            for (h, want) in all[1..].iter().zip(&wants).filter(|_| number > 5) {
+                record.apply(hold(*h, *want), &alive);
+            }
+        }
+        let part = total / all.len() as u16;
+        for (h, want) in all[1..].iter().zip(&wants) {
+            prop_assert!(record.of(*h).0 >= part.min(*want), "{} of {part} and {want}", record.of(*h).0);
+        }
+        prop_assert_eq!(record.lent().count(), usize::from(total));
+    }
+}
+
+/// Guards against slots that a lost holder takes with it, and against giving them out before its lease's end.
+#[test]
+fn what_a_lost_holder_had_comes_back_at_its_leases_end() {
+    let (a, b) = (holder(1, 1), holder(2, 1));
+    let alive = BTreeSet::from([a, b]);
+    let (mut record, now) = (Slots::default(), 1_000_000 * MS);
+    record.apply(set(4), &alive);
+    let hold = |holder, want| Command::Hold { holder, number: 1, back: 0, want, most: want };
+    record.apply(hold(a, 4), &alive);
+    record.apply(hold(b, 4), &alive);
+    record.sweep(now);
+    record.leases(&BTreeSet::from([b]));
+    assert_eq!((record.of(a).0, record.of(b).0, record.until(0)), (4, 0, Some(now + TERM)));
+    record.sweep(now + TERM - 1);
+    assert_eq!((record.of(a).0, record.of(b).0), (4, 0));
+    record.sweep(now + TERM);
+    assert_eq!((record.of(a).0, record.of(b).0), (0, 4));
+}
+
+/// Guards against lending while more is lent than there is: fewer slots are wanted back, and none is lent until
+/// enough came back.
+#[test]
+fn fewer_slots_than_are_lent_are_recalled_first() {
+    let (a, b) = (holder(1, 1), holder(2, 1));
+    let alive = BTreeSet::from([a, b]);
+    let mut record = Slots::default();
+    record.apply(set(10), &alive);
+    let hold = |holder, number, back, want| Command::Hold { holder, number, back, want, most: want };
+    record.apply(hold(a, 1, 0, 10), &alive);
+    record.apply(set(4), &alive);
+    record.apply(hold(b, 1, 0, 2), &alive);
+    assert_eq!((record.of(a), record.of(b).0, record.lacking()), ((10, 8), 0, 8));
+    record.apply(hold(a, 2, 6, 10), &alive);
+    assert_eq!((record.of(a), record.of(b).0), ((4, 2), 0));
+    record.apply(hold(a, 3, 2, 10), &alive);
+    assert_eq!((record.of(a), record.of(b).0, record.lacking()), ((2, 0), 2, 0));
+}
