Queue slow queries fairly by tenants' weights, with what the whole fleet served

A dispatcher that shares out its slots by itself gives a tenant with clients everywhere many times its share, and one whose clients are at one dispatcher too little.

Not wired yet.

--- /dev/null
+++ b/crates/slots/src/predict.rs
@@ -0,0 +1,147 @@
+//! What the queue expects: when each query that waits will have ended, and how many slots should be here.
+
+use crate::queue::{Entry, Queue};
+use crate::split::{Demand, Due, dues};
+use crate::{Id, Micros, SECOND, Tenant};
+use std::collections::BTreeMap;
+
+/// Part of its wanted time by which a query that waits may be expected late before it is refused: the pace swings.
+const SLACK: u64 = 10;
+/// Slots that a tenant is expected to have at least, on average.
+const LEAST_PACE: f64 = 0.02;
+/// What is left of a query that has run longer than predicted, as a part of that.
+const OVERRUN: f64 = 0.25;
+/// Time over which the wanted slots are smoothed, and how far they move before another number is asked for.
+const SMOOTH_S: f64 = 2.0;
+const MOVE: f64 = 0.7;
+
+/// How many slots a dispatcher asks the fleet for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Want {
+    /// Its share, by all that is known.
+    pub firm: u32,
+    /// What it could fill, for as long as nobody lacks any of its share. Not over `firm` while news are missing.
+    pub most: u32,
+}
+
+impl Queue {
+    /// Slots to ask for. With news missing, those dispatchers' equal parts are left to them; with all missing, no
+    /// more than the own equal part is wanted (one slot at least).
+    pub fn want(&mut self, now: Micros) -> Want {
+        let demand = self.running() + self.waiting() as u32;
+        let heard = self.heard.fresh(now, self.terms.stale).count() as u32 + 1;
+        let total = self.lent.total;
+        let wanted: f64 = self.dues(now).values().map(|d| d.here).sum();
+        let before = self.smooth.unwrap_or((wanted, now));
+        let weight = 1.0 - (-(now.saturating_sub(before.1) as f64 / SECOND) / SMOOTH_S).exp();
+        let mean = before.0 + (wanted - before.0) * weight;
+        self.smooth = Some((mean, now));
+        // What is not wanted now is not kept for later, as others wait for it.
+        if (mean - f64::from(self.firm)).abs() > MOVE {
+            self.firm = mean.round() as u32;
+        }
+        if heard < self.lent.peers {
+            let part = (f64::from(total) / f64::from(self.lent.peers)) * f64::from(heard);
+            self.firm = self.firm.min(part as u32);
+        }
+        let firm = self.firm.max(u32::from(demand > 0)).min(demand).min(total);
+        let most = if heard < self.lent.peers { firm } else { demand.min(total) };
+        Want { firm, most }
+    }
+
+    /// What each tenant with a query here is due, by its weight in the fleet and where its queries are.
+    fn dues(&self, now: Micros) -> BTreeMap<Tenant, Due> {
+        let mut mine: BTreeMap<Tenant, f64> = BTreeMap::new();
+        for (t, f) in self.flows.all.iter().filter(|(_, f)| f.waiting + f.running > 0) {
+            mine.insert(*t, f64::from(f.waiting + f.running));
+        }
+        let words: Vec<_> = self.heard.fresh(now, self.terms.stale).map(|(_, s)| s).collect();
+        let mut tenants: BTreeMap<Tenant, usize> = BTreeMap::new();
+        let theirs = words.iter().flat_map(|s| &s.tenants).filter(|(_, p)| p.waiting > 0 || p.running > 0);
+        for t in mine.keys().copied().chain(theirs.map(|(t, _)| *t)) {
+            let next = tenants.len();
+            tenants.entry(t).or_insert(next);
+        }
+        // All that are not named stand as one, of as many tenants as the peer with the most of them has.
+        let rest = tenants.len();
+        let mut weights = vec![1.0; rest + 1];
+        tenants.iter().for_each(|(t, &i)| weights[i] = self.flows.weight(*t));
+        weights[rest] = words.iter().map(|s| f64::from(s.rest_tenants)).fold(0.0, f64::max);
+        let mut demands = vec![Demand { wants: vec![0.0; rest + 1], used: f64::from(self.running()) }];
+        mine.iter().for_each(|(t, d)| demands[0].wants[tenants[t]] = *d);
+        for s in words {
+            let mut demand = Demand { wants: vec![0.0; rest + 1], used: s.running() };
+            for (t, p) in s.tenants.iter().filter(|(t, _)| tenants.contains_key(t)) {
+                demand.wants[tenants[t]] = f64::from(p.waiting) + f64::from(p.running);
+            }
+            demand.wants[rest] = f64::from(s.rest.waiting) + f64::from(s.rest.running);
+            demands.push(demand);
+        }
+        let given = dues(f64::from(self.lent.total), f64::from(self.lent.peers), &weights, &demands);
+        mine.into_keys().map(|t| (t, given[tenants[&t]])).collect()
+    }
+
+    /// When each that waits is expected to have ended, in order of arrival.
+    pub(crate) fn ends(&self, now: Micros) -> Vec<(Id, Micros)> {
+        self.expect(now, |_, _| false)
+    }
+
+    /// Those that can't be served in their wanted time any more, and by how much they would be late. Who is refused
+    /// is out of the way of those behind.
+    pub(crate) fn late(&self, now: Micros) -> Vec<(Id, Micros)> {
+        let limit = |id: Id| {
+            let limit = |e: &Entry| e.job.aim.saturating_add(e.job.aim.saturating_sub(e.arrived) / SLACK);
+            self.jobs.get(&id).map_or(0, |e| limit(e).min(e.job.deadline))
+        };
+        let all = self.expect(now, |id, end| end > limit(id));
+        all.into_iter().filter(|&(id, end)| end > limit(id)).map(|(id, end)| (id, end - limit(id))).collect()
+    }
+
+    /// Expected ends in order of arrival; those that `drops` says go leave no work to those behind.
+    fn expect(&self, now: Micros, drops: impl Fn(Id, Micros) -> bool) -> Vec<(Id, Micros)> {
+        let dues = self.dues(now);
+        let sum: f64 = dues.values().map(|d| d.here).sum();
+        // Slots that were just asked for come soon.
+        let slots = f64::from(self.lent.mine).max(sum / 2.0);
+        let mut left: BTreeMap<Tenant, f64> = BTreeMap::new();
+        let mut key_ends: BTreeMap<u64, f64> = BTreeMap::new();
+        let mut soonest = f64::INFINITY;
+        for e in self.jobs.values() {
+            let Some((since, charged)) = e.runs else { continue };
+            let held = now.saturating_sub(since) as f64 / SECOND;
+            let rest = (charged - held).max(held * OVERRUN);
+            soonest = soonest.min(rest);
+            *left.entry(e.tenant).or_default() += rest;
+            if let Some(key) = e.job.key {
+                key_ends.insert(key, rest);
+            }
+        }
+        let free = self.running() < self.lent.mine || !soonest.is_finite();
+        let soonest = if free { 0.0 } else { soonest };
+        let mut all = Vec::with_capacity(self.order.len());
+        for id in self.order.values() {
+            let Some(e) = self.jobs.get(id) else { continue };
+            let bias = self.flows.all.get(&e.tenant).map_or(1.0, |f| f.bias);
+            let span = e.job.span_s() * bias;
+            let due = dues.get(&e.tenant).copied().unwrap_or_default();
+            // One within its share goes before those that are not.
+            let part =
+                if due.content { slots.min(due.here.max(1.0)) } else { due.here * slots / sum.max(1e-9) };
+            let pace = part.max(LEAST_PACE);
+            let work = left.entry(e.tenant).or_default();
+            // With several slots the last of those ahead still run when it begins.
+            let ahead = (*work - (pace - 1.0).max(0.0) * span / 2.0).max(0.0) / pace;
+            // What the tenant is ahead of its share in the whole fleet has to pass first, too.
+            let lead = if free { 0.0 } else { self.ahead_s(e.tenant) / due.fleet.max(LEAST_PACE) };
+            let blocked = e.job.key.and_then(|k| key_ends.get(&k).copied()).unwrap_or(0.0);
+            let starts = ahead.max(lead).max(soonest).max(blocked);
+            let end = now.saturating_add(((starts + span) * SECOND) as Micros);
+            if !drops(*id, end) {
+                *work += span;
+                e.job.key.map(|key| key_ends.insert(key, starts + span));
+            }
+            all.push((*id, end));
+        }
+        all
+    }
+}
--- /dev/null
+++ b/crates/slots/src/queue.rs
@@ -0,0 +1,226 @@
+//! What waits and runs at one dispatcher.
+
+use crate::flow::Flows;
+use crate::news::{Heard, Part, Shares};
+use crate::{Id, Job, Lent, Micros, Next, Peer, SECOND, TENANTS, Tenant, Terms, Verdict, sane};
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, VecDeque};
+
+#[derive(Debug, Clone)]
+pub(crate) struct Entry {
+    pub job: Job,
+    pub tenant: Tenant,
+    pub seq: u64,
+    pub arrived: Micros,
+    /// Since when it runs, and the slot seconds charged for it so far.
+    pub runs: Option<(Micros, f64)>,
+}
+
+/// The queue of slow queries at one dispatcher. The host calls [`Queue::tick`] after anything that frees or brings
+/// slots, and every 100 ms or so besides.
+#[derive(Debug, Clone)]
+pub struct Queue {
+    pub(crate) terms: Terms,
+    pub(crate) rng: Pcg64Mcg,
+    life: u64,
+    pub(crate) jobs: BTreeMap<Id, Entry>,
+    /// Those that wait, by arrival.
+    pub(crate) order: BTreeMap<u64, Id>,
+    /// Of each key the one that runs or is next, and those behind it.
+    pub(crate) keys: BTreeMap<u64, VecDeque<Id>>,
+    pub(crate) flows: Flows,
+    pub(crate) heard: Heard,
+    pub(crate) lent: Lent,
+    pub(crate) running: u32,
+    seq: u64,
+    /// Slots that should be here, smoothed: the mean and when it was taken; and the last whole number.
+    pub(crate) smooth: Option<(f64, Micros)>,
+    pub(crate) firm: u32,
+}
+
+impl Queue {
+    /// An empty one, without slots. `seed` spreads the times at which refused queries come back; it also names this
+    /// life in the news, so that it has to grow from life to life.
+    pub fn new(terms: Terms, seed: u64) -> Queue {
+        Queue {
+            terms,
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            life: seed,
+            jobs: BTreeMap::new(),
+            order: BTreeMap::new(),
+            keys: BTreeMap::new(),
+            flows: Flows::default(),
+            heard: Heard::default(),
+            lent: Lent::default(),
+            running: 0,
+            seq: 0,
+            smooth: None,
+            firm: 0,
+        }
+    }
+
+    /// Queries that run.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Queries that wait.
+    pub fn waiting(&self) -> usize {
+        self.order.len()
+    }
+
+    /// Slots lent here that stand empty.
+    pub fn idle(&self) -> u32 {
+        self.lent.mine.saturating_sub(self.running)
+    }
+
+    /// A tenant's start tag less the virtual time, in slot seconds: what it counts as ahead of its share, or behind
+    /// if negative.
+    pub fn ahead_s(&self, tenant: Tenant) -> f64 {
+        self.flows.all.get(&tenant.min(TENANTS - 1)).map_or(0.0, |f| (f.tag - self.flows.time()) * f.weight)
+    }
+
+    /// Takes a slow query.
+    pub fn offer(&mut self, now: Micros, job: Job) -> Verdict {
+        // Nobody may have more waiting than there is room left: so a tenant that fills the queue leaves some to all.
+        let room = self.terms.waiting.saturating_sub(self.order.len());
+        let mine = self.flows.get(job.tenant.min(TENANTS - 1)).waiting as usize;
+        if self.jobs.contains_key(&job.id) || mine >= room {
+            return Verdict::Refuse { after_ms: self.later(SECOND as Micros) };
+        }
+        let (id, aim, tenant) = (job.id, job.aim.min(job.deadline), job.tenant.min(TENANTS - 1));
+        self.seq += 1;
+        let entry = Entry { tenant, seq: self.seq, arrived: now, runs: None, job };
+        self.order.insert(entry.seq, id);
+        let line = entry.job.key.map(|k| self.keys.entry(k).or_default());
+        let first = line.is_none_or(|line| {
+            line.push_back(id);
+            line.len() == 1
+        });
+        let flow = self.flows.get(tenant);
+        flow.waiting += 1;
+        if first {
+            flow.ready.insert(entry.seq);
+        }
+        self.jobs.insert(id, entry);
+        self.settle();
+        if self.running < self.lent.mine && self.flows.next() == Some((tenant, self.seq)) {
+            self.start(now, id);
+            return Verdict::Run;
+        }
+        match self.ends(now).iter().find(|(i, _)| *i == id) {
+            Some((_, end)) if *end > aim => {
+                let after_ms = self.later(end - aim);
+                self.forget(id);
+                Verdict::Refuse { after_ms }
+            }
+            _ => Verdict::Wait,
+        }
+    }
+
+    /// A query that ran has ended, having cost so many thread-seconds. What was charged wrongly is put right.
+    pub fn finished(&mut self, now: Micros, id: Id, actual_s: f64) {
+        let Some(e) = self.jobs.get(&id) else { return };
+        if let Some((_, charged)) = e.runs {
+            let actual = sane(actual_s / f64::from(e.job.threads.max(1)));
+            let (tenant, estimate) = (e.tenant, e.job.span_s());
+            self.flows.get(tenant).learn(estimate, actual);
+            self.flows.charge(tenant, actual - charged, true);
+        }
+        let _ = now;
+        self.forget(id);
+        self.settle();
+    }
+
+    /// The client of a query has left: it waits no longer, or was ended where it ran and costs what it held.
+    pub fn left(&mut self, now: Micros, id: Id) {
+        let Some(e) = self.jobs.get(&id) else { return };
+        if let Some((since, charged)) = e.runs {
+            let held = now.saturating_sub(since) as f64 / SECOND;
+            self.flows.charge(e.tenant, held - charged, true);
+        }
+        self.forget(id);
+        self.settle();
+    }
+
+    /// Time passes: what runs longer than predicted is charged as it goes, what can't be served in its wanted time
+    /// any more is refused, and free slots are filled.
+    pub fn tick(&mut self, now: Micros) -> Vec<Next> {
+        for e in self.jobs.values_mut() {
+            if let Some((since, charged)) = &mut e.runs {
+                let over = now.saturating_sub(*since) as f64 / SECOND - *charged;
+                if over > 0.0 {
+                    *charged += over;
+                    self.flows.charge(e.tenant, over, true);
+                }
+            }
+        }
+        self.mark(now);
+        self.settle();
+        let mut next = Vec::new();
+        for (id, late) in self.late(now) {
+            self.forget(id);
+            next.push(Next::Refuse(id, self.later(late)));
+        }
+        while self.running < self.lent.mine {
+            let Some(id) = self.flows.next().and_then(|(_, seq)| self.order.get(&seq).copied()) else {
+                break;
+            };
+            self.start(now, id);
+            next.push(Next::Run(id));
+        }
+        next
+    }
+
+    /// A peer's word. One that is out of bounds or older than the last is ignored.
+    pub fn news(&mut self, now: Micros, peer: Peer, shares: Shares) {
+        for (tenant, slot_s) in self.heard.take(now, peer, shares) {
+            self.flows.charge(tenant.min(TENANTS - 1), slot_s, false);
+        }
+        self.mark(now);
+        self.settle();
+    }
+
+    /// This dispatcher's word for its peers, some hundred bytes; sent a few times a second.
+    pub fn share(&self, now: Micros) -> Shares {
+        let part = |f: &crate::flow::Flow| Part {
+            waiting: f.waiting,
+            running: f.running,
+            used_ms: (f.charged * 1e3) as i64,
+        };
+        Shares::of(self.life, now, self.flows.all.iter().map(|(t, f)| (*t, part(f))).collect())
+    }
+
+    /// The slots of the moment. Fewer than run stop nothing: no other begins until enough have ended.
+    pub fn set_slots(&mut self, now: Micros, lent: Lent) {
+        let _ = now;
+        self.lent = lent;
+        self.settle();
+    }
+
+    /// Tenants' weights, from now on; 1 where none is given, and never below 0.001 or over 1000.
+    pub fn set_weights(&mut self, now: Micros, weights: &[(Tenant, f64)]) {
+        let _ = now;
+        let kept = weights.iter().filter(|(t, w)| *t < TENANTS && w.is_finite());
+        self.flows.set_weights(kept.map(|(t, w)| (*t, w.clamp(0.001, 1000.0))).collect());
+        self.settle();
+    }
+
+    /// Which tenants have something at peers whose news are fresh.
+    fn mark(&mut self, now: Micros) {
+        self.flows.all.values_mut().for_each(|f| (f.waits_elsewhere, f.active_elsewhere) = (false, false));
+        for (_, s) in self.heard.fresh(now, self.terms.stale) {
+            for (t, p) in s.tenants.iter().filter(|(_, p)| p.waiting > 0 || p.running > 0) {
+                let flow = self.flows.get((*t).min(TENANTS - 1));
+                flow.waits_elsewhere |= p.waiting > 0;
+                flow.active_elsewhere = true;
+            }
+        }
+    }
+
+    pub(crate) fn settle(&mut self) {
+        let (credit, debt) = (self.terms.credit_s, self.terms.debt_s);
+        self.flows.settle(f64::from(self.lent.total), credit, debt);
+    }
+}
--- /dev/null
+++ b/crates/slots/tests/fleet.rs
@@ -0,0 +1,55 @@
+//! Whole fleets in virtual time: one tenant at ten times its share, three at eight tenths of theirs, 60 slots.
+
+mod sim;
+
+use sim::{AIM, Figures, MS, World, run};
+use slots::Micros;
+
+fn world(dispatchers: usize, heavy_at_one: bool, light_at_one: bool, news: Option<Micros>) -> Figures {
+    let tenants = vec![(10.0, heavy_at_one), (0.8, light_at_one), (0.8, false), (0.8, false)];
+    run(&World { seed: 1, dispatchers, slots: 60, tenants, news, seconds: 30 })
+}
+
+/// Shares by weight, no slot twice, few empty, and neighbours' waits and refusals bounded.
+fn hold(name: &str, f: &Figures, idle: f64, refused: f64) {
+    assert_eq!(f.twice, 0, "{name}: {f:?}");
+    assert!(f.jain > 0.97 && f.idle < idle, "{name}: {f:?}");
+    let waits = f.waits[1..].iter().all(|(most, usual)| *most < AIM && *usual < 3_000 * MS);
+    assert!(waits && f.refused[1..].iter().all(|r| *r < refused), "{name}: {f:?}");
+}
+
+fn with_news(n: usize, idle: f64) {
+    let news = Some(250 * MS);
+    hold("clients everywhere", &world(n, false, false, news), idle, 0.02);
+    hold("the heavy one's clients at one", &world(n, true, false, news), idle, 0.02);
+    hold("a light one's clients at one", &world(n, false, true, news), idle, 0.12);
+}
+
+/// Guards against unfair shares, lost capacity and slots lent twice in a small fleet.
+#[test]
+fn three_share_by_weight() {
+    with_news(3, 0.03);
+}
+
+/// The same in a fleet of ten.
+#[test]
+fn ten_share_by_weight() {
+    with_news(10, 0.03);
+}
+
+/// The same in a fleet of thirty with two slots each, where they move most.
+#[test]
+fn thirty_share_by_weight() {
+    with_news(30, 0.035);
+}
+
+/// Guards against dispatchers without news that take more than their parts, or whose own shares are unfair.
+#[test]
+fn without_news_each_keeps_its_part_fairly() {
+    for n in [3, 10, 30] {
+        hold("cut", &world(n, false, false, None), 0.03, 0.08);
+    }
+    // The price of it: parts that a dispatcher without clients has are not used by others.
+    let f = world(3, true, false, None);
+    assert!(f.twice == 0 && f.jain > 0.8 && f.idle < 0.3, "{f:?}");
+}
--- /dev/null
+++ b/crates/slots/tests/sim/mod.rs
@@ -0,0 +1,212 @@
+//! A fleet in virtual time: dispatchers with this crate's queues, the record that lends slots, news that come late.
+
+use fleet::lend::{Borrower, Command, Slots, Terms as Lending};
+use fleet::{Holder, Machine, life};
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use slots::{Id, Job, Lent, Micros, Next, Queue, Shares, Tenant, Terms, Verdict};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+pub const MS: Micros = 1_000;
+const STEP: Micros = 5 * MS;
+const LOG: Micros = 20 * MS;
+const TERM: Micros = 3_000 * MS;
+pub const AIM: Micros = 4_000 * MS;
+const SETTLED: Micros = 10_000 * MS;
+const WINDOW: usize = 5;
+
+/// What is run.
+pub struct World {
+    pub seed: u64,
+    pub dispatchers: usize,
+    pub slots: u16,
+    /// Load of each tenant, in fair shares, and whether all its clients are at one dispatcher.
+    pub tenants: Vec<(f64, bool)>,
+    /// Lateness of news; none come at all if it is none.
+    pub news: Option<Micros>,
+    pub seconds: u64,
+}
+
+#[derive(Debug, Default)]
+pub struct Figures {
+    /// The least of all windows.
+    pub jain: f64,
+    /// Empty slots while anybody waits, as a part.
+    pub idle: f64,
+    /// The longest wait of a query that ran, and the 99th of 100, by tenant.
+    pub waits: Vec<(Micros, Micros)>,
+    /// Part of queries refused, by tenant.
+    pub refused: Vec<f64>,
+    /// Times that more ran than slots are, or more at one dispatcher than were lent to it.
+    pub twice: u32,
+}
+
+struct Dispatcher {
+    queue: Queue,
+    me: Holder,
+    borrower: Borrower,
+    ticked: Micros,
+    asked: Micros,
+}
+
+/// One query: whose, slot time in microseconds, where, and when it came.
+type Known = BTreeMap<Id, (usize, u64, usize, Micros)>;
+
+/// Slot seconds by tenant in each second: brought, and served.
+type Account = Vec<(Vec<f64>, Vec<f64>)>;
+
+fn jain(account: &[(Vec<f64>, Vec<f64>)], slots: f64) -> f64 {
+    let n = account[0].0.len();
+    let brought = |t: usize| account.iter().map(|a| a.0[t]).sum::<f64>();
+    let served = |t: usize| account.iter().map(|a| a.1[t]).sum::<f64>();
+    let wants: Vec<(f64, f64)> = (0..n).map(|t| (1.0, brought(t))).collect();
+    let due = slots::split::fill(slots * account.len() as f64, &wants);
+    let parts: Vec<f64> = (0..n).filter(|&t| due[t] > 0.0).map(|t| served(t) / due[t]).collect();
+    parts.iter().sum::<f64>().powi(2) / (parts.len() as f64 * parts.iter().map(|p| p * p).sum::<f64>())
+}
+
+pub fn run(w: &World) -> Figures {
+    let mut rng = Pcg64Mcg::seed_from_u64(w.seed);
+    let mut draw = move || (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
+    let n = w.dispatchers;
+    let mut record = Slots::default();
+    let alive: BTreeSet<Holder> = (0..n).map(|d| Holder { life: life(d as u8 + 1, 1), term: 1 }).collect();
+    record.apply(Command::Set(Lending { total: w.slots, term: TERM, longest: 5_000 * MS }), &alive);
+    let mut all: Vec<Dispatcher> = (alive.iter().enumerate())
+        .map(|(d, &me)| {
+            let borrower = Borrower::new(me, TERM, 1_000 * MS, 20 * MS);
+            Dispatcher {
+                queue: Queue::new(Terms::default(), d as u64 + 1),
+                me,
+                borrower,
+                ticked: 0,
+                asked: 0,
+            }
+        })
+        .collect();
+    let mut log: VecDeque<(Micros, Command)> = VecDeque::new();
+    let mut mail: VecDeque<(Micros, usize, Shares)> = VecDeque::new();
+    let (mut known, mut ends): (Known, BTreeSet<(Micros, Id)>) = (BTreeMap::new(), BTreeSet::new());
+    let mut account: Account = Vec::new();
+    let (mut idle, mut counted, mut next_id, mut twice) = (0.0, 0.0, 0, 0);
+    let k = w.tenants.len();
+    let (mut waits, mut offered, mut refused) = (vec![Vec::new(); k], vec![0.0; k], vec![0.0; k]);
+    let share = f64::from(w.slots) / k as f64;
+    let mut now = 1_000_000 * MS;
+    let mut came = vec![now; k];
+    let (began, end) = (now, now + w.seconds * 1_000 * MS);
+    while now < end {
+        if (now - began) % (1_000 * MS) == 0 {
+            record.sweep(now);
+            account.push((vec![0.0; k], vec![0.0; k]));
+        }
+        while log.front().is_some_and(|(at, _)| *at <= now) {
+            let (_, command) = log.pop_front().unwrap();
+            record.apply(command, &alive);
+        }
+        while mail.front().is_some_and(|(at, ..)| *at <= now) {
+            let (_, from, shares) = mail.pop_front().unwrap();
+            let to = all.iter_mut().enumerate().filter(|(d, _)| *d != from);
+            to.for_each(|(_, d)| d.queue.news(now, from as u8 + 1, shares.clone()));
+        }
+        let (mut touched, mut started) = (vec![false; n], Vec::new());
+        while ends.first().is_some_and(|(at, _)| *at <= now) {
+            let (_, id) = ends.pop_first().unwrap();
+            let (_, work, d, _) = known.remove(&id).unwrap();
+            all[d].queue.finished(now, id, work as f64 / 1e6);
+            touched[d] = true;
+        }
+        for (t, (load, one)) in w.tenants.iter().enumerate() {
+            // Half a second of slot time each, on average.
+            while came[t] <= now {
+                came[t] += (-(1.0 - draw()).ln() * 0.5e6 / (load * share)) as Micros + 1;
+                let d = if *one { t % n } else { (draw() * n as f64) as usize };
+                let work = (0.2 + 0.6 * draw()) * 1e6;
+                next_id += 1;
+                let cost_s = work / 1e6 * (0.5 + 1.5 * draw());
+                let job = Job {
+                    id: next_id,
+                    tenant: t as Tenant,
+                    key: None,
+                    cost_s,
+                    threads: 1,
+                    aim: now + AIM,
+                    deadline: now + 3 * AIM,
+                };
+                known.insert(next_id, (t, work as u64, d, now));
+                account.last_mut().unwrap().0[t] += work / 1e6;
+                offered[t] += 1.0;
+                match all[d].queue.offer(now, job) {
+                    Verdict::Run => started.push(next_id),
+                    Verdict::Wait => {}
+                    Verdict::Refuse { .. } => {
+                        known.remove(&next_id);
+                        refused[t] += 1.0;
+                    }
+                }
+            }
+        }
+        for (d, x) in all.iter_mut().enumerate() {
+            let mine = u32::from(x.borrower.usable(now, &record));
+            let lent = Lent { mine, total: u32::from(w.slots), peers: n as u32 };
+            x.queue.set_slots(now, lent);
+            if touched[d] || x.queue.idle() > 0 && x.queue.waiting() > 0 || now >= x.ticked + 100 * MS {
+                x.ticked = now;
+                for next in x.queue.tick(now) {
+                    match next {
+                        Next::Run(id) => started.push(id),
+                        Next::Refuse(id, _) => refused[known.remove(&id).unwrap().0] += 1.0,
+                    }
+                }
+            }
+            if now >= x.asked + 25 * MS {
+                x.asked = now;
+                let want = x.queue.want(now);
+                let asks = x.borrower.ask(
+                    now,
+                    &record,
+                    x.queue.running() as u16,
+                    want.firm as u16,
+                    want.most as u16,
+                );
+                // What is given back is not used from here on.
+                x.queue.set_slots(now, Lent { mine: u32::from(x.borrower.usable(now, &record)), ..lent });
+                log.extend(asks.map(|c| (now + LOG, c)));
+            }
+            // The news of all at different times, four a second.
+            if let Some(late) = w.news
+                && (now / STEP + d as u64 * 7) % 50 == 0
+            {
+                mail.push_back((now + late, d, x.queue.share(now)));
+            }
+            twice += u32::from(x.queue.running() > u32::from(record.of(x.me).0));
+        }
+        for id in started {
+            let (t, work, _, came) = known[&id];
+            ends.insert((now + work, id));
+            waits[t].push(now - came);
+        }
+        let running = ends.len() as f64;
+        twice += u32::from(running > f64::from(w.slots));
+        ends.iter().for_each(|(_, id)| account.last_mut().unwrap().1[known[id].0] += STEP as f64 / 1e6);
+        if now >= began + SETTLED && all.iter().any(|d| d.queue.waiting() > 0) {
+            idle += f64::from(w.slots) - running;
+            counted += f64::from(w.slots);
+        }
+        now += STEP;
+    }
+    let settled = &account[(SETTLED / MS / 1_000) as usize..];
+    let least = settled.windows(WINDOW).map(|a| jain(a, f64::from(w.slots))).fold(1.0, f64::min);
+    let of = |mut v: Vec<Micros>| {
+        v.sort();
+        (v.last().copied().unwrap_or(0), v.get(v.len() * 99 / 100).copied().unwrap_or(0))
+    };
+    let refused = refused.iter().zip(&offered).map(|(r, o): (&f64, &f64)| r / o.max(1.0)).collect();
+    Figures {
+        jain: least,
+        idle: idle / f64::max(counted, 1.0),
+        waits: waits.into_iter().map(of).collect(),
+        refused,
+        twice,
+    }
+}
