Tell fleets that were founded apart from each other, and their policies of one number

Seen with three processes: one stood still while the two others started anew and agreed on another policy 1; back again it went on admitting by its own policy 1. Its log showed no lost majority: a founder's generator was seeded by the settings alone, so that its second fleet had the first one's number, and the stale log went on in it; and of two policies of one number the texts were not compared (fleet/mod.rs, policy/part.rs). Change: a life's own number goes into the seed; where the number is the same and the digest is not, the fleet's holds. A story in virtual time fails without either.

--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -78,7 +78,8 @@
         let life = life(terms.me, now);
         Fleet {
             life,
-            rng: Pcg64Mcg::seed_from_u64(seed),
+            // Another life draws other numbers: a fleet that it founds is not the one that it founded before.
+            rng: Pcg64Mcg::seed_from_u64(seed ^ life.rotate_left(17)),
             group: None,
             other: None,
             heard: BTreeMap::new(),
--- a/crates/fleet/src/policy/part.rs
+++ b/crates/fleet/src/policy/part.rs
@@ -91,7 +91,9 @@
             return acts;
         };
         let current = agreed.current();
-        if current.number > self.known.number {
+        // Fleets that were founded apart count alike: of two policies of one number the fleet's own holds.
+        let other = current.number == self.known.number && current.digest != self.known.digest;
+        if current.number > self.known.number || other {
             self.known = current.clone();
             acts.push(Act::InForce(current.clone()));
         }
--- a/crates/fleet/tests/fleet/policy.rs
+++ b/crates/fleet/tests/fleet/policy.rs
@@ -3,7 +3,7 @@
 use crate::world::*;
 use fleet::agreed::Command;
 use fleet::policy::{self, Act, Gate, Policies};
-use fleet::{Micros, Peer};
+use fleet::{Fleet, Micros, News, Peer};
 use std::collections::BTreeSet;
 use std::hash::Hasher;
 
@@ -11,7 +11,9 @@
 
 fn propose(w: &mut World, p: Peer, text: &str) -> bool {
     let now = w.now;
-    let (text, digest) = (text.to_string(), [7; 32]);
+    let mut digest = [0; 32];
+    digest.iter_mut().zip(text.bytes()).for_each(|(d, b)| *d = b);
+    let text = text.to_string();
     let command = policy::Command::Propose { text, digest, by: p, at: now, limits: LIMITS, least: 0 };
     w.fleets.get_mut(&p).is_some_and(|f| f.agree(now, Command::Policy(command)))
 }
@@ -141,6 +143,36 @@
     }
 }
 
+// One stands still while the others start anew, and what they agree on has the same number: it followed its old policy
+// in the new fleet, which it took for its own, as both had been founded by the same seed.
+#[test]
+fn one_that_stood_still_takes_the_policy_of_the_fleet_that_was_founded_meanwhile() {
+    let mut w = World::new(3, 12);
+    w.formed();
+    let id = |w: &World| {
+        w.news.iter().rev().find_map(|(p, n)| match n {
+            News::Joined(id) if *p == 1 => Some(*id),
+            _ => None,
+        })
+    };
+    let first = id(&w);
+    assert!(propose(&mut w, 1, "policy one"));
+    w.run(400 * MS, |_| ());
+    w.paused.insert(3, w.now + 20_000 * MS);
+    for p in [1, 2] {
+        w.fleets.insert(p, Fleet::new(terms(p, 3), u64::from(p), w.now));
+        w.parts.insert(p, Default::default());
+    }
+    w.admitted = 0;
+    w.run(6_000 * MS, |_| ());
+    assert!(id(&w) != first && propose(&mut w, 1, "policy another"));
+    w.run(25_000 * MS, |_| ());
+    let texts: BTreeSet<String> = (1..=3).map(|p| policies(&w, p).current().text.clone()).collect();
+    assert_eq!((texts.len(), numbers(&w).len()), (1, 1), "{texts:?}");
+    let acts: Vec<&Act> = w.acts.iter().filter(|(p, _)| *p == 3).map(|(_, a)| a).collect();
+    assert!(acts.iter().any(|a| matches!(a, Act::InForce(p) if p.text == "policy another")), "{acts:?}");
+}
+
 /// Changes under faults for a while, then none; returns the trace.
 fn changes(n: u8, seed: u64) -> u64 {
     let mut w = World::new(n, seed);
