Weigh untried engines down for loads only where probes alone tell of load

The cause that the weight is for is a probe's report, which shows an engine that fails at once as idle; where load comes with every answer there is no such report.

--- a/src/control/constants.rs
+++ b/src/control/constants.rs
@@ -87,9 +87,9 @@
 /// Further weight of an error on a query that another engine then served: the second such one ejects.
 pub(super) const BLAME: f64 = 0.24;
 /// How an engine's share of errors weighs in the draw: for what may be tried again, and for what may not.
-pub(super) const ERROR_POWERS: [i32; 2] = [2, 24];
-/// Weight, for the same, of an engine that served nothing here yet: those that fail at once look idle.
-pub(super) const UNTRIED: [f64; 2] = [1.0, 0.1];
+pub(super) const ERROR_POWERS: [i32; 2] = [2, 8];
+/// Weight, for the latter, of one that served nothing here: one that fails at once looks idle to a probe.
+pub(super) const UNTRIED: f64 = 0.1;
 /// First ejection, and the most that doubling makes of it.
 pub(super) const EJECT: [Micros; 2] = [SECOND, 8 * SECOND];
 /// Ejections are ignored while less than this share of the cores would be left; weight of ejected ones then.
--- a/src/control/draw.rs
+++ b/src/control/draw.rs
@@ -44,7 +44,8 @@
             if e.met || self.warmth(e) < 1.0 { 1.0 } else { 1.0 + HANDSHAKE_WEIGHT * self.s.handshake_price };
         let slow = e.slow.or(1.0).max(0.5) * self.distance(e) * new;
         let once = usize::from(c.effect == Effect::Unsafe);
-        let sure = (1.0 - e.errors).powi(ERROR_POWERS[once]) * UNTRIED[once].max(f64::from(e.slow.n.min(1)));
+        let untried = once == 1 && e.slow.n == 0 && self.s.reports == Reports::OnProbe;
+        let sure = (1.0 - e.errors).powi(ERROR_POWERS[once]) * if untried { UNTRIED } else { 1.0 };
         let w =
             capacity * home * self.spared(q.class, e) / (LOAD_FLOOR + load).powi(DRAW_POWER) / slow * sure;
         if self.healthy(e) { w } else { w * UNHEALTHY }
