--- a/deploy/fleet.hcl
+++ b/deploy/fleet.hcl
@@ -37,6 +37,15 @@
     out_limit   = "30m" # how long it may be out before the plan stops
   }
 
+  # All dispatchers admit by one policy, changed by POLICY calls; docs/operators/policy.md. Off without this block, which
+  # has to stand at all of them.
+  #
+  # policy {
+  #   vote_limit    = "3s"     # how long a proposal waits for the votes of all
+  #   close_limit   = "3s"     # how long after that all may take to stop admitting by the old one
+  #   without_lease = "refuse" # or "stricter": admit what both policies known here allow; it may hold no more
+  # }
+
   max_records    = 100000  # requests on record; the same at all peers
   max_taken_over = 1000    # requests of lost dispatchers in hand at once
   max_statement  = "4KiB"  # a longer one is not sent again by another dispatcher
