--- /dev/null
+++ b/tests/policy/clients.rs
@@ -0,0 +1,67 @@
+//! Clients that remember what they asked and what they got, and an operator's line.
+
+use super::fleet::PATIENCE;
+use standins::scripted::{Client, Got};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime};
+
+/// One request of a client, and what it got; nothing as long as it waits.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    pub rid: u64,
+    pub at: usize,
+    pub asked: SystemTime,
+    pub got: Option<Answer>,
+}
+
+/// What a client got, as far as stories look at it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Answer {
+    Rows,
+    Refused(String),
+    Other(String),
+}
+
+/// The table that only this request names.
+pub fn table(rid: u64) -> String {
+    format!("sales_{}.t{rid}x", rid % 7)
+}
+
+/// Asks once; whether anything came.
+pub fn ask(at: usize, to: SocketAddr, asks: &Mutex<Vec<Ask>>) -> bool {
+    static NEXT: AtomicU64 = AtomicU64::new(1);
+    let rid = NEXT.fetch_add(1, Ordering::SeqCst);
+    let sql = format!(
+        "/* method=read,rid={rid:016x},budget=15000,est=20.0,space=9 */ SELECT a FROM {}",
+        table(rid)
+    );
+    let place = {
+        let mut asks = asks.lock().unwrap();
+        asks.push(Ask { rid, at, asked: SystemTime::now(), got: None });
+        asks.len() - 1
+    };
+    let Some(mut c) = Client::dials(to, &sql, Duration::from_secs(1), PATIENCE) else { return false };
+    let got = match c.got() {
+        Got::Closed => return false,
+        Got::Rows(_) => Answer::Rows,
+        Got::Error(1203, text) => Answer::Refused(text),
+        other => Answer::Other(format!("{other:?}")),
+    };
+    asks.lock().unwrap()[place].got = Some(got);
+    true
+}
+
+/// One line at an operators' address; its answer, empty if the connection ended without one.
+pub fn call(at: SocketAddr, line: &str) -> String {
+    let mut stream = TcpStream::connect(at).unwrap();
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
+    let mut answer = String::new();
+    let mut from = BufReader::new(stream);
+    let _ = from.read_line(&mut answer);
+    let _ = from.read_to_string(&mut answer);
+    answer
+}
