--- a/crates/fleet/src/agreed.rs
+++ b/crates/fleet/src/agreed.rs
@@ -5,9 +5,11 @@
 
 use crate::leases::{Holder, Leases};
 use crate::ledger::{self, Ledger, Limits};
+use crate::lend::{self, Slots};
 use crate::machine::Machine;
 use crate::plan::{self, Plan};
 use crate::policy::{self, Policies};
+use crate::schema::{self, Schema};
 use crate::{Life, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
@@ -31,6 +33,10 @@
     Plan(plan::Command),
     /// What all admit requests by.
     Policy(policy::Command),
+    /// Versions of the schema that queries may run under.
+    Schema(schema::Command),
+    /// Slots for slow queries.
+    Slots(lend::Command),
 }
 
 /// A part of the state that has changed as a whole; who cares looks at it.
@@ -40,6 +46,10 @@
     Plan,
     /// What all admit requests by.
     Policy,
+    /// Versions of the schema that queries may run under.
+    Schema,
+    /// Slots for slow queries.
+    Slots,
 }
 
 /// What a command did.
@@ -66,6 +76,8 @@
     work: Ledger,
     plan: Plan,
     policy: Policies,
+    schema: Schema,
+    slots: Slots,
 }
 
 impl Agreed {
@@ -77,6 +89,8 @@
             work: Ledger::new(limits),
             plan: Plan::default(),
             policy: Policies::after(policy),
+            schema: Schema::default(),
+            slots: Slots::default(),
         }
     }
 
@@ -105,6 +119,25 @@
         &self.policy
     }
 
+    /// Versions of the schema that queries may run under.
+    pub fn schema(&self) -> &Schema {
+        &self.schema
+    }
+
+    /// Slots for slow queries.
+    pub fn slots(&self) -> &Slots {
+        &self.slots
+    }
+
+    /// Whether anything here ends with time, so that its passing has to be told.
+    pub fn keeps_time(&self) -> bool {
+        let (schema, slots) = (Schema::default(), Slots::default());
+        !self.work.is_empty()
+            || self.policy.pending().is_some()
+            || self.schema != schema
+            || self.slots != slots
+    }
+
     /// The last batch of a life that was applied.
     pub fn batch(&self, life: Life) -> u64 {
         self.batches.get(&life).copied().unwrap_or(0)
@@ -132,12 +165,19 @@
             Command::Leave(h) => self.end(h, None, out),
             Command::Sweep(now) => {
                 self.work.sweep(now, &mut |e| out.push(Effect::Work(e)));
-                let parts = [(Part::Plan, self.plan.sweep(now)), (Part::Policy, self.policy.sweep(now))];
+                let parts = [
+                    (Part::Plan, self.plan.sweep(now)),
+                    (Part::Policy, self.policy.sweep(now)),
+                    (Part::Schema, self.schema.sweep(now)),
+                    (Part::Slots, self.slots.sweep(now)),
+                ];
                 tell(parts, out);
             }
             Command::Work(c) => self.work.apply(c, self.leases.alive(), &mut |e| out.push(Effect::Work(e))),
             Command::Plan(c) => tell([(Part::Plan, self.plan.apply(c, self.leases.alive()))], out),
             Command::Policy(c) => tell([(Part::Policy, self.policy.apply(c, self.leases.alive()))], out),
+            Command::Schema(c) => tell([(Part::Schema, self.schema.apply(c, self.leases.alive()))], out),
+            Command::Slots(c) => tell([(Part::Slots, self.slots.apply(c, self.leases.alive()))], out),
         }
     }
 
@@ -155,7 +195,12 @@
             self.batches.remove(&life);
         }
         let alive = self.leases.alive();
-        let parts = [(Part::Plan, self.plan.leases(alive)), (Part::Policy, self.policy.leases(alive))];
+        let parts = [
+            (Part::Plan, self.plan.leases(alive)),
+            (Part::Policy, self.policy.leases(alive)),
+            (Part::Schema, self.schema.leases(alive)),
+            (Part::Slots, self.slots.leases(alive)),
+        ];
         tell(parts, out);
     }
 
--- a/crates/fleet/src/fleet/lease.rs
+++ b/crates/fleet/src/fleet/lease.rs
@@ -57,7 +57,7 @@
         let others = agreed.alive().iter().filter(|h| h.life != self.life);
         let alive: Vec<(Holder, u64)> = others.filter_map(|h| Some((*h, agreed.renewals(*h)?))).collect();
         // What waits for time to pass is looked at more often while a policy is under way.
-        let (records, hurry) = (agreed.work().len(), agreed.policy().pending().is_some());
+        let (timed, hurry) = (agreed.keeps_time(), agreed.policy().pending().is_some());
         for (holder, renewals) in alive {
             let seen = self.renewed.entry(holder).or_insert(now);
             if now > *seen + self.terms.lease + self.terms.margin {
@@ -68,7 +68,7 @@
         }
         if self.sweep_at <= now || (hurry && self.sweep_at > now + HURRY) {
             self.sweep_at = now + if hurry { HURRY } else { SWEEP };
-            if records > 0 || hurry {
+            if timed {
                 self.queue.push(Command::Sweep(now));
                 self.flush_by(now);
             }
--- a/src/takeover/news.rs
+++ b/src/takeover/news.rs
@@ -20,6 +20,8 @@
                 News::Result(ask, pages) => self.result(ask, pages),
                 News::Changed(Part::Plan) => self.planned = true,
                 News::Changed(Part::Policy) => self.ruled = true,
+                // Nothing of these is acted on yet.
+                News::Changed(Part::Schema | Part::Slots) => {}
                 News::Lost(holder) => self.lost(holder),
                 News::Held(h) => tracing::info!(term = h.term, "fleet: lease held"),
                 News::Ended(h) => {
