--- a/src/net/ending.rs
+++ b/src/net/ending.rs
@@ -73,11 +73,20 @@
     /// SIGHUP: follows the coordinator that the file names now. All that is open stays, and so does the rest of
     /// the configuration, which takes a restart. A file that can't be used changes nothing.
     pub(super) fn reread(&mut self, now: Micros) {
-        let usable = |c: Config| c.settings.settings().map(|_| c.coordinator).map_err(|e| e.to_string());
+        let usable = |c: Config| {
+            let coordinator = c.coordinator;
+            c.settings.settings().map(|(settings, _)| (coordinator, settings)).map_err(|e| e.to_string())
+        };
         match (self.load)().map_err(|e| e.to_string()).and_then(usable) {
-            Ok(coordinator) => {
+            Ok((coordinator, settings)) => {
                 self.figures.sighup_applied.inc();
                 tracing::info!(%coordinator, "SIGHUP: configuration read again");
+                // Where the fleet holds one policy, a file at one dispatcher changes nothing of it.
+                let rules = self.hands.as_ref().and_then(|h| h.rules.as_ref());
+                if let Some(rules) = rules.filter(|r| r.base != settings) {
+                    let number = rules.part.number();
+                    tracing::warn!(number, "SIGHUP: the file's settings differ; the fleet's policy holds");
+                }
                 if let Some(feed) = &mut self.feed {
                     feed.move_to(coordinator, now, &self.poll);
                 }
