Check a change of policy in every order that may come, with a model checker

Property tests draw orders at random; a change of policy should be looked at in all of them. The real state machine, leases and parts of three dispatchers go through every order of messages, votes, crashes, ends of leases and requests within stated bounds, by the registry's stateright, a dev-dependency of the fleet alone. Four protocols that are wrong on purpose are each found out.

--- /dev/null
+++ b/crates/fleet/tests/policy_model/dispatcher.rs
@@ -0,0 +1,103 @@
+//! One dispatcher: what it has seen of the log, its lease as it knows itself, and its real part in a change.
+
+use crate::model::{Break, Checks};
+use crate::view::{Entry, View};
+use fleet::policy::{Act, Command, Gate, Part};
+use fleet::{Holder, Life, Peer, life};
+use std::sync::Arc;
+
+#[derive(Clone, Debug, PartialEq, Hash)]
+pub struct Dispatcher {
+    pub me: Peer,
+    /// Which life this is.
+    pub start: u64,
+    /// Entries of the kept log that it has seen, and what they made.
+    pub seen: usize,
+    pub view: Arc<View>,
+    /// How often this life has asked for a lease.
+    pub asks: u32,
+    /// What was asked for last has not been seen yet.
+    pub asked: bool,
+    /// Its lease, as it knows itself.
+    pub holder: Option<Holder>,
+    pub part: Part,
+    /// Said, and on its way to the log.
+    pub out: Vec<Command>,
+}
+
+impl Dispatcher {
+    /// One that has asked for its first lease.
+    pub fn new(me: Peer) -> Dispatcher {
+        let (view, part) = (Arc::default(), Part::default());
+        Dispatcher { me, start: 1, seen: 0, view, asks: 1, asked: true, holder: None, part, out: Vec::new() }
+    }
+
+    /// Its lease is over. What it sees without one does not matter: it says and admits nothing, and looks at what there
+    /// is once it has the next. So it sees nothing until it asks for that.
+    pub fn lose(&mut self) {
+        (self.holder, self.asked) = (None, false);
+        (self.seen, self.view) = (0, Arc::default());
+    }
+
+    /// Its next life, which knows nothing.
+    pub fn die(&mut self, lost: bool) {
+        self.lose();
+        self.start += 1;
+        (self.asks, self.part) = (0, Part::default());
+        if lost {
+            self.out.clear();
+        }
+    }
+
+    /// Whether it has a lease or has asked for one.
+    pub fn follows(&self) -> bool {
+        self.holder.is_some() || self.asked
+    }
+
+    pub fn life(&self) -> Life {
+        life(self.me, self.start)
+    }
+
+    /// By what a request would be admitted that arrived now.
+    pub fn admits(&self, checks: &Checks) -> Option<u64> {
+        match self.part.gate(self.holder) {
+            Gate::Admit(number) => Some(number),
+            Gate::Hold if checks.broken == Break::AdmitsWhileClosing => Some(self.part.number()),
+            _ => None,
+        }
+    }
+
+    /// Whether it may act under this lease, now or once it sees that it was given.
+    pub fn may_hold(&self, h: Holder) -> bool {
+        self.holder == Some(h) || (self.asked && self.life() == h.life)
+    }
+
+    pub fn see(&mut self, entries: &[Entry], checks: &Checks) {
+        let own = self.life();
+        for entry in entries {
+            let view = Arc::make_mut(&mut self.view);
+            view.apply(entry, checks);
+            match entry {
+                Entry::Register(life, ask) if self.asked && *life == own && *ask == self.asks => {
+                    self.asked = false;
+                    self.holder = view.leases.alive().iter().find(|h| h.life == *life).copied();
+                }
+                Entry::Expire(h) if self.holder == Some(*h) => self.holder = None,
+                _ => {}
+            }
+        }
+        self.seen += entries.len();
+        let mut check = |p: &fleet::policy::Policy| match checks.fault(self.me, p.number) {
+            true => vec!["unknown".to_string()],
+            false => Vec::new(),
+        };
+        for act in self.part.look(0, self.me, self.holder, Some(&self.view.policies), &mut check) {
+            if let Act::Say(command) = act {
+                self.out.push(command);
+            }
+        }
+        if !self.follows() {
+            self.lose();
+        }
+    }
+}
