Count a lease from when the very command that gave it was asked for

Suspected while the switch was model-checked, by reading: a holder kept the times of its asks in a queue of its own and took the first for whatever answer came. Asked for twice, with the answer to the first late, it went on for a lease longer than the others knew of, and they might take its work over or put a policy in force meanwhile. Change: Register and Renew carry the time at which they were asked for and bring it back; a second Register on a lease that lives counts as a renewal, so that word of its end from before is void.

--- a/crates/fleet/src/agreed.rs
+++ b/crates/fleet/src/agreed.rs
@@ -17,10 +17,10 @@
 /// What moves the fleet's state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
-    /// A life asks for a lease: the next term of it.
-    Register(Life),
-    /// The lease goes on.
-    Renew(Holder),
+    /// A life asks for a lease: the next term of it. When it asked, by its own clock: its lease counts from then.
+    Register(Life, Micros),
+    /// The lease goes on, from when that was asked for by its holder's clock.
+    Renew(Holder, Micros),
     /// The lease ended without a renewal, as seen by one who has seen so many of them.
     Expire(Holder, u64),
     /// The peer ends in order.
@@ -55,10 +55,10 @@
 /// What a command did.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Effect {
-    /// A lease was given.
-    Registered(Holder),
-    /// A lease was renewed.
-    Renewed(Holder),
+    /// A lease was given, as asked for then.
+    Registered(Holder, Micros),
+    /// A lease was renewed, as asked for then.
+    Renewed(Holder, Micros),
     /// A lease is over.
     Ended(Holder),
     /// Work in hand.
@@ -155,12 +155,14 @@
 
     fn command(&mut self, command: Command, out: &mut Vec<Effect>) {
         match command {
-            Command::Register(life) => {
+            Command::Register(life, asked) => {
                 let holder = self.leases.register(life);
-                out.push(Effect::Registered(holder));
+                out.push(Effect::Registered(holder, asked));
                 self.changed_leases(out);
             }
-            Command::Renew(h) => out.extend(self.leases.renew(h).then_some(Effect::Renewed(h))),
+            Command::Renew(h, asked) => {
+                out.extend(self.leases.renew(h).then_some(Effect::Renewed(h, asked)));
+            }
             Command::Expire(h, renewals) => self.end(h, Some(renewals), out),
             Command::Leave(h) => self.end(h, None, out),
             Command::Sweep(now) => {
--- a/crates/fleet/src/fleet/digest.rs
+++ b/crates/fleet/src/fleet/digest.rs
@@ -25,10 +25,9 @@
     pub(super) fn effect(&mut self, now: Micros, effect: Effect) {
         let own = |h: Holder| h.life == self.life;
         match effect {
-            Effect::Registered(h) => {
+            Effect::Registered(h, asked) => {
                 self.renewed.insert(h, now);
                 if own(h) {
-                    let asked = self.renewals.pop_front().unwrap_or(now);
                     let until = asked + self.terms.lease;
                     if until > now && self.lease.is_none() {
                         self.lease = Some((h, until));
@@ -37,11 +36,10 @@
                     }
                 }
             }
-            Effect::Renewed(h) => {
+            Effect::Renewed(h, asked) => {
                 self.renewed.insert(h, now);
                 if let Some((mine, until)) = &mut self.lease
                     && *mine == h
-                    && let Some(asked) = self.renewals.pop_front()
                 {
                     *until = (*until).max(asked + self.terms.lease);
                 }
--- a/crates/fleet/src/fleet/joining.rs
+++ b/crates/fleet/src/fleet/joining.rs
@@ -116,7 +116,6 @@
             self.lose(holder);
         }
         (self.leader, self.leaderless) = (None, None);
-        self.renewals.clear();
         self.renewed.clear();
         self.queue.clear();
         self.asking.clear();
--- a/crates/fleet/src/fleet/lease.rs
+++ b/crates/fleet/src/fleet/lease.rs
@@ -9,7 +9,6 @@
 impl Fleet {
     pub(super) fn lose(&mut self, holder: Holder) {
         self.mine.clear();
-        self.renewals.clear();
         self.news.push_back(News::Lost(holder));
     }
 
@@ -34,16 +33,13 @@
         match self.lease {
             Some((holder, _)) if self.renew_at <= now => {
                 self.renew_at = now + every;
-                self.renewals.push_back(now);
-                self.queue.push(Command::Renew(holder));
+                self.queue.push(Command::Renew(holder, now));
                 self.flush_by(now);
             }
             None if self.register_at <= now && group.leader().is_some() && group.votes() => {
                 self.register_at = now + self.terms.lease;
                 // Its length counts from here, whenever it is seen.
-                self.renewals.clear();
-                self.renewals.push_back(now);
-                self.queue.push(Command::Register(self.life));
+                self.queue.push(Command::Register(self.life, now));
                 self.flush_by(now);
             }
             _ => {}
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -51,8 +51,6 @@
     begun: Micros,
     hello_at: Micros,
     lease: Option<(Holder, Micros)>,
-    /// When renewals that were not seen yet were asked for.
-    renewals: VecDeque<Micros>,
     renew_at: Micros,
     register_at: Micros,
     /// When the last renewal of each lease was seen.
@@ -87,7 +85,6 @@
             begun: now,
             hello_at: now,
             lease: None,
-            renewals: VecDeque::new(),
             renew_at: now,
             register_at: now,
             renewed: BTreeMap::new(),
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -54,8 +54,10 @@
     /// Gives a life a lease; one that it has already goes on.
     pub fn register(&mut self, life: Life) -> Holder {
         let lease = self.lives.entry(life).or_insert(Lease { term: 0, alive: false, renewals: 0 });
-        if !lease.alive {
-            *lease = Lease { term: lease.term + 1, alive: true, renewals: 0 };
+        match lease.alive {
+            // Asked for twice: who holds it counts from the later.
+            true => lease.renewals += 1,
+            false => *lease = Lease { term: lease.term + 1, alive: true, renewals: 0 },
         }
         let holder = Holder { life, term: lease.term };
         self.alive.insert(holder);
@@ -121,5 +123,8 @@
         assert!(!leases.end(h, seen) && leases.holds(h));
         assert!(leases.end(h, leases.renewals(h)) && !leases.renew(h));
         assert_eq!(leases.register(life(1, 5)).term, 2, "a later lease is another one");
+        let (again, seen) = (Holder { life: life(1, 5), term: 2 }, Some(0));
+        assert_eq!(leases.register(life(1, 5)), again, "asked for twice it is the same");
+        assert!(!leases.end(again, seen), "and as good as renewed");
     }
 }
--- a/crates/fleet/tests/fleet/faults.rs
+++ b/crates/fleet/tests/fleet/faults.rs
@@ -1,9 +1,9 @@
 //! One fault each, and what becomes of what was in hand.
 
 use crate::world::*;
-use fleet::News;
 use fleet::ledger::End;
 use fleet::wire::Message;
+use fleet::{News, Peer};
 
 // Two dispatchers that get the same request at the same moment: one owns it, the other is told.
 #[test]
@@ -116,3 +116,39 @@
     }
     w.formed();
 }
+
+// A lease that was asked for twice was counted from the later time when the answer to the first came late: its holder
+// went on by it for a lease longer than the others knew of. Each answer tells now what it answers.
+#[test]
+fn a_lease_counts_from_when_what_gave_it_was_asked_for() {
+    for late in 0..12 {
+        let mut w = World::new(3, 40 + late);
+        w.run(500 * MS, |_| ());
+        for _ in 0..60 {
+            // One hears nothing and is heard, or the other way round, for about a lease.
+            let victim = 1 + w.draw(3) as Peer;
+            let deaf = w.draw(2) == 0;
+            let others: Vec<Peer> = (1..=3).filter(|p| *p != victim).collect();
+            w.cut = others.iter().map(|p| if deaf { (*p, victim) } else { (victim, *p) }).collect();
+            let span = (300 + w.draw(1_200)) * MS;
+            w.run(span, |w| {
+                for p in 1..=3 {
+                    let agreed =
+                        |q: Peer| w.fleets[&q].agreed().map(|a| a.alive().clone()).unwrap_or_default();
+                    let holder = w.fleets[&p].holds(w.now);
+                    // Nobody acts by a lease that another has seen to be over.
+                    for q in (1..=3).filter(|q| *q != p) {
+                        let over = |h| w.news.iter().any(|(by, n)| *by == q && *n == News::Ended(h));
+                        assert!(
+                            !holder.is_some_and(|h| over(h) && !agreed(q).contains(&h)),
+                            "{p} by {holder:?}"
+                        );
+                    }
+                }
+            });
+            w.cut.clear();
+            let calm = w.draw(700) * MS;
+            w.run(calm, |_| ());
+        }
+    }
+}
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -37,8 +37,8 @@
         Just(End::Unknown)
     ];
     prop_oneof![
-        2 => (1_u8..4).prop_map(|p| Command::Register(life(p, 1))),
-        1 => holder().prop_map(Command::Renew),
+        2 => (1_u8..4).prop_map(|p| Command::Register(life(p, 1), 5)),
+        1 => holder().prop_map(|h| Command::Renew(h, 5)),
         1 => (holder(), 0_u64..3).prop_map(|(h, n)| Command::Expire(h, n)),
         1 => holder().prop_map(Command::Leave),
         6 => (holder(), 1_u64..20, record()).prop_map(|(h, ask, r)| Command::Work(ledger::Command::Open(h, ask, r))),
