Split the clients' door and the scripted stand-ins into files of their own

Change: who is let in and who makes room stands in net/door.rs; the motor's tests, the program's launch and the client each have a file; pure moving, the same paths by re-exports.

--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod connection;
 mod dial;
+mod door;
 mod ending;
 mod executors;
 mod feed;
