Show that what is open ends under the policy that admitted it, also where it is taken over

Cause: two hard cases of the fleet's policy, work in hand across a switch and a takeover of work admitted under the old number, had code and no story.

--- a/crates/fleet/tests/fleet/main.rs
+++ b/crates/fleet/tests/fleet/main.rs
@@ -3,4 +3,5 @@
 mod faults;
 mod policy;
 mod storm;
+mod trouble;
 mod world;
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 mod fleet;
 mod held;
 mod intake;
+mod policy;
 
 const SETTINGS: &str = r#"{"balancers":1,"kinds":["k"],"domain":{"kindCores":[8],"parallelism":[1]},
     "permissions":{"cancel":true,"maxAttempts":3},
--- /dev/null
+++ b/src/dispatch/tests/policy.rs
@@ -0,0 +1,30 @@
+use super::*;
+
+/// Executor 5 of kind 0 and 6 of kind 1; loads go to one kind alone.
+fn bound(kind: &str) -> Settings {
+    let text = SETTINGS
+        .replace(r#""kinds":["k"]"#, r#""kinds":["old","new"]"#)
+        .replace(r#""kindCores":[8]"#, r#""kindCores":[8,8]"#)
+        .replace(r#""keepOrder":true"#, &format!(r#""keepOrder":true,"boundTo":["{kind}"]"#));
+    let env: Env = serde_json::from_str(&text).unwrap();
+    env.settings().unwrap().0
+}
+
+fn started(orders: &[Order<()>]) -> Option<ExecutorId> {
+    orders.iter().find_map(|o| if let Order::Start { executor, .. } = o { Some(*executor) } else { None })
+}
+
+// A request of a lost dispatcher was admitted by the policy before this one. It ends under that, and nothing that
+// arrives beside or after it does.
+#[test]
+fn a_request_taken_over_goes_by_the_settings_that_it_was_admitted_by() {
+    let mut d: Dispatch<()> = Dispatch::new(bound("new"), 9, 7).unwrap();
+    let of = |executor, kind| Member { kind, ..member(executor, Standing::Up) };
+    d.members(1_000, News::Restored, &[of(5, 0), of(6, 1)]);
+    assert_eq!(started(&pick(&mut d, 2_000, 1)), Some(6));
+    let orders = d.adopt(2_000, &request(2, BUDGET), 1, Some(&bound("old"))).unwrap();
+    assert_eq!(started(&orders), Some(5));
+    assert_eq!(started(&pick(&mut d, 2_000, 3)), Some(6));
+    d.take_on(bound("old")).unwrap();
+    assert_eq!(started(&pick(&mut d, 2_000, 4)), Some(5));
+}
--- a/tests/control/main.rs
+++ b/tests/control/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod draw;
 mod health;
+mod policy;
 mod requests;
 
 use common::*;
--- /dev/null
+++ b/tests/control/policy.rs
@@ -0,0 +1,36 @@
+//! Settings that change while the gateway serves.
+
+use crate::common::*;
+use ottercroft::api::*;
+
+fn only(kind: KindId, most: u32) -> Settings {
+    let mut s = settings();
+    (s.classes[0].only_kinds, s.max_attempts) = (Some(vec![kind]), most);
+    s
+}
+
+/// A change of policy binds a class to other machines. What was admitted before ends where and as often as it was
+/// admitted to go, whatever comes of its attempts; what arrives after goes by the new one from the first.
+#[test]
+fn what_is_open_ends_under_the_settings_that_admitted_it() {
+    let mut rig = crate::two_kinds(only(0, 2));
+    let (open, actions) = rig.arrive(0, 0.2);
+    let first = sent_to(&actions).expect("sent");
+    assert!(first <= 2, "kind 0 alone: {first}");
+    let old = rig.gateway.take_on(only(1, 4)).expect("good settings");
+    assert_eq!(old.classes[0].only_kinds, Some(vec![0]), "those before come back");
+    let (_, actions) = rig.arrive(0, 0.2);
+    assert!(sent_to(&actions).is_some_and(|e| e > 2), "kind 1 alone: {actions:?}");
+    let again = sent_to(&rig.finish(open, 0, first, Outcome::Full, 0.1)).expect("tried again");
+    assert!(again <= 2 && again != first, "the other of kind 0: {again}");
+    let last = rig.finish(open, 1, again, Outcome::Full, 0.1);
+    assert!(sent_to(&last).is_none() && refused(&last).is_some(), "two attempts, as then: {last:?}");
+}
+
+/// Settings that make no sense are refused, and those before go on.
+#[test]
+fn settings_that_cannot_be_taken_on_change_nothing() {
+    let mut rig = crate::two_kinds(only(0, 2));
+    assert!(rig.gateway.take_on(only(9, 2)).is_err());
+    assert!(sent_to(&rig.arrive(0, 0.2).1).is_some_and(|e| e <= 2));
+}
