--- a/crates/fleet/tests/policy_model/main.rs
+++ b/crates/fleet/tests/policy_model/main.rs
@@ -86,7 +86,6 @@
 
 // Combinations of the above that the short runs leave out.
 #[test]
-#[ignore = "takes minutes"]
 fn combinations_of_what_may_go_wrong_leave_no_two_policies() {
     hold(
         &[[2, 1, 1, 0, 0], [1, 1, 0, 0, 1], [1, 0, 1, 0, 1]]
