Strike switches of a fleet's policy in their middle

Cause: a switch takes some milliseconds, the lab's faults came within 300 ms of the call after a sleep of 20 ms, so that nearly all of the first hundred struck after it. Change: six in ten switches have links that are late by 10 to 40 ms, a quarter of the faults come before the call, the rest is looked for every millisecond; the last line tells how many struck before the first vote and how many between it and the first in force.

--- a/crates/lab/src/policy/episode.rs
+++ b/crates/lab/src/policy/episode.rs
@@ -1,8 +1,9 @@
 //! One switch: proposed, with something that goes wrong, until all dispatchers tell the same again.
 
 use super::check::Window;
-use super::lines::{Line, Status, proposed};
+use super::lines::{Line, Status, What, proposed};
 use super::sides::{Files, Side};
+use super::switch::{Struck, Switch};
 use super::trouble::{Trouble, Whom};
 use crate::daemon::Event;
 use crate::fleet::Failure;
@@ -12,6 +13,7 @@
 use rand::Rng;
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
+use standins::link::Weather;
 use std::path::Path;
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime};
@@ -43,27 +45,6 @@
     pub broken: u64,
 }
 
-/// What came of a switch.
-#[derive(Debug, Clone)]
-pub struct Switch {
-    /// What went wrong.
-    pub trouble: Trouble,
-    /// As seen from outside.
-    pub window: Window,
-    /// The numbers that its proposals got, as far as anybody was told.
-    pub proposed: Vec<u64>,
-    /// The number in force at its end.
-    pub number: u64,
-    /// It was taken back by `POLICY BACK`.
-    pub back: bool,
-    /// It took hold.
-    pub took_hold: bool,
-    /// All dispatchers told the same in time, and nothing was under way.
-    pub settled: bool,
-    /// What the calls were answered; where it did not settle, the last answers on how policies stand too.
-    pub answers: Vec<String>,
-}
-
 fn file_call(path: &Path) -> String {
     format!("POLICY PROPOSE {}", path.display())
 }
@@ -144,7 +125,11 @@
             Trouble::Fault(_, Whom::Leader) => self.leader,
             _ => neither.choose(rng).copied().unwrap_or(other),
         };
-        let from = Duration::from_millis(rng.random_range(0..300));
+        // A switch takes some milliseconds where the links are quick: what is to strike in its middle needs late ones.
+        let late = rng.random_bool(0.6).then(|| rng.random_range(10..40));
+        let early = matches!(trouble, Trouble::Fault(..)) && rng.random_bool(0.25);
+        let most = if late.is_some() { 350 } else { 15 };
+        let from = Duration::from_millis(if early { 0 } else { rng.random_range(0..most) });
         let length = Duration::from_millis(rng.random_range(300..2_500));
         let fault = trouble.fault(who, from, length, rng);
         let line = match (back, trouble) {
@@ -153,8 +138,16 @@
             _ => file_call(&self.files.good(to)),
         };
         self.read();
-        let (begun, start) = (SystemTime::now(), Instant::now());
+        (0..n).for_each(|i| self.world.peers(i, late.map_or(Weather::Clear, Weather::Late), false));
         let mut coming = Coming::new(fault, from, if fault.is_some() { length } else { Duration::ZERO });
+        let mut struck = None;
+        if early {
+            coming.turn(&mut self.world)?;
+            (struck, self.leases[who]) =
+                (Some(SystemTime::now()), !matches!(trouble, Trouble::Fault(Kind::Kill, _)));
+            thread::sleep(Duration::from_millis(rng.random_range(0..1_300)));
+        }
+        let (begun, start) = (SystemTime::now(), Instant::now());
         let mut calls = vec![self.operator_call(proposer, line)];
         if trouble == Trouble::Twice {
             calls.push(self.operator_call(other, file_call(&self.files.good(to))));
@@ -162,12 +155,15 @@
         let (mut settled, mut quiet, mut answers) = (None, None::<Instant>, Vec::new());
         let (mut numbers, mut said) = (Vec::new(), Vec::new());
         while settled.is_none() && start.elapsed() < PATIENCE {
-            thread::sleep(Duration::from_millis(20));
+            thread::sleep(Duration::from_millis(if coming.struck { 20 } else { 1 }));
             let begins = coming.turn(&mut self.world)?;
+            struck = if begins { Some(SystemTime::now()) } else { struck };
             if begins && trouble == Trouble::Abort {
                 self.world.call(other, "POLICY ABORT");
             }
-            self.read();
+            if coming.struck {
+                self.read();
+            }
             if begins && matches!(trouble, Trouble::Fault(Kind::Kill, _)) {
                 self.leases[who] = false;
             }
@@ -190,6 +186,17 @@
             let long = quiet.is_some_and(|since| since.elapsed() >= QUIET);
             settled = over.filter(|all| long || known(all)).and_then(|all| Some(all.first()?.in_force));
         }
+        (0..n).for_each(|i| self.world.peers(i, Weather::Clear, false));
+        let first = |of: &dyn Fn(What) -> bool| {
+            self.lines.iter().filter(|l| l.at >= begun && of(l.what)).map(|l| l.at).min()
+        };
+        let voted = first(&|w| matches!(w, What::Voted(..)));
+        let over = first(&|w| matches!(w, What::InForce(_) | What::GivenUp(_)));
+        let struck = match struck {
+            Some(t) if voted.is_none_or(|v| t < v) => Struck::Before,
+            Some(t) if over.is_none_or(|o| t < o) => Struck::Between,
+            _ => Struck::After,
+        };
         let was = self.number;
         self.number = settled
             .or_else(|| answers.iter().filter_map(|a| Status::of(a)).map(|s| s.in_force).max())
@@ -205,7 +212,7 @@
             said.extend(answers);
         }
         let (number, settled, answers) = (self.number, settled.is_some(), said);
-        Ok(Switch { trouble, window, proposed: numbers, number, back, took_hold, settled, answers })
+        Ok(Switch { trouble, window, proposed: numbers, number, back, took_hold, struck, settled, answers })
     }
 }
 
--- a/crates/lab/src/policy/lane.rs
+++ b/crates/lab/src/policy/lane.rs
@@ -1,9 +1,10 @@
 //! The switches of one fleet, and what the checks find in its accounts.
 
 use super::check::{Reached, Window, Wrong, admitted_late, halves, refusals, took, wrong_side};
-use super::episode::{Fleet, Switch};
+use super::episode::Fleet;
 use super::lines::Line;
 use super::sides::{BLOCK, BOTH, EACH, Files, Side, platform};
+use super::switch::Switch;
 use crate::fleet::Failure;
 use crate::fleet::accounts::{Answers, Seen, answers, seen, try_of};
 use crate::fleet::clients::{Account, Load, Traffic};
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -11,6 +11,7 @@
 mod lines;
 mod report;
 mod sides;
+mod switch;
 mod trouble;
 
 use crate::fleet::Failure;
--- a/crates/lab/src/policy/report.rs
+++ b/crates/lab/src/policy/report.rs
@@ -2,6 +2,7 @@
 
 use super::harm::Harm;
 use super::lane::{Checked, Lane};
+use super::switch::Struck;
 use super::trouble::{Trouble, WHOM};
 use crate::fleet::accounts::Answers;
 use crate::fleet::cost::Cost;
@@ -106,7 +107,7 @@
              asked={asked} unanswered={unanswered} two_answers={two} loads_twice={twice} failed_loads={} \
              failed_reads={} broken={broken} refused_calm={refused_calm} refused_down={} first_p50_ms={:.0} \
              first_p99_ms={:.0} last_p50_ms={:.0} last_p99_ms={:.0} own_file_switches={} own_file_touched={} \
-             own_file_wrong={} own_file_refused={} cpu_ratio={cpu:.3} kept={kept} cheap={cheap}",
+             own_file_wrong={} own_file_refused={} struck_before={} struck_between={} cpu_ratio={cpu:.3} kept={kept} cheap={cheap}",
             self.seed,
             runs - took,
             sum(&|a| a.failed_loads),
@@ -120,6 +121,8 @@
             self.harm.touched,
             self.harm.wrong,
             self.harm.refused,
+            self.count(|c| c.switch.struck == Struck::Before),
+            self.count(|c| c.switch.struck == Struck::Between),
         );
         self.breaches();
         Ok(kept && cheap)
