Begin nothing for a client that has gone; pass on the token of a keyed request

Two faults, each with tests on real connections.

Cause: control/requests.rs close() calls off only what may be cancelled (never a class that must not run twice), and dispatch/reports.rs Left and ends.rs close() left the rest in the connection's queue until the dial ended (up to the dial's time-out later). Ruled out: Order::Start after the client left (net/orders.rs looks at the job). Change: wherever a request is closed, answered or left, Order::Withdraw takes back what was not begun; the network tells the first byte of an attempt (Report::Begun), so that what was never begun when a dispatcher ends or a deadline passes is refused with a backoff, not failed. One take-back in Conn serves stop, withdraw and news of the list.

Cause: net/session/statements.rs dropped the field token, by which executors know repeats. Change: it goes into the PULL line as it came (a word of 72 plain characters at most). A keyed request's statement is not kept on a fleet's record, as another dispatcher would send it without its token.

--- a/src/codec/executor.rs
+++ b/src/codec/executor.rs
@@ -18,6 +18,8 @@
     pub memory_mb: f64,
     /// Priority, 0 to 3.
     pub priority: u8,
+    /// The token by which repeats are known, if its client gave one.
+    pub token: Option<&'a str>,
 }
 
 fn line(out: &mut Vec<u8>, text: std::fmt::Arguments<'_>) {
@@ -28,6 +30,9 @@
 pub fn pull(out: &mut Vec<u8>, id: u64, terms: &Terms<'_>, statement: &str) {
     let Terms { kind, wait_ms, priority, .. } = terms;
     let _ = write!(out, "PULL {id:016x} kind={kind},ms={wait_ms},");
+    if let Some(token) = terms.token {
+        let _ = write!(out, "token={token},");
+    }
     if terms.memory_mb >= 1.0 {
         let _ = write!(out, "mem={:.0},", terms.memory_mb.ceil());
     }
@@ -236,7 +241,7 @@
     #[test]
     fn commands_stand_as_the_protocol_has_them() {
         let mut out = Vec::new();
-        let terms = Terms { kind: "reporte", wait_ms: 1500, memory_mb: 95.2, priority: 2 };
+        let terms = Terms { kind: "reporte", wait_ms: 1500, memory_mb: 95.2, priority: 2, token: None };
         pull(&mut out, 0xab, &terms, "SELECT 1");
         pull(&mut out, 0xab, &Terms { memory_mb: 0.0, ..terms }, "");
         kill(&mut out, 1);
--- a/src/dispatch/actions.rs
+++ b/src/dispatch/actions.rs
@@ -41,7 +41,8 @@
                 if open.before + open.attempts.len() >= self.most_attempts && open.before > 0 {
                     // With those of the dispatcher that was lost there were enough.
                     let (attempt, outcome) = (open.attempts.len() as u32, Some(Outcome::Moot));
-                    open.attempts.push(Attempt { engine, sent: now, outcome, priority: open.priority });
+                    let (begun, priority) = (false, open.priority);
+                    open.attempts.push(Attempt { engine, sent: now, begun, outcome, priority });
                     let (done, latency, bill, report) = (false, 0, None, None);
                     let outcome = Outcome::Moot;
                     events.push_back(Event::Finished(Finished {
@@ -58,7 +59,8 @@
                 }
                 self.tally.attempts += 1;
                 let ticket = Ticket { request: query, attempt: open.attempts.len() as u32 };
-                open.attempts.push(Attempt { engine, sent: now, outcome: None, priority: open.priority });
+                let (begun, outcome, priority) = (false, None, open.priority);
+                open.attempts.push(Attempt { engine, sent: now, begun, outcome, priority });
                 self.orders.push(Order::Start {
                     ticket,
                     executor: engine,
--- a/src/dispatch/ends.rs
+++ b/src/dispatch/ends.rs
@@ -40,8 +40,7 @@
     /// The request's time is over: what is out is given up and has timed out.
     fn expire(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
         let Some(open) = self.open.get(&id) else { return Vec::new() };
-        let out: Vec<u32> =
-            (0..).zip(&open.attempts).filter(|(_, a)| a.outcome.is_none()).map(|(n, _)| n).collect();
+        let out: Vec<u32> = open.all_out().collect();
         let mut orders = Vec::new();
         for attempt in out {
             let ticket = Ticket { request: id, attempt };
@@ -68,6 +67,14 @@
         orders
     }
 
+    /// A request is over, answered or left: of what waits to be written for it nothing may begin any more. Called
+    /// wherever a request is closed, whatever the decisions call off besides.
+    pub(super) fn withdraw(&mut self, id: u64) {
+        let out = self.open.get(&id).into_iter().flat_map(Open::all_out);
+        let tickets = out.map(|attempt| Order::Withdraw(Ticket { request: id, attempt }));
+        self.orders.extend(tickets);
+    }
+
     /// Notes an attempt's end; the event that tells of it.
     pub(super) fn finish(
         &mut self,
@@ -98,6 +105,7 @@
             Answer::Refused(_) => self.tally.refused += 1,
             Answer::Failed => self.tally.failed += 1,
         }
+        self.withdraw(id);
         self.orders.push(Order::Answer(id, answer));
     }
 
--- a/src/dispatch/exchange.rs
+++ b/src/dispatch/exchange.rs
@@ -77,6 +77,8 @@
 pub enum Report<R> {
     /// An attempt is over; with the executor's load report where its answer carried one.
     Ended(Ticket, End<R>, Option<Load>),
+    /// The first byte of an attempt was written: from here on it may run.
+    Begun(Ticket),
     /// Word on an attempt.
     Noted(Ticket, Word),
     /// A probe is over, after so long.
@@ -114,6 +116,9 @@
     },
     /// Give an attempt up; nothing more is to be told of it.
     Stop(Ticket),
+    /// The attempt's request is over: if no byte of the attempt was written yet, none may be, and it ends as never
+    /// sent. One that was begun goes on.
+    Withdraw(Ticket),
     /// A new priority for an attempt that is out.
     Boost(Ticket, u8),
     /// Probe an executor.
--- a/src/dispatch/open.rs
+++ b/src/dispatch/open.rs
@@ -7,6 +7,8 @@
 pub(super) struct Attempt {
     pub(super) engine: EngineId,
     pub(super) sent: Micros,
+    /// Whether a byte of it was written.
+    pub(super) begun: bool,
     /// How it ended; `None` while it is out.
     pub(super) outcome: Option<Outcome>,
     pub(super) priority: u8,
@@ -38,7 +40,12 @@
 
     /// No attempt can have run.
     pub(super) fn never_ran(&self) -> bool {
-        self.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
+        self.attempts.iter().all(|a| !a.begun || a.outcome.is_some_and(Outcome::never_ran))
+    }
+
+    /// The attempts that are out.
+    pub(super) fn all_out(&self) -> impl Iterator<Item = u32> {
+        (0..).zip(&self.attempts).filter(|(_, a)| a.outcome.is_none()).map(|(n, _)| n)
     }
 }
 
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -9,6 +9,10 @@
     pub fn report(&mut self, now: Micros, report: Report<R>) -> Vec<Order<R>> {
         match report {
             Report::Ended(ticket, end, load) => self.ended(now, ticket, end, load),
+            Report::Begun(t) => {
+                self.out(t).into_iter().for_each(|a| a.begun = true);
+                Vec::new()
+            }
             Report::Noted(t, word) => {
                 let Some(engine) = self.out(t).map(|a| a.engine) else { return Vec::new() };
                 let note = match word {
@@ -38,6 +42,7 @@
                     let (waited, left) = (waited / 1000, left / 1000);
                     let request = format_args!("{id:016x}");
                     tracing::info!(request, waited_ms = waited, left_ms = left, "client left");
+                    self.withdraw(id);
                     let mut orders = self.run(now, Event::HungUp { query: id });
                     self.forget(id);
                     orders.append(&mut self.orders);
--- a/src/dispatch/tests/intake.rs
+++ b/src/dispatch/tests/intake.rs
@@ -15,7 +15,13 @@
     assert!(answers(&d.report(4_000, end)).is_empty() && !d.open.contains_key(&1));
     // A connection may be lost with an attempt whose stop is being carried out: told twice is told once.
     assert!(d.report(4_000, Report::Ended(Ticket { request: 1, attempt: 0 }, End::Lost, None)).is_empty());
+    // One that was begun may have run, one that was not never did.
+    assert!(d.report(4_500, Report::Begun(Ticket { request: 2, attempt: 0 })).is_empty());
     assert_eq!(answers(&d.give_up(5_000)), [&Answer::Failed]);
+    pick(&mut d, 6_000, 4);
+    let given = d.give_up(7_000);
+    let withdrawn = |o: &Order<()>| matches!(o, Order::Withdraw(t) if t.request == 4);
+    assert!(given.iter().any(withdrawn) && answers(&given) == [&Answer::Refused(BACKOFF_MS)]);
 }
 
 // Two loads of one key must not run side by side: the next one waits until the KILL of the one before
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -58,7 +58,7 @@
                 None => break,
                 Some(Asked::Close) => return self.hang_up(key, now),
                 Some(Asked::Kill(id)) => self.kill(key, id, now),
-                Some(Asked::Request(mut request, kind, statement)) => {
+                Some(Asked::Request(mut request, job)) => {
                     request.budget = request.budget.saturating_sub(self.behind);
                     if let Some(hands) = &self.hands {
                         hands.cap(&mut request);
@@ -71,7 +71,6 @@
                         s.at_fault(&Error::new(1105, "HY000", "a request with this rid is open"), now);
                         continue;
                     }
-                    let job = Job { kind, statement };
                     let storm = self.storm.as_mut().map(|s| s.ask(now, asker(&job), request.repeated));
                     if let Some(Verdict::Refuse(wait)) = storm {
                         match self.dispatch.turn_away(&request) {
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -18,17 +18,21 @@
 /// A connection that owes word for this long gets nothing new and is probed: notes come every second.
 pub(super) const DOUBTFUL: Micros = 1_200_000;
 /// What an attempt needs to go out.
-#[derive(Clone)]
+#[derive(Debug, Clone)]
 pub struct Job {
     /// The name of its class.
     pub kind: Rc<str>,
     /// The statement, without the comment.
     pub statement: Rc<str>,
+    /// The token by which executors know repeats of a keyed request, as its client gave it.
+    pub token: Option<Rc<str>>,
 }
 
 /// An attempt on its way.
 pub(super) struct Stream {
     pub(super) ticket: Ticket,
+    /// A byte of it was written, and that was told.
+    pub(super) begun: bool,
     /// Written whole.
     pub(super) written: bool,
     /// All pages; 0 until the executor said OK.
@@ -94,6 +98,21 @@
         !self.retired && self.streams.len() < most && fresh && !self.doubtful(now)
     }
 
+    /// Takes a pull back of which no byte was written; false if there is none such.
+    pub(super) fn take_back(&mut self, id: u64) -> bool {
+        let waiting = |o: &Outgoing| matches!(o, Outgoing::Pull { id: i, .. } if *i == id);
+        if let Some(at) = self.queue.iter().position(waiting) {
+            self.queue.remove(at);
+            return true;
+        }
+        let whole = self.writing == Some(id) && !self.outbox.begun();
+        if whole {
+            self.writing = None;
+            self.outbox.clear();
+        }
+        whole
+    }
+
     pub(super) fn idle(&self) -> bool {
         self.streams.is_empty() && self.probes.is_empty() && self.queue.is_empty() && self.outbox.is_empty()
     }
--- a/src/net/executors/attempts.rs
+++ b/src/net/executors/attempts.rs
@@ -32,8 +32,8 @@
             return;
         };
         let Some(conn) = self.conns.get_mut(&key) else { return };
-        let (rows, written) = (Vec::new(), false);
-        conn.streams.insert(id, Stream { ticket: t, written, pages: 0, rows, bytes: 0, since: now });
+        let (rows, begun, written) = (Vec::new(), false, false);
+        conn.streams.insert(id, Stream { ticket: t, begun, written, pages: 0, rows, bytes: 0, since: now });
         conn.queue.push_back(Outgoing::Pull { id, job, memory_mb, priority, until });
         must!(self.places.insert(t, key).is_none(), "an attempt was started twice");
         self.write(key, now, poll);
@@ -45,14 +45,7 @@
         let Some(conn) = self.conns.get_mut(&key) else { return };
         let id = t.request;
         let Some(stream) = conn.streams.remove(&id) else { return };
-        let waiting = |o: &Outgoing| matches!(o, Outgoing::Pull { id: i, .. } if *i == id);
-        if let Some(at) = conn.queue.iter().position(waiting) {
-            conn.queue.remove(at);
-            return;
-        }
-        if conn.writing == Some(id) && !conn.outbox.begun() {
-            conn.writing = None;
-            conn.outbox.clear();
+        if conn.take_back(id) {
             return self.write(key, now, poll);
         }
         conn.spent.insert(id, now);
@@ -60,6 +53,20 @@
         self.write(key, now, poll);
     }
 
+    /// Takes an attempt back if no byte of it was written, and tells that it was never sent; else it goes on.
+    pub fn withdraw(&mut self, t: Ticket, now: Micros, poll: &Poll) {
+        let Some(key) = self.places.get(&t).copied() else { return };
+        let Some(conn) = self.conns.get_mut(&key).filter(|c| c.streams.contains_key(&t.request)) else {
+            return;
+        };
+        if conn.take_back(t.request) {
+            conn.streams.remove(&t.request);
+            self.places.remove(&t);
+            self.reports.push_back(Report::Ended(t, End::NeverSent, None));
+            self.write(key, now, poll);
+        }
+    }
+
     /// A new priority for an attempt.
     pub fn boost(&mut self, t: Ticket, priority: u8, now: Micros, poll: &Poll) {
         let Some(key) = self.places.get(&t).copied() else { return };
--- a/src/net/executors/listing.rs
+++ b/src/net/executors/listing.rs
@@ -4,7 +4,6 @@
 use crate::api::Micros;
 use crate::codec::coordinator::{State, Target};
 use crate::dispatch::{End, ExecutorId, Report, executor_id};
-use crate::net::connection::Outgoing;
 use crate::net::poll::{Key, Poll};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -102,22 +101,10 @@
     /// Takes back every pull of which no byte was written.
     fn take_back(&mut self, key: Key) {
         let Some(conn) = self.conns.get_mut(&key) else { return };
-        let mut back = Vec::new();
-        if !conn.outbox.begun()
-            && let Some(id) = conn.writing.take()
-        {
-            conn.outbox.clear();
-            back.push(id);
-        }
-        conn.queue.retain(|o| match o {
-            Outgoing::Pull { id, .. } => {
-                back.push(*id);
-                false
-            }
-            _ => true,
-        });
-        for id in back {
-            if let Some(s) = conn.streams.remove(&id) {
+        for id in conn.streams.keys().copied().collect::<Vec<u64>>() {
+            if conn.take_back(id)
+                && let Some(s) = conn.streams.remove(&id)
+            {
                 self.places.remove(&s.ticket);
                 self.reports.push_back(Report::Ended(s.ticket, End::NeverSent, None));
             }
--- a/src/net/executors/tests.rs
+++ b/src/net/executors/tests.rs
@@ -18,7 +18,7 @@
 
 fn start(e: &mut Executors, request: u64, now: Micros, poll: &Poll) -> Ticket {
     let ticket = Ticket { request, attempt: 0 };
-    let job = Job { kind: "read".into(), statement: "SELECT 1".into() };
+    let job = Job { kind: "read".into(), statement: "SELECT 1".into(), token: None };
     e.start(ticket, executor_id("e1"), job, 0.0, 1, now + 9_000_000, now, poll);
     ticket
 }
@@ -53,6 +53,7 @@
     while !e.conns[&old_key].up {
         e.ready(old_key, false, true, 1_001, &poll);
     }
+    assert!(matches!(e.reports.pop_front(), Some(Report::Begun(t)) if t == old));
     let new = start(&mut e, 8, 9_000, &poll);
     let over = start(&mut e, 9, 9_000, &poll);
     assert!(matches!(e.reports.pop_front(), Some(Report::Ended(t, End::NeverSent, _)) if t == over));
@@ -84,6 +85,7 @@
             seen.extend_from_slice(&chunk[..n]);
         }
     }
+    assert!(matches!(e.reports.pop_front(), Some(Report::Begun(t)) if t == ticket));
     engine.write_all(b"2a BUSY gauges=inflight:7;util:0.61 0\r\n\r\n").unwrap();
     while e.reports.is_empty() {
         e.ready(key, true, false, 4, &poll);
--- a/src/net/executors/traffic.rs
+++ b/src/net/executors/traffic.rs
@@ -114,7 +114,15 @@
     pub(super) fn write(&mut self, key: Key, now: Micros, poll: &Poll) {
         let Some(conn) = self.conns.get_mut(&key).filter(|c| c.up) else { return };
         let failed = loop {
-            match conn.outbox.flush(&mut conn.stream) {
+            let flushed = conn.outbox.flush(&mut conn.stream);
+            let writing = conn.writing.and_then(|id| conn.streams.get_mut(&id));
+            if let Some(s) =
+                writing.filter(|s| !s.begun && (conn.outbox.begun() || matches!(flushed, Ok(true))))
+            {
+                s.begun = true;
+                self.reports.push_back(Report::Begun(s.ticket));
+            }
+            match flushed {
                 Ok(true) => {}
                 Ok(false) => break None,
                 Err(e) => break Some(e),
@@ -137,7 +145,7 @@
                     executor::pull(
                         out,
                         id,
-                        &Terms { kind: &job.kind, wait_ms, memory_mb, priority },
+                        &Terms { kind: &job.kind, wait_ms, memory_mb, priority, token: job.token.as_deref() },
                         &job.statement,
                     );
                     conn.writing = Some(id);
--- a/src/net/hands/moves.rs
+++ b/src/net/hands/moves.rs
@@ -69,7 +69,7 @@
             group: record.group,
             repeated: true,
         };
-        self.jobs.insert(record.rid, (NOBODY, Job { kind, statement: statement.into() }));
+        self.jobs.insert(record.rid, (NOBODY, Job { kind, statement: statement.into(), token: None }));
         let under = hands.rules.as_ref().filter(|r| r.part.number() != record.policy);
         let under = under.and_then(|r| r.under(record.policy));
         match self.dispatch.adopt(now, &request, record.tried.len(), under) {
--- a/src/net/hands/requests.rs
+++ b/src/net/hands/requests.rs
@@ -24,7 +24,8 @@
                 work_s: r.work_s,
                 memory_mb: r.memory_mb,
                 repeats: self.repeats.get(r.class).copied().unwrap_or(false),
-                statement: r.ask.map(|_| job.statement.to_string()),
+                // Another dispatcher would send it without its token: it does not send it at all.
+                statement: r.ask.filter(|_| job.token.is_none()).map(|_| job.statement.to_string()),
                 deadline: now + r.budget,
                 tried: Vec::new(),
                 policy: self.rules.as_ref().map_or(0, |r| r.part.number()),
--- a/src/net/orders.rs
+++ b/src/net/orders.rs
@@ -39,6 +39,7 @@
                 self.executors.start(ticket, executor, job, memory_mb, priority, until, now, &self.poll);
             }
             Order::Stop(ticket) => self.executors.stop(ticket, now, &self.poll),
+            Order::Withdraw(ticket) => self.executors.withdraw(ticket, now, &self.poll),
             Order::Boost(ticket, priority) => self.executors.boost(ticket, priority, now, &self.poll),
             Order::Past(request, served, never_ran) => self.past(now, request, served, never_ran),
             Order::Probe(executor) => self.executors.probe(executor, now, &self.poll),
--- a/src/net/session/mod.rs
+++ b/src/net/session/mod.rs
@@ -9,6 +9,7 @@
 mod statements;
 
 use super::buffers::{Inbox, Outbox, Pool};
+use super::connection::Job;
 use super::poll::{Key, Poll};
 use crate::api::Micros;
 use crate::codec::mysql::{Command, Error, Server};
@@ -18,7 +19,6 @@
 use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::TcpStream;
-use std::rc::Rc;
 
 /// A client that was told to go may send on so much while it reads the last bytes.
 const WASTE: usize = 256 * 1024;
@@ -30,8 +30,8 @@
 /// What a client wants that the session can't answer by itself.
 #[derive(Debug)]
 pub enum Asked {
-    /// A request, the name of its class and its statement.
-    Request(Request, Rc<str>, Rc<str>),
+    /// A request, and what an attempt of it needs.
+    Request(Request, Job),
     /// The request of the connection with this id is to be given up.
     Kill(u32),
     /// It wants to go, or has to.
--- a/src/net/session/statements.rs
+++ b/src/net/session/statements.rs
@@ -5,11 +5,15 @@
 use crate::codec::mysql::{self, Command, Error};
 use crate::codec::statement;
 use crate::dispatch::Request;
+use crate::net::connection::Job;
 use crate::settings::Names;
 
 /// The largest number that is believed in a field: a budget of eleven days, a petabyte.
 const LARGEST: f64 = 1e9;
 
+/// The longest token that is passed on: a UUID in text, twice over.
+const LONGEST_TOKEN: usize = 72;
+
 /// What a client's command comes to: an answer that the session has by itself, or something asked.
 pub(super) enum Meant {
     Ok,
@@ -79,6 +83,12 @@
     list.split(',').map(|item| value(item.trim())).collect()
 }
 
+/// What is passed on as it came: a word that can't be taken for anything else of a line.
+fn opaque(word: &str) -> Option<&str> {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || matches!(b, b'-' | b'_' | b'.');
+    (!word.is_empty() && word.len() <= LONGEST_TOKEN && word.bytes().all(plain)).then_some(word)
+}
+
 fn request(s: &statement::Statement<'_>, names: &Names) -> Result<Meant, Error> {
     let wrong = |field: &str, what: &str| Error::new(1064, "42000", format!("field {field}: {what}"));
     let get = |field: &str| s.fields.get(field).copied();
@@ -111,5 +121,8 @@
         group: statement::table_group(s.text).unwrap_or(0),
         repeated: number("try")?.is_some_and(|n| n > 1.0),
     };
-    Ok(Meant::Asked(Asked::Request(request, method.into(), s.text.into())))
+    let token =
+        get("token").map(|t| opaque(t).ok_or_else(|| wrong("token", "not a short word"))).transpose()?;
+    let job = Job { kind: method.into(), statement: s.text.into(), token: token.map(Into::into) };
+    Ok(Meant::Asked(Asked::Request(request, job)))
 }
--- /dev/null
+++ b/tests/clients/keyed.rs
@@ -0,0 +1,36 @@
+//! A class whose repeats are known by a token.
+
+use super::*;
+
+const KEYED: (&str, &str) =
+    (r#""effect":"read_like"}"#, r#""effect":"idempotency_key","group":"all","dedupWindow":5.0}"#);
+
+// Executors know a repeat by the token that its client gave; a request of a keyed class that came without it was void,
+// and a deployment with such a class served nothing. Every attempt takes it along as it came.
+#[test]
+fn a_keyed_request_takes_its_token_along_on_every_attempt() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[KEYED], &[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &request("read", "c1").replace("rid=", "token=7f-A_9.z,rid="));
+    let mut first = executor.accept();
+    assert!(first.command().unwrap()[2].contains("token=7f-A_9.z,"));
+    first.say("x what is this\r\n"); // spoilt: it may have run, and is tried again where repeats are known
+    let mut second = executor.accept();
+    let pull = second.command().unwrap();
+    assert!(pull[2].contains("token=7f-A_9.z,"), "{pull:?}");
+    second.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert_eq!(client.got(), row());
+}
+
+// A token goes into a line of words: one that could be read as more of it is an error, and is never passed on.
+#[test]
+fn a_token_that_is_no_word_is_an_error() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(&[KEYED], &[("e1", executor.address)]);
+    let long = "x".repeat(73);
+    for token in ["a b", "", "a\u{e9}", "1 2\r\nKILL", long.as_str()] {
+        let mut client =
+            Client::asks(d.address, &request("read", "c2").replace("rid=", &format!("token={token},rid=")));
+        assert!(matches!(client.got(), Got::Error(1064, text) if text.contains("token")), "{token:?}");
+    }
+}
--- /dev/null
+++ b/tests/clients/main.rs
@@ -0,0 +1,34 @@
+//! Clients that go, are killed, crowd or say too much, in the very moment in which something is owed: the program on
+//! loopback sockets against scripted peers that force the order.
+
+mod keyed;
+mod late;
+mod leaving;
+
+use standins::scripted::*;
+use std::net::SocketAddr;
+
+fn launch() -> Launch {
+    Launch::new(env!("CARGO_BIN_EXE_ottercroft"), env!("CARGO_TARGET_TMPDIR"))
+}
+
+/// A dispatcher whose settings differ from the stories' by these replacements, each of which must hit.
+fn dispatcher(changes: &[(&str, &str)], executors: &[(&str, SocketAddr)]) -> (Dispatcher, Coordinator) {
+    let mut launch = launch();
+    for (from, to) in changes {
+        assert!(launch.settings.contains(from), "{from}");
+        launch.settings = launch.settings.replace(from, to);
+    }
+    launch.dispatcher(executors)
+}
+
+/// A request of a class, under an id that ends in these two digits.
+fn request(class: &str, digits: &str) -> String {
+    format!(
+        "/* method={class},rid=00000000000000{digits},budget=15000,est=10.0,space=9 */ SELECT a FROM sales_7.t"
+    )
+}
+
+fn row() -> Got {
+    Got::Rows(vec![["1", "x", "y"].map(String::from).to_vec()])
+}
