Let scripted peers bring the bad order about: resets, full backlogs, a process that stands still

Need: tests of what may arrive as something ends need the bad order every time, not a sleep that hopes for it. Change: resets with SO_LINGER 0, a listener whose backlog is full until it is widened (a connection comes up about a second after that, when the machine asks again), an address that refuses until a coordinator listens there, waiting for a dial in /proc/net/tcp, a dispatcher that stands still (SIGSTOP) once it rests, so that all that comes meanwhile is read in one turn in its order, and settings with a class of each effect in which nothing is sent that a story does not ask for.

--- a/crates/standins/src/scripted/launch.rs
+++ b/crates/standins/src/scripted/launch.rs
@@ -30,6 +30,31 @@
         assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
     }
 
+    /// Stands still, until [`Dispatcher::goes_on`]: what comes meanwhile comes in one moment, in its order. It
+    /// rests before, so that nothing of what came earlier is still on its list of what is ready.
+    pub fn stands_still(&self) {
+        let stat = format!("/proc/{}/stat", self.child.id());
+        let is = |state: &str| std::fs::read_to_string(&stat).is_ok_and(|s| s.contains(state));
+        awaited("a process that rests", || is(") S "));
+        self.signal("STOP");
+        awaited("a process that stands still", || is(") T "));
+    }
+
+    /// Goes on after it stood still.
+    pub fn goes_on(&self) {
+        self.signal("CONT");
+    }
+
+    /// Whether it ends by itself and in order.
+    pub fn ends(&mut self) -> bool {
+        let mut status = None;
+        awaited("the end of the program", || {
+            status = self.child.try_wait().unwrap();
+            status.is_some()
+        });
+        status.is_some_and(|s| s.success())
+    }
+
     /// Takes its log, from where it was read to.
     pub fn take_log(&mut self) -> Option<BufReader<std::process::ChildStderr>> {
         self.log.take()
--- a/crates/standins/src/scripted/mod.rs
+++ b/crates/standins/src/scripted/mod.rs
@@ -1,10 +1,14 @@
 //! Scripted peers: a client, an executor, a coordinator, and the program between them.
 
 mod client;
+mod faults;
 mod launch;
+mod settings;
 
 pub use client::*;
+pub use faults::*;
 pub use launch::*;
+pub use settings::*;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
