--- a/crates/standins/src/scripted/client.rs
+++ b/crates/standins/src/scripted/client.rs
@@ -35,14 +35,19 @@
 }
 
 impl Client {
-    /// Connects, and writes login and first statement before it has read anything.
-    pub fn says(to: SocketAddr, sql: &str) -> Client {
+    /// Connects, writes login and first statement, and reads nothing yet.
+    pub fn writes(to: SocketAddr, sql: &str) -> Client {
         let mut stream = patient(TcpStream::connect(to).unwrap());
         let mut login = (0x200u32 | 0x8000 | 0x8).to_le_bytes().to_vec();
         login.extend_from_slice(&[0; 28]);
         login.extend_from_slice(b"app\0\0main\0");
         let _ = stream.write_all(&[packet(1, &login), query(sql)].concat());
-        let mut client = Client { stream, id: 0 };
+        Client { stream, id: 0 }
+    }
+
+    /// Connects, and writes login and first statement before it has read anything.
+    pub fn says(to: SocketAddr, sql: &str) -> Client {
+        let mut client = Client::writes(to, sql);
         if let Some((_, greeting)) = client.packet() {
             let at = greeting.iter().position(|b| *b == 0).unwrap() + 1;
             client.id = u32::from_le_bytes(greeting[at..at + 4].try_into().unwrap());
--- a/crates/standins/src/scripted/faults.rs
+++ b/crates/standins/src/scripted/faults.rs
@@ -108,6 +108,13 @@
         all
     }
 
+    /// The next line as it stands, a probe too.
+    pub fn line(&mut self) -> String {
+        let mut line = String::new();
+        self.0.read_line(&mut line).unwrap();
+        line.trim_end().into()
+    }
+
     /// Waits until something is here to be read, and leaves it unread.
     pub fn unread(&mut self) {
         assert!(self.0.get_ref().peek(&mut [0]).unwrap() > 0, "something is here");
--- a/src/net/door.rs
+++ b/src/net/accept.rs
@@ -1,4 +1,4 @@
-//! The clients' door: who is let in, and who makes room.
+//! Accept control: which clients are let in, and who goes for them.
 
 use super::poll::Key;
 use super::session::Session;
@@ -9,28 +9,35 @@
 
 impl Node {
     pub(super) fn accept(&mut self, now: Micros) {
+        // After a standstill a KILL may wait behind any number of others, and what it ends must not begin.
+        let turns = if self.was_away() { BACKLOG.div_ceil(ACCEPTS) } else { 1 };
+        for _ in 0..turns {
+            if !self.accept_some(now) {
+                return;
+            }
+        }
+    }
+
+    /// Takes some in; whether there may be more.
+    fn accept_some(&mut self, now: Micros) -> bool {
         for _ in 0..ACCEPTS {
-            let Some((_, listener)) = &self.listener else { return };
+            let Some((_, listener)) = &self.listener else { return false };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
-                Err(e) if out_of_descriptors(&e) && self.shed(now) => continue,
+                Err(e) if dial::out_of_descriptors(&e) && self.shed(now) => continue,
                 Err(e) => {
                     tracing::error!(error = %e, "accept: pausing");
                     self.pause_accepting(now);
-                    return;
+                    return false;
                 }
             };
             let id = self.next_id;
             self.next_id = self.next_id.wrapping_add(1);
             let mut scramble = [0; 20];
             (0u32..).zip(&mut scramble).for_each(|(i, b)| *b = 33 + (id.rotate_left(i) % 90) as u8);
-            let full = self.sessions.by_key.len() >= self.most_sessions && !self.make_room(now);
-            if full && self.sessions.by_key.len() >= self.most_sessions + LINGERERS {
-                self.refused_clients += 1;
-                continue;
-            }
+            let full = self.sessions.served() >= self.descriptors.clients && !self.evict(now);
             match Session::new(stream, &self.poll, &self.pool, id, &scramble, now) {
                 Ok(mut s) => {
                     if full {
@@ -46,10 +53,12 @@
                     // What the client wrote ahead is read now: its request came before later ones.
                     self.flush(key);
                     self.read(key, now);
+                    self.bound_lingering(now);
                 }
                 Err(e) => tracing::warn!(client = id, error = %e, "client lost at its start"),
             }
         }
+        true
     }
 
     pub(super) fn pause_accepting(&mut self, now: Micros) {
@@ -76,11 +85,33 @@
         }
     }
 
+    /// Takes in all that waits and listens no more: what comes later is another process's.
+    pub(super) fn stop_accepting(&mut self, now: Micros) {
+        if let Some(listener) = self.paused.take() {
+            self.accept_at = None;
+            self.listener = self.poll.add(&listener, false).ok().map(|key| (key, listener));
+        }
+        // As many as can wait, and no more: under a flood new ones would come for ever.
+        for _ in 0..BACKLOG.div_ceil(ACCEPTS) {
+            if !self.accept_some(now) {
+                break;
+            }
+        }
+        if let Some((_, listener)) = self.listener.take() {
+            self.poll.remove(&listener);
+        }
+        self.paused = None;
+        self.accept_at = None;
+    }
+
     /// Out of descriptors: closes the newest client that has nothing open, unwritten or unread, so that the one
     /// that waits can come in; false if none can be spared.
     pub(super) fn shed(&mut self, now: Micros) -> bool {
         let spare = |(k, s): (&Key, &Session)| s.spare(now, PATIENCE).map(|_| *k);
-        let Some(key) = self.sessions.by_key.iter().filter_map(spare).max() else { return false };
+        let all = self.sessions.by_key.iter().rev();
+        let Some(key) = all.filter_map(spare).find(|k| self.sessions.has_nothing_unread(*k)) else {
+            return false;
+        };
         self.shed += 1;
         tracing::warn!(
             clients = self.sessions.by_key.len(),
@@ -91,17 +122,37 @@
         true
     }
 
-    /// Closes the client that can be spared best, for another to come in; false if none can.
-    pub(super) fn make_room(&mut self, now: Micros) -> bool {
-        let spare = |(k, s): (&Key, &Session)| s.spare(now, PATIENCE).map(|rank| (rank, *k));
-        let Some((_, key)) = self.sessions.by_key.iter().filter_map(spare).min() else { return false };
-        self.made_room += 1;
-        self.hang_up(key, now);
+    /// Where the feed or an attempt found no descriptor, an idle client goes for it.
+    pub(super) fn spare_descriptors(&mut self, now: Micros) {
+        if std::mem::take(&mut self.executors.starved) {
+            self.shed(now);
+        }
+        if self.feed.as_ref().is_some_and(|f| f.starved)
+            && self.shed(now)
+            && let Some(feed) = &mut self.feed
+        {
+            feed.try_again(now, &self.poll);
+        }
+    }
+
+    /// Lets the client go that can be spared best, for another to come in; false if none can.
+    pub(super) fn evict(&mut self, now: Micros) -> bool {
+        let rank = |(k, s): (&Key, &Session)| s.spare(now, PATIENCE).filter(|(r, _)| *r > 0).map(|r| (r, *k));
+        let mut idle: Vec<_> = self.sessions.by_key.iter().filter_map(rank).collect();
+        idle.sort_unstable();
+        let found = idle.into_iter().find(|(_, k)| self.sessions.has_nothing_unread(*k));
+        let Some((_, key)) = found else { return false };
+        self.evicted += 1;
+        self.finish(key, now);
         true
     }
-}
 
-/// Whether an error of accept means that this process or the system has no descriptor left.
-fn out_of_descriptors(e: &io::Error) -> bool {
-    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+    /// Keeps those that only read their last bytes to their share: the longest of them is closed.
+    pub(super) fn bound_lingering(&mut self, now: Micros) {
+        while self.sessions.lingering() > self.descriptors.lingering {
+            let since = |(k, s): (&Key, &Session)| s.dismissed_at().map(|t| (t, *k));
+            let Some((_, key)) = self.sessions.by_key.iter().filter_map(since).min() else { return };
+            self.hang_up(key, now);
+        }
+    }
 }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -40,7 +40,8 @@
                 if self.leaving.is_none() {
                     tracing::warn!(clients = self.sessions.by_key.len(), open = self.jobs.len(), "LEAVE");
                     self.leaving = Some(now);
-                    self.close_door(now);
+                    // A front that asks the client port is told no.
+                    self.stop_accepting(now);
                 }
                 self.send_all_away(now);
                 "+OK leaving".into()
@@ -49,7 +50,7 @@
                 if self.leaving.take().is_some() {
                     tracing::warn!("JOIN");
                 }
-                match self.open_door(now) {
+                match self.accept_anew(now) {
                     Ok(()) => "+OK joined".into(),
                     Err(e) => format!("-ERR joined, but can't listen on {}: {e}", self.address),
                 }
@@ -78,19 +79,8 @@
         })
     }
 
-    /// While leaving, a front that asks the client port is told no: the listener is closed, after what waits at
-    /// it was taken in.
-    pub(super) fn close_door(&mut self, now: Micros) {
-        self.accept(now);
-        if let Some((_, listener)) = self.listener.take() {
-            self.poll.remove(&listener);
-        }
-        self.paused = None;
-        self.accept_at = None;
-    }
-
     /// Listens for clients again, beside any other process on the port.
-    pub(super) fn open_door(&mut self, now: Micros) -> io::Result<()> {
+    pub(super) fn accept_anew(&mut self, now: Micros) -> io::Result<()> {
         if self.listener.is_some() || self.paused.is_some() || self.stopping.is_some() {
             return Ok(());
         }
@@ -136,9 +126,8 @@
             return;
         }
         let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
-        if s.done_with(now, LEAVE_PATIENCE) {
-            s.finish(now);
-            self.flush(key);
+        if s.done_with(now, LEAVE_PATIENCE) && !s.unread() {
+            self.finish(key, now);
         }
     }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -13,8 +13,9 @@
 
 impl Node {
     pub(super) fn read(&mut self, key: Key, now: Micros) {
+        let away = self.was_away();
         let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
-        if !s.read(now) || s.leaves() {
+        if !s.read(now) || (away && !s.read_on()) || s.leaves() {
             return self.hang_up(key, now);
         }
         if s.open.is_some() && s.overruns() {
@@ -71,48 +72,71 @@
                         s.at_fault(&Error::new(1105, "HY000", "a request with this rid is open"), now);
                         continue;
                     }
-                    let storm = self.storm.as_mut().map(|s| s.ask(now, asker(&job), request.repeated));
-                    if let Some(Verdict::Refuse(wait)) = storm {
-                        match self.dispatch.turn_away(&request) {
-                            Ok(()) => {
-                                self.figures.ended(&job.kind, Disposition::Declined);
-                                s.answer(&Answer::Refused(wait.div_ceil(1_000)));
-                            }
-                            Err(e) => s.at_fault(&Error::new(1105, "HY000", e), now),
-                        }
-                        continue;
-                    }
                     s.open = Some(id);
-                    let gate = self.gate(now, &request, &job);
                     self.jobs.insert(id, (key, job));
-                    let taken = match gate {
-                        Gate::Go => self.dispatch.pick(now, &request),
-                        Gate::Hold => self.dispatch.hold(now, &request),
-                        Gate::Answer(reply) => {
-                            let held = self.dispatch.hold(now, &request);
-                            held.map(|mut orders| {
-                                orders.extend(self.dispatch.answer_held(id, self.answer_of(reply)));
-                                orders
-                            })
-                        }
-                    };
-                    match taken {
-                        Ok(orders) => self.settle(now, orders),
-                        Err(e) => {
-                            self.jobs.remove(&id);
-                            self.off_hands_unasked(now, id);
-                            if let Some(s) = self.sessions.by_key.get_mut(&key) {
-                                s.open = None;
-                                s.at_fault(&Error::new(1105, "HY000", e), now);
-                            }
-                        }
-                    }
+                    self.arrived.push_back((key, request));
                 }
             }
         }
         self.flush(key);
     }
 
+    /// Requests that were read begin, in order, unless their clients have gone meanwhile.
+    pub(super) fn begin_arrived(&mut self, now: Micros) {
+        while let Some((key, request)) = self.arrived.pop_front() {
+            let waits = self.sessions.by_key.get(&key).is_some_and(|s| s.open == Some(request.id));
+            if let Some((_, job)) = self.jobs.get(&request.id).filter(|_| waits).cloned() {
+                self.begin(key, request, job, now);
+            }
+        }
+    }
+
+    fn begin(&mut self, key: Key, request: Request, job: Job, now: Micros) {
+        let id = request.id;
+        let storm = self.storm.as_mut().map(|s| s.ask(now, asker(&job), request.repeated));
+        if let Some(Verdict::Refuse(wait)) = storm {
+            self.jobs.remove(&id);
+            match self.dispatch.turn_away(&request) {
+                Ok(()) => {
+                    self.figures.ended(&job.kind, Disposition::Declined);
+                    if let Some(s) = self.sessions.by_key.get_mut(&key) {
+                        s.answer(&Answer::Refused(wait.div_ceil(1_000)));
+                    }
+                }
+                Err(e) => self.not_taken(key, e, now),
+            }
+            return self.advance(key, now);
+        }
+        let taken = match self.gate(now, &request, &job) {
+            Gate::Go => self.dispatch.pick(now, &request),
+            Gate::Hold => self.dispatch.hold(now, &request),
+            Gate::Answer(reply) => {
+                let held = self.dispatch.hold(now, &request);
+                held.map(|mut orders| {
+                    orders.extend(self.dispatch.answer_held(id, self.answer_of(reply)));
+                    orders
+                })
+            }
+        };
+        match taken {
+            Ok(orders) => self.settle(now, orders),
+            Err(e) => {
+                self.jobs.remove(&id);
+                self.off_hands_unasked(now, id);
+                self.not_taken(key, e, now);
+                self.advance(key, now);
+            }
+        }
+    }
+
+    /// A request that can't be one is its client's mistake.
+    fn not_taken(&mut self, key: Key, why: &'static str, now: Micros) {
+        if let Some(s) = self.sessions.by_key.get_mut(&key) {
+            s.open = None;
+            s.at_fault(&Error::new(1105, "HY000", why), now);
+        }
+    }
+
     /// KILL QUERY: the client of that request has left; its session goes on.
     pub(super) fn kill(&mut self, from: Key, id: u32, now: Micros) {
         let target = self.sessions.by_id.get(&id).copied();
@@ -140,6 +164,16 @@
         self.client_left(now, request);
     }
 
+    /// Takes nothing more from a client that rests. Its connection ends write side first: what it sends in this very
+    /// moment is read and dropped, so that no reset takes anything along.
+    pub(super) fn finish(&mut self, key: Key, now: Micros) {
+        if let Some(s) = self.sessions.by_key.get_mut(&key) {
+            s.finish(now);
+        }
+        self.flush(key);
+    }
+
+    /// Closes a client's connection: one whose client has gone, or that had its time.
     pub(super) fn hang_up(&mut self, key: Key, now: Micros) {
         let Some(s) = self.sessions.remove(key) else { return };
         let open = s.open;
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::{End, ExecutorId, Ticket, Word};
 use crate::must;
 use std::collections::{BTreeMap, VecDeque};
+use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -15,8 +16,6 @@
 /// The most pages and bytes that a result may have: 48,000 bytes come to 8 pages of the usual size.
 const MOST_PAGES: u32 = 256;
 const MOST_BYTES: usize = 48_000;
-/// A connection that owes word for this long gets nothing new and is probed: notes come every second.
-pub(super) const DOUBTFUL: Micros = 1_200_000;
 /// What an attempt needs to go out.
 #[derive(Debug, Clone)]
 pub struct Job {
@@ -60,6 +59,8 @@
     pub(super) stream: TcpStream,
     pub(super) up: bool,
     pub(super) opened: Micros,
+    /// One that owes word for longer than this gets nothing new, and is probed.
+    pub(super) word_within: Micros,
     pub(super) heard: Micros,
     pub(super) touched: Micros,
     /// Takes nothing new.
@@ -90,7 +91,7 @@
     pub(super) fn doubtful(&self, now: Micros) -> bool {
         let streams = self.streams.values().filter(|s| s.written).map(|s| s.since);
         let oldest = streams.chain(self.probes.values().copied()).min();
-        self.up && oldest.is_some_and(|t| now > t.max(self.heard) + DOUBTFUL)
+        self.up && oldest.is_some_and(|t| now > t.max(self.heard) + self.word_within)
     }
 
     pub(super) fn takes(&self, id: u64, most: usize, now: Micros) -> bool {
@@ -98,6 +99,15 @@
         !self.retired && self.streams.len() < most && fresh && !self.doubtful(now)
     }
 
+    /// Whether its executor has closed it, and nothing is left to be read before that.
+    pub(super) fn over(&self) -> bool {
+        self.up
+            && match self.stream.peek(&mut [0]) {
+                Ok(n) => n == 0,
+                Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+            }
+    }
+
     /// Takes a pull back of which no byte was written; false if there is none such.
     pub(super) fn take_back(&mut self, id: u64) -> bool {
         let waiting = |o: &Outgoing| matches!(o, Outgoing::Pull { id: i, .. } if *i == id);
--- a/src/net/dial.rs
+++ b/src/net/dial.rs
@@ -25,3 +25,8 @@
         None => stream.peer_addr().map(drop),
     }
 }
+
+/// Whether an error means that this process or the system has no descriptor left.
+pub fn out_of_descriptors(e: &io::Error) -> bool {
+    matches!(e.raw_os_error(), Some(libc::EMFILE | libc::ENFILE))
+}
--- a/src/net/executors/listing.rs
+++ b/src/net/executors/listing.rs
@@ -53,6 +53,9 @@
         let Some(e) = self.list.get(&id) else { return };
         let booted = t.boot_ms.saturating_mul(1000);
         for key in e.conns.clone() {
+            if moved {
+                self.take_back(key);
+            }
             let Some(conn) = self.conns.get_mut(&key) else { continue };
             conn.retired |= moved;
             if conn.opened < booted && booted <= now {
--- a/src/net/executors/mod.rs
+++ b/src/net/executors/mod.rs
@@ -87,6 +87,8 @@
     scratch: Vec<u8>,
     /// What the dispatcher has to be told, in order.
     pub reports: VecDeque<Report<Rows>>,
+    /// Whether a dial found no descriptor.
+    pub starved: bool,
     /// Counters.
     pub wire: Wire,
 }
@@ -106,6 +108,7 @@
             tags: Pcg64Mcg::seed_from_u64(!seed),
             scratch: Vec::new(),
             reports: VecDeque::new(),
+            starved: false,
             wire: Wire::default(),
         }
     }
--- a/src/net/executors/pool.rs
+++ b/src/net/executors/pool.rs
@@ -23,16 +23,25 @@
         poll: &Poll,
         fits: impl Fn(&Conn) -> bool,
     ) -> Option<Key> {
-        let e = self.list.get(&to)?;
-        let usable =
-            e.conns.iter().filter_map(|k| self.conns.get(k).map(|c| (*k, c))).filter(|(_, c)| fits(c));
-        // The least shared one; among those the one heard last, so that the others can go.
-        let best = usable.min_by_key(|(_, c)| (c.streams.len(), !c.up, Reverse(c.heard)));
-        let best = best.map(|(key, c)| (key, c.streams.is_empty()));
+        let best = loop {
+            let conns = self.list.get(&to)?.conns.iter();
+            let usable = conns.filter_map(|k| self.conns.get(k).map(|c| (*k, c))).filter(|(_, c)| fits(c));
+            // The least shared one; among those the one heard last, so that the others can go.
+            let best = usable.min_by_key(|(_, c)| (c.streams.len(), !c.up, Reverse(c.heard)));
+            let Some((key, c)) = best else { break None };
+            // What is written to one that its executor has closed is lost, and may have run for all that is known:
+            // an end that is here already is heeded before.
+            if c.over() {
+                self.lose(key, poll, "closed by the executor");
+                continue;
+            }
+            break Some((key, c.streams.is_empty()));
+        };
         if let Some((key, true)) = best {
             return Some(key);
         }
         let shared = best.map(|(key, _)| key);
+        let e = self.list.get(&to)?;
         let listed = self.list.values().filter(|e| e.state == State::Up).count().max(1);
         let share = (self.most_conns / listed).max(2);
         let full = self.conns.len() >= self.most_conns;
@@ -54,6 +63,7 @@
             Ok(dialed) => dialed,
             Err(err) => {
                 tracing::warn!(%address, error = %err, "can't dial");
+                self.starved |= dial::out_of_descriptors(&err);
                 return shared;
             }
         };
@@ -66,6 +76,7 @@
                 stream,
                 up: false,
                 opened: now,
+                word_within: self.transport.word_within(),
                 heard: now,
                 touched: now,
                 retired: false,
--- a/src/net/executors/silence.rs
+++ b/src/net/executors/silence.rs
@@ -3,9 +3,9 @@
 use super::{Due, Executors, PART, PROBE_SLACK};
 use crate::api::Micros;
 use crate::dispatch::{Echo, Report};
-use crate::net::connection::DOUBTFUL;
 use crate::net::poll::{Key, Poll};
 use crate::net::room::Room;
+use crate::settings::Transport;
 
 /// A mute connection whose executor is heard elsewhere has this long to be heard too.
 const GRACE: Micros = 400_000;
@@ -20,7 +20,10 @@
         let Some(since) = conn.streams.values().filter(|s| s.written).map(|s| s.since).min() else { return };
         let owes = conn.heard.max(since);
         let heard = self.list.get(&conn.executor).map_or(0, |e| e.heard);
-        if conn.mute && heard > owes + DOUBTFUL {
+        // Where nothing may be probed, word that the settings promise and that does not come tells the same.
+        let Transport { probes, progress, .. } = self.transport;
+        let mute = conn.mute || (!probes && progress.is_some());
+        if mute && heard > owes + conn.word_within {
             // After a cut both come back, and what was held up may come a moment later.
             conn.doomed_at.get_or_insert(now + GRACE);
         }
@@ -28,8 +31,8 @@
             self.wire.mute += 1;
             return self.lose(key, poll, "mute while its executor answers elsewhere");
         }
-        let due = owes + DOUBTFUL + 1;
-        let asks = now >= due && !conn.mute && conn.probes.is_empty();
+        let due = owes + conn.word_within + 1;
+        let asks = probes && now >= due && !conn.mute && conn.probes.is_empty();
         let next = due.max(now + 2 * PROBE_SLACK);
         conn.word_at = Some(next);
         self.timers.set(next, Due::Word(key));
--- a/src/net/executors/tests.rs
+++ b/src/net/executors/tests.rs
@@ -5,8 +5,14 @@
 use crate::net::room::Room;
 use std::net::TcpListener;
 
-const TRANSPORT: Transport =
-    Transport { most_held: 9, streams_per_conn: 1, conn_idle: 30_000_000, dial_timeout: 250_000 };
+const TRANSPORT: Transport = Transport {
+    most_held: 9,
+    streams_per_conn: 1,
+    conn_idle: 30_000_000,
+    dial_timeout: 250_000,
+    probes: true,
+    progress: Some(1_000_000),
+};
 
 fn listed(e: &mut Executors, at: &TcpListener, state: State, boot_ms: u64, now: Micros, poll: &Poll) {
     let endpoint = at.local_addr().ok();
--- a/src/net/executors/traffic.rs
+++ b/src/net/executors/traffic.rs
@@ -4,7 +4,7 @@
 use crate::api::Micros;
 use crate::codec::executor::{self, Answer, Gauges, Terms};
 use crate::dispatch::{Echo, End, Load, Report};
-use crate::net::connection::{DOUBTFUL, Outgoing, Step, advance};
+use crate::net::connection::{Outgoing, Step, advance};
 use crate::net::dial;
 use crate::net::poll::{Key, Poll};
 use std::io;
@@ -131,8 +131,9 @@
                 (s.written, s.since) = (true, now);
                 self.wire.forwards += 1;
                 if conn.word_at.is_none() {
-                    conn.word_at = Some(now + DOUBTFUL + 1);
-                    self.timers.set(now + DOUBTFUL + 1, Due::Word(key));
+                    let due = now + conn.word_within + 1;
+                    conn.word_at = Some(due);
+                    self.timers.set(due, Due::Word(key));
                 }
             }
             let Some(next) = conn.queue.pop_front() else { break None };
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -8,15 +8,37 @@
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 
-/// A line comes every second: after this long without one the coordinator has stopped, and is asked again.
-const SILENCE: Micros = 1_900_000;
+/// The protocol has the coordinator write a line a second at least.
+const PACE: Micros = 1_000_000;
+/// What it has to tell counts as told so long after it fell silent on an open connection, or as soon as it is asked
+/// again, if that is sooner.
+const TOLD: Micros = 4_000_000;
+/// After this long without a line the coordinator has stopped, and is asked again: one line is missing, and the next
+/// is nearly due.
+const SILENCE: Micros = 2 * PACE - PACE / 10;
 /// A dial that is not up by then is begun again.
-const DIAL: Micros = 500_000;
+const DIAL: Micros = PACE / 2;
 /// Pause before a new try, once one has brought nothing.
-const PAUSE: Micros = 200_000;
+const PAUSE: Micros = PACE / 5;
 /// The longest line: a whole list of some ten thousand executors.
 const LONGEST: usize = 4 * 1024 * 1024;
 
+// The list is here before it counts as told, also where the first dial comes to nothing: so no grace for drains is too
+// short, however little the settings leave.
+const _: () = assert!(SILENCE + DIAL + PAUSE + DIAL < TOLD);
+
+/// One connection to a coordinator.
+struct Watch {
+    key: Key,
+    stream: TcpStream,
+    up: bool,
+    /// Whether it brought a whole line: then a new one is worth a try at once.
+    told: bool,
+    heard: Micros,
+    /// What is here of the next line.
+    line: Vec<u8>,
+}
+
 /// The feed of the coordinator; it comes back by itself.
 pub struct Feed {
     address: SocketAddr,
@@ -24,13 +46,12 @@
     held: u64,
     /// An event that can't be read is skipped once it came twice, or nothing after it would ever come.
     refused: Option<u64>,
-    conn: Option<(Key, TcpStream)>,
-    up: bool,
-    /// Whether this connection brought a whole line: then a new one is worth a try at once.
-    told: bool,
-    heard: Micros,
+    watch: Option<Watch>,
+    /// The coordinator before, followed until the new one has told anything.
+    previous: Option<Watch>,
     retry_at: Micros,
-    line: Vec<u8>,
+    /// Whether the last dial found no descriptor.
+    pub starved: bool,
     /// Connections begun.
     pub dials: u64,
     /// Lines that could not be used.
@@ -44,66 +65,94 @@
             address,
             held,
             refused: None,
-            conn: None,
-            up: false,
-            told: false,
-            heard: 0,
+            watch: None,
+            previous: None,
             retry_at: 0,
-            line: Vec::new(),
+            starved: false,
             dials: 0,
             bad_lines: 0,
         }
     }
 
-    /// The coordinator is at another address from now on; its numbering goes on from the last event held.
+    /// The coordinator is at another address from now on; its numbering goes on from the last event held. What the
+    /// one before still tells is heeded until the new one has told anything.
     pub fn move_to(&mut self, address: SocketAddr, now: Micros, poll: &Poll) {
         if address == self.address {
             return;
         }
-        if let Some((_, stream)) = self.conn.take() {
-            poll.remove(&stream);
+        match self.watch.take() {
+            Some(w) if w.told => {
+                if let Some(older) = self.previous.replace(w) {
+                    poll.remove(&older.stream);
+                }
+            }
+            Some(w) => poll.remove(&w.stream),
+            None => {}
         }
         (self.address, self.retry_at, self.refused) = (address, now, None);
         self.tick(now, poll);
     }
 
-    /// The socket is ready: what is new, in order.
-    pub fn ready(&mut self, now: Micros, poll: &Poll) -> Vec<Update> {
+    /// Dials again at once, as there is a descriptor now.
+    pub fn try_again(&mut self, now: Micros, poll: &Poll) {
+        (self.starved, self.retry_at) = (false, now);
+        self.tick(now, poll);
+    }
+
+    /// A socket is ready: what is new, in order.
+    pub fn ready(&mut self, key: Key, now: Micros, poll: &Poll) -> Vec<Update> {
         let mut updates = Vec::new();
-        if let Err(why) = self.advance(now, poll, &mut updates) {
-            self.lose(now, poll, &why);
+        if let Some(mut w) = self.previous.take_if(|w| w.key == key) {
+            match self.advance(&mut w, now, poll, &mut updates) {
+                Ok(()) => self.previous = Some(w),
+                Err(_) => poll.remove(&w.stream),
+            }
+        } else if let Some(mut w) = self.watch.take() {
+            let end = self.advance(&mut w, now, poll, &mut updates);
+            if let Some(older) = self.previous.take_if(|_| w.told) {
+                poll.remove(&older.stream);
+            }
+            self.watch = Some(w);
+            if let Err(why) = end {
+                self.lose(now, poll, &why);
+            }
         }
         updates
     }
 
-    fn advance(&mut self, now: Micros, poll: &Poll, updates: &mut Vec<Update>) -> Result<(), String> {
-        let Some((key, stream)) = &mut self.conn else { return Ok(()) };
-        if !self.up {
-            match dial::up(stream) {
+    fn advance(
+        &mut self,
+        w: &mut Watch,
+        now: Micros,
+        poll: &Poll,
+        updates: &mut Vec<Update>,
+    ) -> Result<(), String> {
+        if !w.up {
+            match dial::up(&w.stream) {
                 Ok(()) => {}
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return Ok(()),
                 Err(e) => return Err(e.to_string()),
             }
             // The line is far shorter than any socket's buffer.
-            let all = stream.write_all(coordinator::follow(self.held).as_bytes());
-            all.and_then(|()| poll.writable(*key, stream, false)).map_err(|e| e.to_string())?;
-            (self.up, self.heard) = (true, now);
+            let all = w.stream.write_all(coordinator::follow(self.held).as_bytes());
+            all.and_then(|()| poll.writable(w.key, &w.stream, false)).map_err(|e| e.to_string())?;
+            (w.up, w.heard) = (true, now);
             tracing::info!(coordinator = %self.address, held = self.held, "feed: following");
         }
         let mut piece = [0; 16 * 1024];
-        match stream.read(&mut piece) {
+        match w.stream.read(&mut piece) {
             Ok(0) => return Err("closed by the coordinator".into()),
-            Ok(n) => self.line.extend_from_slice(&piece[..n]),
+            Ok(n) => w.line.extend_from_slice(&piece[..n]),
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
                 return Ok(());
             }
             Err(e) => return Err(e.to_string()),
         }
         let mut from = 0;
-        while let Some(n) = self.line[from..].iter().position(|b| *b == b'\n') {
-            let line = coordinator::line(&self.line[from..from + n]);
+        while let Some(n) = w.line[from..].iter().position(|b| *b == b'\n') {
+            let line = coordinator::line(&w.line[from..from + n]);
             from += n + 1;
-            (self.heard, self.told) = (now, true);
+            (w.heard, w.told) = (now, true);
             match line {
                 Ok(line) => self.take(line, updates)?,
                 Err(e) => {
@@ -116,8 +165,8 @@
                 }
             }
         }
-        self.line.drain(..from);
-        if self.line.len() > LONGEST { Err("line without end".into()) } else { Ok(()) }
+        w.line.drain(..from);
+        if w.line.len() > LONGEST { Err("line without end".into()) } else { Ok(()) }
     }
 
     fn take(&mut self, line: Line, updates: &mut Vec<Update>) -> Result<(), String> {
@@ -137,23 +186,24 @@
     }
 
     fn lose(&mut self, now: Micros, poll: &Poll, why: &str) {
-        if let Some((_, stream)) = self.conn.take() {
-            poll.remove(&stream);
-        }
+        let told = self.watch.take().is_some_and(|w| {
+            poll.remove(&w.stream);
+            w.told
+        });
         tracing::warn!(coordinator = %self.address, held = self.held, reason = why, "feed: lost");
-        self.retry_at = now + if std::mem::take(&mut self.told) { 0 } else { PAUSE };
+        self.retry_at = now + if told { 0 } else { PAUSE };
     }
 }
 
 impl Room for Feed {
     fn owns(&self, key: Key) -> bool {
-        self.conn.as_ref().is_some_and(|(k, _)| *k == key)
+        self.watch.iter().chain(&self.previous).any(|w| w.key == key)
     }
 
     fn next_due(&self) -> Option<Micros> {
-        Some(match &self.conn {
-            Some(_) if self.up => self.heard + SILENCE,
-            Some(_) => self.heard + DIAL,
+        Some(match &self.watch {
+            Some(w) if w.up => w.heard + SILENCE,
+            Some(w) => w.heard + DIAL,
             None => self.retry_at,
         })
     }
@@ -162,19 +212,22 @@
         if self.next_due().is_some_and(|due| now < due) {
             return;
         }
-        if self.conn.is_some() {
+        if self.watch.is_some() {
             self.lose(now, poll, "silent");
             if now < self.retry_at {
                 return;
             }
         }
         self.dials += 1;
-        // Half a line that a lost connection left behind is no line.
-        self.line.clear();
-        (self.up, self.told, self.heard) = (false, false, now);
         match dial::dial(self.address).and_then(|s| poll.add(&s, true).map(|key| (key, s))) {
-            Ok(conn) => self.conn = Some(conn),
-            Err(e) => self.lose(now, poll, &e.to_string()),
+            Ok((key, stream)) => {
+                let line = Vec::new();
+                self.watch = Some(Watch { key, stream, up: false, told: false, heard: now, line });
+            }
+            Err(e) => {
+                self.starved = dial::out_of_descriptors(&e);
+                self.lose(now, poll, &e.to_string());
+            }
         }
     }
 }
--- a/src/net/limits.rs
+++ b/src/net/limits.rs
@@ -13,22 +13,21 @@
 pub(super) const LONGEST_WAIT: Micros = 1_000_000;
 /// What a client too many is told to wait.
 pub(super) const CLIENT_BACKOFF: Micros = 200_000;
-/// Connections accepted in one turn at most.
+/// Connections accepted in one turn at most, and what may wait to be.
 pub(super) const ACCEPTS: usize = 64;
+pub(super) const BACKLOG: usize = 1024;
+/// A client that has gone may have been gone for a tenth of a second when something begins for it. Where the loop was
+/// away for half of that, what a client sent is read to its end before any of it counts.
+pub(super) const AWAY: Micros = 50_000;
 /// Clients are looked after this often: pauses, and what they owe.
 pub(super) const CLIENTS: Micros = 100_000;
 /// A client that just connected has this long to say something before it may have to make room.
 pub(super) const PATIENCE: Micros = 100_000;
-/// Clients too many that may wait to read that they are.
-pub(super) const LINGERERS: usize = 16;
 /// Free buffers are kept up to this part of the memory.
 pub(super) const KEPT_PART: f64 = 8.0;
-/// Descriptors for everything but clients and engines.
-pub(super) const OWN: usize = 24;
-/// After SIGTERM: how long new work is taken, when what is open is given up, and the end.
+/// After SIGTERM new work is taken so long: the platform lets connections come for 0.4 s and requests on open ones for
+/// 0.2 s more, and what arrives after 0.7 s is nobody's loss.
 pub(super) const TAKES_ON: Micros = 700_000;
-pub(super) const GIVES_UP: Micros = 3_100_000;
-pub(super) const ENDS: Micros = 3_400_000;
 pub(super) const STOP_LOOK: Micros = 20_000;
 /// After `LEAVE`, a client that has not asked anything yet is let be this long before it may be closed.
 pub(super) const LEAVE_PATIENCE: Micros = 1_000_000;
--- a/src/net/listen.rs
+++ b/src/net/listen.rs
@@ -1,5 +1,6 @@
 //! Listening sockets.
 
+use super::limits::BACKLOG;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
@@ -22,6 +23,6 @@
     }
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(1024)?;
+    socket.listen(BACKLOG as i32)?;
     Ok(socket.into())
 }
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -2,7 +2,7 @@
 //!
 //! What a call does is not decided here: a whole line is handed to the node as a [`Call`], and the answer
 //! comes back as text to write. A caller that sends nothing or half a line is closed after [`PATIENCE`]; when
-//! [`MOST`] are open, the oldest makes room. Nothing here waits on a caller.
+//! as many as may be are open, the oldest makes room. Nothing here waits on a caller.
 
 use super::buffers::{Outbox, Pool};
 use super::poll::{Key, Poll};
@@ -13,8 +13,6 @@
 use std::io::{self, Read};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
-/// Connections held at once at the most.
-pub const MOST: usize = 32;
 /// How long a caller has for its line, and then for reading its answer, in microseconds.
 pub const PATIENCE: Micros = 2_000_000;
 /// Connections taken in one turn at the most.
@@ -36,16 +34,18 @@
     key: Key,
     pool: Pool,
     callers: BTreeMap<Key, Caller>,
+    /// Callers held at once at the most.
+    most: usize,
     /// Callers closed to make room, or for taking too long.
     pub dropped: u64,
 }
 
 impl Operators {
-    /// Listens on `address`.
-    pub fn bind(address: SocketAddr, poll: &Poll, pool: &Pool) -> io::Result<Operators> {
+    /// Listens on `address`, for so many callers at once.
+    pub fn bind(address: SocketAddr, most: usize, poll: &Poll, pool: &Pool) -> io::Result<Operators> {
         let listener = super::listen::bind(address)?;
         let key = poll.add(&listener, false)?;
-        Ok(Operators { listener, key, pool: pool.clone(), callers: BTreeMap::new(), dropped: 0 })
+        Ok(Operators { listener, key, pool: pool.clone(), callers: BTreeMap::new(), most, dropped: 0 })
     }
 
     /// Where it listens.
@@ -103,7 +103,7 @@
                     return;
                 }
             };
-            if self.callers.len() >= MOST {
+            if self.callers.len() >= self.most {
                 let oldest = self.callers.iter().min_by_key(|(_, c)| c.came).map(|(k, _)| *k);
                 if let Some(key) = oldest {
                     self.dropped += 1;
--- a/src/net/session/leaving.rs
+++ b/src/net/session/leaving.rs
@@ -11,6 +11,8 @@
 const PART: Micros = 1_500_000;
 /// A client that was told to go has this long to read the last bytes.
 const LINGER: Micros = 1_000_000;
+/// A request that crosses the end of its connection does so within this time, says the protocol.
+const CROSSING: Micros = 50_000;
 /// A client that takes nothing off its answer for this long is let go.
 const STUCK: Micros = 30_000_000;
 
@@ -51,6 +53,11 @@
         self.closing.get_or_insert(now);
     }
 
+    /// Whether its end has been written for so long that whatever crossed it is here.
+    pub fn has_crossed(&self, now: Micros) -> bool {
+        self.finished && self.closing.is_some_and(|t| now > t + 2 * CROSSING)
+    }
+
     /// Whether it was told to go.
     pub fn dismissed(&self) -> bool {
         self.closing.is_some()
@@ -61,8 +68,19 @@
         self.paused_until.is_some()
     }
 
-    /// Whether it could be closed to make room, and how dear it is: first those told to go, then those that said
-    /// nothing for `patience`, then those longest idle. Never one with anything open, unwritten or unread.
+    /// Since when nothing more is taken from it.
+    pub fn dismissed_at(&self) -> Option<Micros> {
+        self.closing
+    }
+
+    /// Whether something came that was not read, or its end did.
+    pub fn unread(&self) -> bool {
+        !matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Whether it could go for another, and how dear it is: first those told to go, then those that said nothing for
+    /// `patience`, then those longest idle. Never one with anything open, unwritten or here in part; whether anything
+    /// is [unread](Session::unread) is to be asked besides.
     pub fn spare(&self, now: Micros, patience: Micros) -> Option<(u8, Micros)> {
         let rests = self.open.is_none() && self.flushed();
         if let Some(since) = self.closing.filter(|t| rests && now > *t + patience) {
@@ -70,9 +88,7 @@
         }
         let quiet = rests && self.inbox.bytes().is_empty() && self.paused_until.is_none();
         let silent = !self.asked && now > self.opened + patience;
-        let unread =
-            || !matches!(self.stream.peek(&mut [0]), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
-        let spare = quiet && self.closing.is_none() && (self.asked || silent) && !unread();
+        let spare = quiet && self.closing.is_none() && (self.asked || silent);
         spare.then_some((1 + u8::from(self.asked), self.touched))
     }
 }
--- a/src/net/session/mod.rs
+++ b/src/net/session/mod.rs
@@ -3,9 +3,11 @@
 //! - `statements`: what a client's statement means.
 //! - `answers`: what is written to it.
 //! - `leaving`: what time does to it, and how it ends.
+//! - `sessions`: all of them.
 
 mod answers;
 mod leaving;
+mod sessions;
 mod statements;
 
 use super::buffers::{Inbox, Outbox, Pool};
@@ -15,8 +17,8 @@
 use crate::codec::mysql::{Command, Error, Server};
 use crate::dispatch::Request;
 use crate::settings::Names;
+pub use sessions::Sessions;
 use statements::{Meant, understand};
-use std::collections::BTreeMap;
 use std::io::{self, Read};
 use std::net::TcpStream;
 
@@ -132,6 +134,20 @@
         }
     }
 
+    /// After a standstill: reads on until nothing more is there. False if the client has gone meanwhile, or half of
+    /// it: whatever it asked before that is not begun any more.
+    pub fn read_on(&mut self) -> bool {
+        while self.closing.is_none() && self.paused_until.is_none() && !self.inbox.full() {
+            match self.inbox.fill(&mut self.stream) {
+                Ok(0) => return false,
+                Ok(_) => {}
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return e.kind() == io::ErrorKind::WouldBlock,
+            }
+        }
+        true
+    }
+
     /// What a client may not do while its request is open: send another. A farewell is none.
     pub fn overruns(&self) -> bool {
         let bytes = self.inbox.bytes();
@@ -195,31 +211,5 @@
     }
 }
 
-/// The clients' connections, by key and by the id that greetings tell.
-#[derive(Default)]
-pub struct Sessions {
-    /// By key at the poller.
-    pub by_key: BTreeMap<Key, Session>,
-    /// Keys by connection id.
-    pub by_id: BTreeMap<u32, Key>,
-}
-
-impl Sessions {
-    /// Takes one in.
-    pub fn insert(&mut self, s: Session) -> Key {
-        let key = s.key;
-        self.by_id.insert(s.id, key);
-        self.by_key.insert(key, s);
-        key
-    }
-
-    /// Takes one out.
-    pub fn remove(&mut self, key: Key) -> Option<Session> {
-        let s = self.by_key.remove(&key)?;
-        self.by_id.remove(&s.id);
-        Some(s)
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/src/net/session/sessions.rs
@@ -0,0 +1,46 @@
+//! All clients' connections.
+
+use super::Session;
+use crate::net::poll::Key;
+use std::collections::BTreeMap;
+
+/// The clients' connections, by key and by the id that greetings tell.
+#[derive(Default)]
+pub struct Sessions {
+    /// By key at the poller.
+    pub by_key: BTreeMap<Key, Session>,
+    /// Keys by connection id.
+    pub by_id: BTreeMap<u32, Key>,
+}
+
+impl Sessions {
+    /// Takes one in.
+    pub fn insert(&mut self, s: Session) -> Key {
+        let key = s.key;
+        self.by_id.insert(s.id, key);
+        self.by_key.insert(key, s);
+        key
+    }
+
+    /// Those that were told to go, and only read their last bytes.
+    pub fn lingering(&self) -> usize {
+        self.by_key.values().filter(|s| s.dismissed()).count()
+    }
+
+    /// The others.
+    pub fn served(&self) -> usize {
+        self.by_key.len() - self.lingering()
+    }
+
+    /// Whether nothing came from a client that was not read yet.
+    pub fn has_nothing_unread(&self, key: Key) -> bool {
+        self.by_key.get(&key).is_some_and(|s| s.dismissed() || !s.unread())
+    }
+
+    /// Takes one out.
+    pub fn remove(&mut self, key: Key) -> Option<Session> {
+        let s = self.by_key.remove(&key)?;
+        self.by_id.remove(&s.id);
+        Some(s)
+    }
+}
--- a/src/net/session/tests.rs
+++ b/src/net/session/tests.rs
@@ -23,3 +23,53 @@
     assert_eq!(tenant(",acct=nobody"), None);
     assert_eq!(tenant(""), None);
 }
+
+/// A session and its client's socket; the greeting is read off.
+fn connected(poll: &Poll, pool: &Pool) -> (Session, TcpStream) {
+    let at = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let mut client = TcpStream::connect(at.local_addr().unwrap()).unwrap();
+    client.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
+    let mut s = Session::new(at.accept().unwrap().0, poll, pool, 7, &[33; 20], 1).unwrap();
+    assert!(s.flush(poll));
+    let mut head = [0; 4];
+    client.read_exact(&mut head).unwrap();
+    client.read_exact(&mut vec![0; usize::from(head[0])]).unwrap();
+    (s, client)
+}
+
+// A connection was closed over what its client had just written: that resets it, and a small answer that the system
+// still held goes along. It ends write side first, and what crosses its end is read, dropped and never begun.
+#[test]
+fn what_crosses_the_end_of_a_connection_resets_nothing_and_is_not_taken() {
+    use std::io::Write;
+    let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
+    let (mut s, mut client) = connected(&poll, &pool);
+    s.ok();
+    s.finish(2);
+    assert!(s.flush(&poll));
+    let mut answer = [0; 11];
+    client.read_exact(&mut answer).unwrap();
+    assert_eq!(client.read(&mut [0]).unwrap(), 0, "its end comes right behind the answer");
+    let crossing = b"\x2e\0\0\0\x03/* method=lookup,rid=9b1f03aa5c7e2d41,budget=1 */";
+    client.write_all(crossing).unwrap();
+    while !s.unread() {}
+    assert!(s.read(3) && s.next(&names(), 3).is_none(), "it is read, and nothing comes of it");
+    assert!(!s.unread() && !s.has_crossed(2) && s.has_crossed(200_000));
+    s.close(&poll);
+    assert_eq!(client.read(&mut [0]).unwrap(), 0, "no reset");
+}
+
+// After a standstill a client's request and its end lie behind each other: reading once shows only the request.
+#[test]
+fn reading_on_finds_the_end_behind_a_request() {
+    use std::io::Write;
+    let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
+    let (mut s, mut client) = connected(&poll, &pool);
+    client.write_all(b"\x05\0\0").unwrap();
+    while !s.unread() {}
+    assert!(s.read(2) && s.read_on(), "still there");
+    client.write_all(b"\0\x03SET").unwrap();
+    client.shutdown(std::net::Shutdown::Write).unwrap();
+    while !s.unread() {}
+    assert!(s.read(3) && !s.read_on(), "gone");
+}
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -1,14 +1,16 @@
 //! How a dispatcher is set up.
 
 use super::buffers::Pool;
+use super::descriptors::Descriptors;
 use super::executors::Executors;
 use super::feed::Feed;
 use super::hands::{Classes, Hands};
-use super::limits::{CLIENTS, COUNTERS, KEPT_PART, LONGEST_WAIT, OWN, SWEEP};
+use super::limits::{CLIENTS, COUNTERS, KEPT_PART, LONGEST_WAIT, SWEEP};
 use super::lists::Lists;
 use super::operator::Operators;
 use super::poll::Poll;
 use super::session::Sessions;
+use super::shutdown::Shutdown;
 use super::signals::Signals;
 use super::timers::Clock;
 use super::{Node, calls, listen};
@@ -19,7 +21,7 @@
 use crate::settings::config::{Config, ConfigError};
 use crate::settings::options::Options;
 use crate::storm::{self, Storm};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::fmt::Display;
 use std::io;
 
@@ -49,6 +51,7 @@
                 seed,
             )
         });
+        let limits = Shutdown::of(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
         let classes = options.peers.as_ref().map(|_| Classes::of(&settings, &names));
         let mut dispatch =
             Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
@@ -58,8 +61,12 @@
         let (listener_key, address) = (poll.add(&listener, false)?, listener.local_addr()?);
         let signal_key = poll.add(&signals.stream, false)?;
         let pool = Pool::new((config.limits.memory_mb / KEPT_PART * 1024.0 * 1024.0) as usize);
+        let descriptors = Descriptors::of(config.limits.sockets);
         let operators = match operator {
-            Some(at) => Some(Operators::bind(at, &poll, &pool).map_err(context(&format!("listen on {at}")))?),
+            Some(at) => Some(
+                Operators::bind(at, descriptors.callers, &poll, &pool)
+                    .map_err(context(&format!("listen on {at}")))?,
+            ),
             None => None,
         };
         let figures = Figures::new();
@@ -77,26 +84,24 @@
             }
             _ => None,
         };
-        // Clients hold a third of the descriptors at most as a rule; the rest of their half is for others.
-        let sockets = config.limits.sockets;
-        let (most_sessions, most_conns) =
-            ((sockets / 2).max(16), (sockets * 3 / 8).saturating_sub(OWN).max(8));
         let mut node = Node {
             poll,
             names,
             dispatch,
             sessions: Sessions::default(),
-            executors: Executors::new(transport, most_conns, seed, &pool),
+            executors: Executors::new(transport, descriptors.executors, seed, &pool),
             feed: Some(Feed::new(config.coordinator, config.known.index)),
             lists: None,
             storm,
             hands,
             jobs: BTreeMap::new(),
+            arrived: VecDeque::new(),
             listener: Some((listener_key, listener)),
             paused: None,
             signals: (signal_key, signals),
             load,
-            most_sessions,
+            descriptors,
+            limits,
             // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
             next_id: (seed ^ (seed >> 32) ^ now) as u32,
             accept_at: None,
@@ -107,7 +112,7 @@
             stopping: None,
             given_up: false,
             refused_clients: 0,
-            made_room: 0,
+            evicted: 0,
             shed: 0,
             operators,
             leaving: None,
--- a/src/net/ending.rs
+++ b/src/net/shutdown.rs
@@ -2,11 +2,38 @@
 
 use super::poll::Key;
 use super::session::Session;
-use super::{ENDS, GIVES_UP, Node, TAKES_ON};
+use super::{Node, TAKES_ON};
 use crate::api::Micros;
 use crate::invariant;
 use crate::settings::config::Config;
 
+/// The platform kills no sooner after SIGTERM than the longest deadline and this.
+const KILLED_AFTER: Micros = 700_000;
+/// A longer deadline is taken as this.
+const LONGEST_DEADLINE: Micros = 3_000_000;
+/// What is open is given up so long before the kill, and the end comes so long before it.
+const GIVE_UP_AHEAD: Micros = 600_000;
+const END_AHEAD: Micros = 300_000;
+
+/// What is left of a dispatcher's time after SIGTERM.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) struct Shutdown {
+    /// When what is open is given up.
+    pub(super) gives_up: Micros,
+    /// The end, whoever is still connected.
+    pub(super) ends: Micros,
+}
+
+impl Shutdown {
+    /// For the longest deadline of any class.
+    pub(super) fn of(longest_deadline: Micros) -> Shutdown {
+        let killed = longest_deadline.min(LONGEST_DEADLINE) + KILLED_AFTER;
+        // A request that came while new ones were taken has a moment at least.
+        let gives_up = (killed - GIVE_UP_AHEAD).max(TAKES_ON);
+        Shutdown { gives_up, ends: (killed - END_AHEAD).max(gives_up) }
+    }
+}
+
 impl Node {
     pub(super) fn sweep(&mut self, now: Micros) {
         self.executors.sweep(now, &self.poll);
@@ -32,7 +59,7 @@
             conns = self.executors.connections(),
             clients = self.sessions.by_key.len(),
             clients_refused = self.refused_clients,
-            made_room = self.made_room,
+            evicted = self.evicted,
             shed = self.shed,
             stray = w.stray,
             bad_lines = w.bad_lines,
@@ -105,7 +132,7 @@
         if self.stopping.is_none() {
             tracing::info!(open = self.dispatch.waiting(), "SIGTERM");
             self.stopping = Some(now);
-            self.dispatch.ends_at(now + GIVES_UP);
+            self.dispatch.ends_at(now + self.limits.gives_up);
         }
     }
 
@@ -115,23 +142,39 @@
         if now < since + TAKES_ON {
             return false;
         }
-        if self.listener.is_some() {
-            self.accept(now);
-            if let Some((_, listener)) = self.listener.take() {
-                self.poll.remove(&listener);
-            }
+        if self.listener.is_some() || self.paused.is_some() {
+            self.stop_accepting(now);
             // The last look at what was written in time.
             let all: Vec<Key> = self.sessions.by_key.keys().copied().collect();
             all.into_iter().for_each(|key| self.read(key, now));
+            self.begin_arrived(now);
         }
-        if now >= since + GIVES_UP && !self.given_up {
+        if now >= since + self.limits.gives_up && !self.given_up {
             self.given_up = true;
             let orders = self.dispatch.give_up(now);
             self.settle(now, orders);
         }
-        let done = |s: &Session| s.open.is_none() && s.flushed();
-        let idle: Vec<Key> = self.sessions.by_key.iter().filter(|(_, s)| done(s)).map(|(k, _)| *k).collect();
-        idle.into_iter().for_each(|key| self.hang_up(key, now));
-        self.sessions.by_key.is_empty() || now >= since + ENDS
+        self.let_go(now);
+        self.sessions.by_key.is_empty() || now >= since + self.limits.ends
+    }
+
+    /// Ends the connections of clients that rest. One that asked in this very moment is read first, and answered.
+    fn let_go(&mut self, now: Micros) {
+        let rests = |s: &Session| s.open.is_none() && s.flushed();
+        let resting: Vec<Key> =
+            self.sessions.by_key.iter().filter(|(_, s)| rests(s)).map(|(k, _)| *k).collect();
+        for key in resting {
+            let Some(s) = self.sessions.by_key.get(&key) else { continue };
+            match s.dismissed() {
+                true if s.has_crossed(now) && !s.unread() => self.hang_up(key, now),
+                true => {}
+                false if s.unread() && !s.paused() => self.read(key, now),
+                false => self.finish(key, now),
+            }
+        }
+        self.begin_arrived(now);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/turn.rs
@@ -0,0 +1,161 @@
+//! One turn of the loop: in which order what came is heeded.
+//!
+//! All that came is taken in before anything new begins: first signals and the clients' side, so that who has gone is
+//! known, then executors, lists and operators, so that what has ended and who drains is known. Then requests begin
+//! that came in this turn, then what is due by the clock.
+
+use super::*;
+
+impl Node {
+    /// Serves until SIGTERM, then until all that was taken has its answer.
+    pub fn run(&mut self) -> io::Result<()> {
+        let mut events = polling::Events::new();
+        let mut worked = 0;
+        loop {
+            let now = self.clock.now();
+            if self.over(now) {
+                break;
+            }
+            let wait = self.next_due().saturating_sub(now);
+            self.poll.wait(&mut events, Duration::from_micros(wait)).map_err(context("poller"))?;
+            let woke = self.clock.now();
+            // What came while this process did not look came at any time since it last did.
+            self.behind = (woke - now).saturating_sub(wait) + worked;
+            self.keep_hands(woke);
+            let (clients, others): (Vec<_>, Vec<_>) = events.iter().partition(|e| self.comes_first(e.key));
+            for event in clients.into_iter().chain(others) {
+                self.ready(event.key, event.readable, event.writable, woke);
+            }
+            self.begin_arrived(woke);
+            self.tick();
+            self.begin_arrived(self.clock.last());
+            let (asleep, busy) = (woke - now, self.clock.now() - woke);
+            if busy > SLOW_TURN || asleep > wait + SLOW_TURN {
+                tracing::warn!(slept_us = asleep, wanted_us = wait, worked_us = busy, "slow turn");
+            }
+            worked = busy;
+        }
+        self.leave_fleet(self.clock.last());
+        self.count();
+        tracing::info!("stopped");
+        Ok(())
+    }
+
+    /// Whether a key is of the signals, the clients' listener or a client.
+    fn comes_first(&self, key: Key) -> bool {
+        let listens = self.listener.as_ref().is_some_and(|(k, _)| *k == key);
+        listens || key == self.signals.0 || self.sessions.by_key.contains_key(&key)
+    }
+
+    /// Whether the loop was away for so long that a client may have asked and gone meanwhile.
+    pub(super) fn was_away(&self) -> bool {
+        self.behind >= AWAY
+    }
+
+    /// The sides that have sockets and timers of their own.
+    fn rooms(&self) -> impl Iterator<Item = &dyn Room> {
+        let feed = self.feed.as_ref().map(|f| f as &dyn Room);
+        let hands = self.hands.as_ref().map(|h| h as &dyn Room);
+        let operators = self.operators.as_ref().map(|o| o as &dyn Room);
+        std::iter::once(&self.executors as &dyn Room).chain(feed).chain(operators).chain(hands)
+    }
+
+    fn next_due(&self) -> Micros {
+        let lists = self.lists.as_ref().filter(|l| l.pending()).map(|_| self.clock.last());
+        let rooms = self.rooms().map(Room::next_due);
+        let due = [self.dispatch.next_due(), self.accept_at, lists].into_iter().chain(rooms);
+        // While stopping, a look every now and then is near enough to each of its limits.
+        let own = if self.stopping.is_some() { self.clock.last() + STOP_LOOK } else { self.clients_at };
+        due.flatten().fold(own, Micros::min)
+    }
+
+    fn ready(&mut self, key: Key, readable: bool, writable: bool, now: Micros) {
+        if self.listener.as_ref().is_some_and(|(k, _)| *k == key) {
+            self.accept(now);
+        } else if key == self.signals.0 {
+            let (stop, reread) = self.signals.1.take();
+            if reread {
+                self.reread(now);
+            }
+            if stop {
+                self.stop(now);
+            }
+        } else if self.operators.as_ref().is_some_and(|o| o.owns(key)) {
+            let lines = self.operators.as_mut().map(|o| o.ready(key, now, &self.poll)).unwrap_or_default();
+            for (caller, line) in lines {
+                let asked = tracing::enabled!(tracing::Level::DEBUG).then(|| format!("{line:?}"));
+                let answer = self.call(caller, now, line);
+                if let Some(asked) = asked {
+                    let answer = answer.as_ref().and_then(|a| a.lines().next());
+                    tracing::debug!(asked, answer, "operator call");
+                }
+                if let (Some(o), Some(answer)) = (&mut self.operators, answer) {
+                    o.answer(caller, &answer, &self.poll);
+                }
+            }
+        } else if self.feed.as_ref().is_some_and(|f| f.owns(key)) {
+            let updates = self.feed.as_mut().map(|f| f.ready(key, now, &self.poll));
+            updates.into_iter().flatten().for_each(|update| self.update(now, update));
+        } else if self.lists.as_ref().is_some_and(|l| l.owns(key)) {
+            self.with_lists(now, |lists, _| lists.ready(now));
+        } else if self.hands.as_ref().is_some_and(|h| h.owns(key)) {
+            if let Some(h) = &mut self.hands {
+                h.peers.ready(key, now, &self.poll);
+            }
+            self.move_hands(now);
+        } else if self.executors.owns(key) {
+            self.executors.ready(key, readable, writable, now, &self.poll);
+            self.settle(now, Vec::new());
+        } else if self.sessions.by_key.contains_key(&key) {
+            if readable {
+                self.read(key, now);
+            }
+            if writable {
+                self.flush(key);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.clock.now();
+        let orders = self.dispatch.tick(now);
+        self.settle(now, orders);
+        self.executors.tick(now, &self.poll);
+        self.settle(now, Vec::new());
+        if let Some(feed) = &mut self.feed {
+            feed.tick(now, &self.poll);
+        }
+        self.spare_descriptors(now);
+        if self.lists.as_ref().is_some_and(Lists::pending) {
+            self.with_lists(now, |_, _| ());
+        }
+        if self.accept_at.is_some_and(|t| t <= now) {
+            self.accept_at = None;
+            self.accept_again(now);
+        }
+        if let Some(o) = &mut self.operators {
+            o.tick(now, &self.poll);
+        }
+        if let Some(h) = &mut self.hands {
+            h.tick(now, &self.poll);
+        }
+        self.keep_hands(now);
+        self.keep_plan(now);
+        self.keep_policy(now);
+        if self.clients_at <= now {
+            self.clients_at = now + CLIENTS;
+            self.look_after_clients(now);
+            self.send_all_away(now);
+            self.watch_storm(now);
+            self.with_lists(now, |lists, executors| lists.tick(now, &|uid| executors.busy(uid)));
+        }
+        if self.sweep_at <= now {
+            self.sweep_at = now + SWEEP;
+            self.sweep(now);
+        }
+        if self.counters_at <= now {
+            self.counters_at = now + COUNTERS;
+            self.count();
+        }
+    }
+}
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -56,6 +56,21 @@
     pub conn_idle: Micros,
     /// A connection not up within this time has failed.
     pub dial_timeout: Micros,
+    /// Whether executors may be probed.
+    pub probes: bool,
+    /// Word of an attempt that is out comes this often; `None` where none comes before its end.
+    pub progress: Option<Micros>,
+}
+
+/// Word that comes as often as stated may be this late; where none is stated, it is asked for after the usual pace.
+const WORD_SLACK: Micros = 200_000;
+const USUAL_PACE: Micros = 1_000_000;
+
+impl Transport {
+    /// How long a connection with an attempt out may say nothing.
+    pub fn word_within(&self) -> Micros {
+        self.progress.unwrap_or(USUAL_PACE) + WORD_SLACK
+    }
 }
 
 /// The names of one instance's settings; decisions never see them.
@@ -86,11 +101,15 @@
             micros("settings", &format!("permissions.{field}"), s.unwrap_or(default))
         };
         let p = &self.permissions;
+        let pace = self.domain.progress_pace.unwrap_or(0.0);
+        let pace = micros("settings", "domain.progressPace", pace)?;
         Ok(Transport {
             most_held: p.most_held.unwrap_or(10_000),
             streams_per_conn: p.streams_per_conn.unwrap_or(100).max(1),
             conn_idle: span("connIdle", p.conn_idle, 30.0)?,
             dial_timeout: span("dialTimeout", p.dial_timeout, 0.25)?,
+            probes: p.probes.unwrap_or(false),
+            progress: Some(pace).filter(|p| *p > 0),
         })
     }
 
--- /dev/null
+++ b/tests/clients/crowds.rs
@@ -0,0 +1,53 @@
+//! Crowds and descriptors: what others hold must not keep out who is owed something.
+
+use super::*;
+use std::io::Write;
+use std::net::TcpStream;
+
+// Idle clients filled the descriptors while discovery was down. Once it is back the list is followed again, and a
+// request is served by an executor that only the new list names.
+#[test]
+fn a_crowd_of_idle_clients_keeps_neither_discovery_nor_requests_out() {
+    let executor = Executor::new();
+    for limit in [64, 40] {
+        // Below what the shares need, the newest idle client is closed for the feed.
+        let program = env!("CARGO_BIN_EXE_ottercroft");
+        let mut launch = Launch::new("sh", env!("CARGO_TARGET_TMPDIR"))
+            .with(&["-c", &format!("ulimit -n {limit} && exec {program}")]);
+        (launch.settings, launch.sockets) = (Quiet::default().json(), limit.max(64));
+        let refusing = Refusing::new();
+        let old = Executor::new();
+        let mut d = launch.serving(&launch.config(refusing.address, &[("e0", old.address)]));
+        d.logs("feed: lost");
+        let mut crowd: Vec<Client> = (0..70).map(|_| Client::says(d.address, "SET NAMES utf8mb4")).collect();
+        let silent: Vec<TcpStream> = (0..70).filter_map(|_| TcpStream::connect(d.address).ok()).collect();
+        let within =
+            crowd.iter_mut().filter_map(|c| (c.got() == Got::Ok && c.got() == Got::Ok).then_some(())).count();
+        assert!(within > 8, "{within} were let in");
+        let coordinator = refusing.coordinator();
+        let (mut feed, line) = coordinator.accept();
+        assert_eq!(line, "follow 1\n");
+        let list = [target("e0", old.address, "draining"), target("e1", executor.address, "up")];
+        writeln!(feed, "{}", event(2, false, &list)).unwrap();
+        d.logs("motor listed anew");
+        let mut client = Client::asks(d.address, &request("read", "d1"));
+        let mut peer = executor.accept();
+        let pull = peer.command().unwrap();
+        peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+        assert_eq!(client.got(), row());
+        drop((crowd, silent));
+    }
+}
+
+// Where the settings permit no probes, a connection that owed word was probed all the same, at a price that nobody
+// pays there. What follows the pull of a request that is never answered is its KILL, by the dispatcher's own clock.
+#[test]
+fn nothing_is_probed_where_probes_are_not_permitted() {
+    let executor = Executor::new();
+    let (d, _coordinator) = quiet(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &request("load", "d2").replace("budget=15000", "budget=4000"));
+    let mut peer = executor.accept();
+    assert_eq!(peer.command().unwrap()[0], "PULL");
+    assert_eq!(peer.line(), "KILL 00000000000000d2");
+    assert!(matches!(client.got(), Got::Error(1105, _)), "it may have run");
+}
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -1,9 +1,10 @@
 //! Clients that go, are killed, crowd or say too much, in the very moment in which something is owed: the program on
 //! loopback sockets against scripted peers that force the order.
 
+mod crowds;
 mod keyed;
-mod late;
 mod leaving;
+mod standstill;
 
 use standins::scripted::*;
 use std::net::SocketAddr;
@@ -22,6 +23,13 @@
     launch.dispatcher(executors)
 }
 
+/// A dispatcher that sends nothing which a story does not ask for.
+fn quiet(executors: &[(&str, SocketAddr)]) -> (Dispatcher, Coordinator) {
+    let mut launch = launch();
+    launch.settings = Quiet::default().json();
+    launch.dispatcher(executors)
+}
+
 /// A request of a class, under an id that ends in these two digits.
 fn request(class: &str, digits: &str) -> String {
     format!(
--- /dev/null
+++ b/tests/clients/standstill.rs
@@ -0,0 +1,139 @@
+//! The program stands still, or its machine does, and much comes meanwhile: what ended is heeded before anything new
+//! begins, in whatever order it came.
+
+use super::*;
+use std::io::Write;
+use std::net::Shutdown;
+use std::time::Duration;
+
+/// Long enough that whoever went meanwhile has been gone for longer than anything may begin after it.
+const STILL: Duration = Duration::from_millis(400);
+
+/// Stops the program, has this done, and lets it go on once it has been still for long enough.
+fn while_still(d: &Dispatcher, what: impl FnOnce()) {
+    d.stands_still();
+    what();
+    std::thread::sleep(STILL);
+    d.goes_on();
+}
+
+/// A dispatcher with an executor, and the connection between them, up and idle: whatever begins is written at once.
+fn with_idle_connection(executor: &Executor) -> (Dispatcher, Coordinator, Peer) {
+    let (d, coordinator) = quiet(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &request("read", "a0"));
+    let mut peer = executor.accept();
+    let pull = peer.command().unwrap();
+    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert_eq!(client.got(), row());
+    (d, coordinator, peer)
+}
+
+fn rests(d: &Dispatcher) -> Client {
+    let mut client = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(client.got(), Got::Ok);
+    client
+}
+
+/// Asks for one more, and sees that its request is the first that goes out.
+fn next_is_first(d: &Dispatcher, peer: &mut Peer) {
+    let mut next = Client::asks(d.address, &request("read", "af"));
+    let pull = peer.command().unwrap();
+    assert_eq!(pull[1], "00000000000000af", "{pull:?}");
+    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert_eq!(next.got(), row());
+}
+
+// A request and its client's end lay in one socket; the request was read alone, and began for nobody.
+#[test]
+fn a_request_whose_client_closed_behind_it_does_not_begin() {
+    let executor = Executor::new();
+    let (d, _coordinator, mut peer) = with_idle_connection(&executor);
+    let (mut closes, mut shuts, mut quits) = (rests(&d), rests(&d), rests(&d));
+    while_still(&d, || {
+        closes.ask(&request("load", "a1"));
+        drop(closes);
+        shuts.ask(&request("read", "a2"));
+        shuts.stream.shutdown(Shutdown::Write).unwrap();
+        quits.ask(&request("load", "a3"));
+        quits.stream.write_all(&[1, 0, 0, 0, 1]).unwrap();
+        quits.stream.shutdown(Shutdown::Write).unwrap();
+    });
+    next_is_first(&d, &mut peer);
+}
+
+// A KILL comes on a connection of its own, which may not even have been accepted when the request it is for is read;
+// that began, and was called off in the next moment.
+#[test]
+fn a_request_that_was_killed_before_it_was_read_does_not_begin() {
+    let executor = Executor::new();
+    let (d, _coordinator, mut peer) = with_idle_connection(&executor);
+    let mut client = rests(&d);
+    // More connections than are accepted in one turn wait before the one that kills.
+    let mut waits = Vec::new();
+    let id = client.id;
+    let mut killer = None;
+    while_still(&d, || {
+        client.ask(&request("load", "a1"));
+        waits.extend((0..100).map(|_| std::net::TcpStream::connect(d.address).unwrap()));
+        killer = Some(Client::writes(d.address, &format!("KILL QUERY {id}")));
+    });
+    assert!(matches!(client.got(), Got::Error(1317, _)));
+    next_is_first(&d, &mut peer);
+    drop((waits, killer));
+}
+
+// An executor's connection was closed while the program looked away, and a load was written to it all the same: it
+// failed, as it might have run. The end is heeded first, and the load goes out on a connection that is open.
+#[test]
+fn nothing_is_written_to_a_connection_whose_end_is_here_already() {
+    let executor = Executor::new();
+    let (d, _coordinator, peer) = with_idle_connection(&executor);
+    let mut client = rests(&d);
+    while_still(&d, || {
+        client.ask(&request("load", "a1"));
+        drop(peer);
+    });
+    let mut other = executor.accept();
+    let pull = other.command().unwrap();
+    assert_eq!(pull[1], "00000000000000a1");
+    other.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert_eq!(client.got(), row());
+}
+
+// News that an executor drains lay in the feed's socket while requests were read, and they were sent there.
+#[test]
+fn who_drains_is_known_before_anything_begins() {
+    let (executor, other, old) = (Executor::new(), Executor::new(), Executor::new());
+    let (mut d, coordinator) = quiet(&[("e0", old.address)]);
+    let (mut feed, _) = coordinator.accept();
+    let list = [target("e0", old.address, "draining"), target("e1", executor.address, "up")];
+    writeln!(feed, "{}", event(2, false, &list)).unwrap();
+    d.logs("motor listed anew");
+    let mut first = Client::asks(d.address, &request("read", "b9"));
+    let mut peer = executor.accept();
+    let pull = peer.command().unwrap();
+    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+    assert_eq!(first.got(), row());
+    let list = [target("e0", old.address, "removed"), target("e2", other.address, "up")];
+    writeln!(feed, "{}", event(3, false, &list)).unwrap();
+    d.logs("motor listed anew");
+    let mut clients: Vec<Client> = (0..8).map(|_| rests(&d)).collect();
+    let drains = event(4, false, &[target("e1", executor.address, "draining")]);
+    while_still(&d, || {
+        for (n, client) in clients.iter_mut().enumerate() {
+            client.ask(&request("read", &format!("b{n}")).replace("sales_7", &format!("sales_{n}")));
+        }
+        writeln!(feed, "{drains}").unwrap();
+    });
+    std::thread::spawn(move || {
+        loop {
+            let mut peer = other.accept();
+            std::thread::spawn(move || {
+                while let Some(pull) = peer.command() {
+                    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+                }
+            });
+        }
+    });
+    assert!(clients.iter_mut().all(|c| c.got() == row()), "none went to the one that drains");
+}
