--- /dev/null
+++ b/src/api/mod.rs
@@ -0,0 +1,31 @@
+//! The interface of the decision module: settings, events, actions and ids. It decides nothing.
+//!
+//! Classes, tenants, zones and kinds of machine are indices into the lists of [`Settings`]; their names
+//! stay with the host. All times and spans are whole microseconds.
+
+mod action;
+mod engines;
+mod event;
+mod settings;
+mod validation;
+
+pub use action::Action;
+pub use engines::{Entry, ListKind, Readiness, Report};
+pub use event::{Arrival, Bill, Event, Finished, Note, Outcome};
+pub use settings::{Budget, Class, ColdRule, Effect, Group, Kind, Reports, Settings, Shortage, Tenant};
+pub use validation::{SettingsError, check};
+
+/// A point in time or a span, in microseconds.
+pub type Micros = u64;
+/// Index into [`Settings::classes`].
+pub type ClassId = usize;
+/// Index into [`Settings::tenants`].
+pub type TenantId = usize;
+/// Index of a zone, below [`Settings::zones`].
+pub type ZoneId = usize;
+/// Index into [`Settings::kinds`].
+pub type KindId = usize;
+/// An engine, by the id that the list gives it. It tells nothing of zone, kind or age.
+pub type EngineId = u32;
+/// A request; never used twice.
+pub type QueryId = u64;
--- /dev/null
+++ b/src/api/settings.rs
@@ -0,0 +1,193 @@
+//! What a gateway is told at its start: classes, kinds of machine, tenants, and what engines do.
+
+use super::{Entry, KindId, Micros, ZoneId};
+
+/// What may be done about an attempt whose fate is unknown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// May be repeated freely.
+    Safe,
+    /// Repeats are dropped inside a group of engines, for a while.
+    Keyed {
+        /// The engines that drop each other's repeats.
+        group: Group,
+        /// For how long after the first attempt that may have run.
+        window: Micros,
+    },
+    /// Must not run twice.
+    Unsafe,
+}
+
+/// Which engines drop repeats of a keyed request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Group {
+    /// Any engine.
+    All,
+    /// Engines of the same zone.
+    Zone,
+    /// Engines of the same cell.
+    Cell,
+}
+
+impl Group {
+    /// Whether two engines are of one group.
+    pub fn holds(self, a: &Entry, b: &Entry) -> bool {
+        match self {
+            Group::All => true,
+            Group::Zone => a.zone == b.zone,
+            Group::Cell => a.cell == b.cell,
+        }
+    }
+}
+
+/// A class of query.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Class {
+    /// An answer within this time, plus `aim_stretch`, earns the whole worth.
+    pub aim: Micros,
+    /// The aim grows by this times the query's work over its threads.
+    pub aim_stretch: f64,
+    /// How long a client waits in all.
+    pub deadline: Micros,
+    /// Worth of one answer.
+    pub worth: f64,
+    /// Share of the worth that a late answer still earns.
+    pub late_worth: f64,
+    /// Threads that a query runs on.
+    pub threads: u32,
+    /// What may be repeated.
+    pub effect: Effect,
+    /// Queries of one key run one at a time.
+    pub keep_order: bool,
+    /// It holds its table group on its engine while it runs.
+    pub loads: bool,
+    /// It stands still where a load holds its table group.
+    pub yields_to_loads: bool,
+    /// The only zones allowed, if bound.
+    pub only_zones: Option<Vec<ZoneId>>,
+    /// The only kinds of machine allowed, if bound.
+    pub only_kinds: Option<Vec<KindId>>,
+}
+
+/// A kind of machine.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Kind {
+    /// Cores.
+    pub cores: f64,
+    /// Memory in MB; 0 if unknown.
+    pub memory_mb: f64,
+}
+
+/// A tenant.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Tenant {
+    /// Requests a second, over all gateways, inside its share.
+    pub quota_per_s: f64,
+}
+
+/// What happens when grants pass an engine's memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Shortage {
+    /// The query waits in the engine's line.
+    Queue,
+    /// It gets what is left, and spills.
+    Trim,
+    /// It is let in and everything slows down.
+    Swap,
+}
+
+/// How engines report their load.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reports {
+    /// Inside outcomes and probe results.
+    Inline,
+    /// Inside probe results only.
+    OnProbe,
+    /// Not at all.
+    Off,
+}
+
+/// The attempt budget.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Budget {
+    /// Further attempts allowed in every window whatever the traffic.
+    pub free: f64,
+    /// Further attempts allowed for each request taken in the window.
+    pub ratio: f64,
+    /// Length of the window.
+    pub span: Micros,
+}
+
+/// The cold-engine rule.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ColdRule {
+    /// An engine starts at this share of its capacity or more.
+    pub from: f64,
+    /// It is warm this long after its start.
+    pub ramp: Micros,
+    /// Sent more than this multiple of its present capacity...
+    pub multiple: f64,
+    /// ...for this long, it falls over.
+    pub fall: Micros,
+}
+
+/// All that a gateway is told at its start.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Settings {
+    /// Gateways in this tier.
+    pub gateways: u32,
+    /// Classes of query.
+    pub classes: Vec<Class>,
+    /// Kinds of machine.
+    pub kinds: Vec<Kind>,
+    /// Tenants; may be empty.
+    pub tenants: Vec<Tenant>,
+    /// Number of zones.
+    pub zones: usize,
+    /// This gateway's zone.
+    pub zone: ZoneId,
+    /// Worth of a request beyond its tenant's share, as a part of the usual.
+    pub over_share_worth: f64,
+    /// Price of an attempt that crosses zones, in points of service for each first try.
+    pub cross_zone_price: f64,
+    /// Price of a probe, in points of service for each first try.
+    pub probe_price: f64,
+    /// Price of a new connection, in the same.
+    pub handshake_price: f64,
+    /// Load reports.
+    pub reports: Reports,
+    /// The engine list must be asked for.
+    pub list_must_be_asked: bool,
+    /// Probes are allowed.
+    pub probes: bool,
+    /// Attempts may be cancelled.
+    pub cancel: bool,
+    /// A query may have two attempts out at once.
+    pub second_copies: bool,
+    /// Most attempts for a query.
+    pub max_attempts: u32,
+    /// The longest wait that a client will follow; `None` where advice is not passed on.
+    pub max_retry_after: Option<Micros>,
+    /// Memory grants are heeded.
+    pub grants: bool,
+    /// Priorities are heeded.
+    pub priorities: bool,
+    /// Share of an engine's memory that one query gets at most.
+    pub most_grant: f64,
+    /// What a shortage of memory does.
+    pub shortage: Shortage,
+    /// Pace of progress notes; `None` where there are none.
+    pub progress: Option<Micros>,
+    /// Answers tell what a query cost.
+    pub tells_cost: bool,
+    /// The attempt budget, where one is stated.
+    pub budget: Option<Budget>,
+    /// The cold-engine rule.
+    pub cold: ColdRule,
+    /// Nothing new may go to an engine this long after word that it drains or is gone.
+    pub drain_grace: Micros,
+    /// How long a key rests after an attempt that may still run.
+    pub key_quiet: Option<Micros>,
+    /// Shortest time between two batches of events.
+    pub step: Micros,
+}
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -1,4 +1,4 @@
-//! Every decision of the gateway. The interface (settings, events, actions, ids) stands in `src/api.rs`.
+//! Every decision of the gateway. The interface (settings, events, actions, ids) stands in `src/api/`.
 //!
 //! The ordinary path: predict a query's cost, let the matching rule's bucket pass or refuse it at once, and
 //! draw an engine weighted down by reported load plus own threads since. All else is ours: docs/design.md.
