Move the unit tests that stood inline into test files

Change: each `mod tests` of theirs is now a file NAME/tests.rs beside, one step less indented; no assertion, name or comment of a test changed. src/net/buffers.rs still has its own inline.

--- /dev/null
+++ b/src/storm/plan/tests.rs
@@ -0,0 +1,47 @@
+use super::*;
+use proptest::prelude::*;
+use rand_core::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+// A thousand clients turned away at once must not come back at once.
+#[test]
+fn a_thousand_turned_away_at_once_come_back_spread() {
+    let (mut plan, mut rng) = (Plan::new(1_000_000), Pcg64Mcg::seed_from_u64(7));
+    let all: Vec<Return> = (0..1_000).map(|_| plan.give(5_000_000, 1.0, &|_| 200.0, &mut rng)).collect();
+    let promised = all.iter().filter(|r| r.promised).count();
+    assert!((150..=200).contains(&promised), "{promised}");
+    for tenth in 0..10 {
+        let within = 5_000_000 + tenth * 100_000..5_000_000 + (tenth + 1) * 100_000;
+        let n = all.iter().filter(|r| r.promised && within.contains(&r.at)).count();
+        assert!(n <= 30, "{n} in tenth {tenth}");
+    }
+    assert!(all.iter().all(|r| r.at <= 6_000_000 && (r.promised || r.at >= 5_500_000)));
+}
+
+proptest! {
+    // Whatever is asked when, the promises for any stretch of time stay within the capacity planned for it,
+    // nobody waits longer than clients honour, and the memory is that of the slots ahead.
+    #[test]
+    fn promises_stay_within_the_planned_capacity(
+        asks in prop::collection::vec((0u64..300_000, 0.1f64..4.0), 1..300),
+        rates in prop::collection::vec(0.0f64..400.0, 1..8),
+        longest in 100_000u64..5_000_000,
+        seed in any::<u64>(),
+    ) {
+        let (mut plan, mut rng) = (Plan::new(longest), Pcg64Mcg::seed_from_u64(seed));
+        // Capacity that changes by the second, known ahead, as a ramp is.
+        let room = |at: Micros| rates[(at / 1_000_000) as usize % rates.len()];
+        let mut now = 1_000_000;
+        for (pause, weight) in asks {
+            now += pause;
+            let back = plan.give(now, weight, &room, &mut rng);
+            prop_assert!(back.at > now && back.at <= now + longest.max(2 * SLOT) + SLOT);
+            for i in 0..plan.given.len() as u64 {
+                let slot = plan.first + i;
+                let all = room(slot * SLOT) * SLOT as f64 / 1e6;
+                prop_assert!(plan.given(slot) <= all + 1e-6, "slot {slot}: {} of {all}", plan.given(slot));
+            }
+            prop_assert!(plan.given.len() as u64 <= longest.max(2 * SLOT) / SLOT + 2);
+        }
+    }
+}
