--- a/crates/lab/src/motor_lists/mod.rs
+++ b/crates/lab/src/motor_lists/mod.rs
@@ -1,25 +1,24 @@
 //! Motor lists: files swapped in every way under steady traffic, and the accounts of what came of it.
 
 mod large;
+mod report;
+mod run;
+mod safeguards;
+mod swap;
 mod ways;
 mod world;
 
-use crate::chart;
-use crate::daemon::{Daemon, Event};
-use crate::traffic::{self, Counts, Traffic};
-use hdrhistogram::Histogram;
-use ottercroft::membership::list::{List, ListFile};
-use rand::rngs::StdRng;
-use rand::seq::IndexedRandom;
-use rand::{Rng, SeedableRng};
-use standins::engine::{Engine, Pull};
-use standins::scripted::{Launch, SETTINGS};
+use crate::traffic::Counts;
+use ottercroft::membership::list::ListFile;
+use report::{describe, keep, quantile};
+use run::run;
+use safeguards::safeguards;
+use standins::scripted::SETTINGS;
 use std::collections::{BTreeMap, BTreeSet};
 use std::error::Error;
-use std::fmt::Write as _;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime};
-use ways::{FILE_WAYS, ODDS, Way};
+use ways::{FILE_WAYS, Way};
 use world::{Room, Version, WRONGS, Wrong};
 
 const SETTLE: Duration = Duration::from_millis(40);
@@ -89,16 +88,6 @@
     }
 }
 
-/// The value below which this share of all lies.
-fn quantile(all: &[f64], share: f64) -> f64 {
-    let mut h = Histogram::<u64>::new(3).expect("three digits are allowed");
-    for ms in all {
-        // It grows as it needs to, so that whatever was measured fits.
-        let _ = h.record((ms * 1_000.0).round() as u64);
-    }
-    h.value_at_quantile(share) as f64 / 1_000.0
-}
-
 fn settings_json() -> String {
     SETTINGS.replace(r#""areas":["a"]"#, r#""areas":["a","b"]"#)
 }
@@ -123,11 +112,6 @@
     )
 }
 
-/// A motor that answers reads soon and loads late.
-fn motor() -> std::io::Result<Engine> {
-    Engine::new(|p: &Pull| Duration::from_millis(if p.class() == "load" { 120 } else { 15 }))
-}
-
 struct Side {
     room: Room,
     source: &'static str,
@@ -141,186 +125,9 @@
     out: Vec<(String, SystemTime, Option<SystemTime>)>,
 }
 
-impl Side {
-    /// The digest of the whole list with this version in it.
-    fn digest(&self, v: &Version) -> String {
-        let Some(fixed) = &self.fixed else { return v.digest.clone() };
-        let name = self.path.file_name().unwrap_or_default().to_string_lossy();
-        let file = ListFile::parse(&name, &name, &v.text).0;
-        List::new(file.into_iter().chain([fixed.clone()]).collect()).digest.to_string()
-    }
-
-    /// A list came into force, or what was in it did: who is out since when.
-    fn in_force(&mut self, names: &BTreeSet<String>, at: SystemTime) {
-        for (uid, _) in &self.room.motores {
-            let open = self.out.iter_mut().find(|(u, _, until)| u == uid && until.is_none());
-            match (open, names.contains(uid)) {
-                (Some(span), true) => span.2 = Some(at),
-                (None, false) => self.out.push((uid.clone(), at, None)),
-                _ => {}
-            }
-        }
-    }
-}
-
-fn run(program: &Path, dir: &Path, plan: &Plan, seed: u64) -> Result<Outcome, Fault> {
-    let _ = std::fs::remove_dir_all(dir);
-    std::fs::create_dir_all(dir.join("kept"))?;
-    std::fs::create_dir_all(dir.join("b"))?;
-    let mut rng = StdRng::seed_from_u64(seed);
-    let engines: Vec<Engine> = (0..9).map(|_| motor()).collect::<Result<_, _>>()?;
-    let named =
-        |range: std::ops::Range<usize>| range.map(|i| (format!("s-{i}"), engines[i].address)).collect();
-    let mut sides =
-        [("a", 0..4, dir.join("a.hcl")), ("b", 4..8, dir.join("b/b.hcl"))].map(|(name, range, path)| {
-            let mut room = Room::new(name, named(range), plan.seals);
-            let good = room.next(&mut rng);
-            let (valid, emptied, out) = (BTreeSet::new(), BTreeSet::new(), Vec::new());
-            Side { room, source: name, path, good, valid, emptied, fixed: None, out }
-        });
-    let fixed = Room::new("b", vec![("s-8".into(), engines[8].address)], plan.seals).next(&mut rng);
-    std::fs::write(dir.join("b/fixed.hcl"), &fixed.text)?;
-    sides[1].fixed = ListFile::parse("fixed.hcl", "fixed.hcl", &fixed.text).0;
-    for side in &mut sides {
-        let digest = side.digest(&side.good);
-        side.valid.insert(digest);
-    }
-    ways::put(&mut rng, &sides[0].path, Way::Rename, &sides[0].good.text)?;
-    ways::put(&mut rng, &sides[1].path, Way::ConfigMap, &sides[1].good.text)?;
-    let file = dir.join("options.hcl");
-    std::fs::write(&file, options(dir, plan))?;
-    let mut launch = Launch::new(program, dir).with(&["--settings", &file.display().to_string()]);
-    (launch.settings, launch.sockets) = (settings_json(), 512);
-    // The configuration names a coordinator; with the feed left out of the precedence nobody goes there.
-    let config = launch.config("127.0.0.1:9".parse()?, &[]);
-    let daemon = Daemon::start(&launch, &config)?;
-    let traffic = Traffic::start(daemon.address, CLIENTS, Duration::from_millis(110), KEYS);
-    let mut o = Outcome { swaps: plan.swaps.into(), ..Outcome::default() };
-    for n in 1..=plan.swaps {
-        let wrong = !plan.wrongs.is_empty() && n % 3 == 0;
-        swap(&mut rng, plan, &daemon, &mut sides, wrong, &mut o)?;
-        std::thread::sleep(plan.pause);
-        if n % (plan.swaps / 50).max(1) == 0 {
-            o.memory_kb.push((n.into(), daemon.memory_kb()));
-        }
-    }
-    o.counts = traffic.stop();
-    let pulls: Vec<Vec<Pull>> = engines.iter().map(Engine::pulls).collect();
-    o.run_twice = traffic::run_twice(pulls.iter().flatten());
-    o.side_by_side = traffic::side_by_side(pulls.iter().flatten(), |p| traffic::key_of(p, KEYS));
-    for (uid, from, until) in sides.iter().flat_map(|s| &s.out) {
-        let engine: usize = uid.trim_start_matches("s-").parse()?;
-        let late = |p: &&Pull| p.at > *from + GRACE && until.is_none_or(|u| p.at < u);
-        o.after_drain += pulls[engine].iter().filter(late).count() as u64;
-        let told = |p: &&Pull| p.at > *from + MOMENT && until.is_none_or(|u| p.at < u);
-        o.after_told += pulls[engine].iter().filter(told).count() as u64;
-    }
-    o.ended_well = daemon.stop();
-    std::fs::remove_dir_all(dir)?;
-    Ok(o)
-}
-
-/// One swap, and what the dispatcher makes of it.
-fn swap(
-    rng: &mut StdRng,
-    plan: &Plan,
-    daemon: &Daemon,
-    sides: &mut [Side; 2],
-    wrong: bool,
-    o: &mut Outcome,
-) -> Result<(), Fault> {
-    let i = usize::from(rng.random_bool(0.3));
-    let way = if i == 1 { Way::ConfigMap } else { *plan.ways.choose(rng).unwrap_or(&Way::Rename) };
-    if wrong {
-        o.wrongs += 1;
-        let side = &mut sides[i];
-        // A directory's file is a link; what else may stand there is tried on the single file.
-        if i == 0 && plan.wrongs.len() == WRONGS.len() && rng.random_bool(0.3) {
-            ways::put_odd(&side.path, *ODDS.choose(rng).unwrap_or(&ODDS[0]))?;
-        } else {
-            let kind = *plan.wrongs.choose(rng).unwrap_or(&Wrong::Cut);
-            let version = side.room.wrong(rng, kind);
-            if kind == Wrong::Emptied {
-                let digest = side.digest(&version);
-                side.emptied.insert(digest);
-            }
-            ways::put(rng, &side.path, way, &version.text)?;
-        }
-        // Mostly long enough for it to settle and be told of, now and then gone before that.
-        let stays =
-            if rng.random_bool(0.7) { SETTLE + Duration::from_millis(60) } else { Duration::from_millis(8) };
-        let events = daemon.until(stays, |_| false);
-        events.iter().for_each(|e| heard(e, sides, o));
-        return Ok(());
-    }
-    let side = &mut sides[i];
-    side.good = side.room.next(rng);
-    let (digest, source) = (side.digest(&side.good), side.source);
-    side.valid.insert(digest.clone());
-    let put = ways::put(rng, &side.path, way, &side.good.text)?;
-    let fits = |e: &Event| e.message() == "motor list in force" && e.text("digest") == digest;
-    let events = daemon.until(PATIENCE, |e| fits(e) && e.text("source") == source);
-    events.iter().for_each(|e| heard(e, sides, o));
-    match events.last().filter(|e| fits(e)) {
-        Some(e) => {
-            let ms = e.at.duration_since(put).unwrap_or_default().as_secs_f64() * 1_000.0;
-            o.times.entry(way).or_default().push(ms);
-            let names = sides[i].good.names.clone();
-            sides[i].in_force(&names, e.at);
-        }
-        None => o.missed += 1,
-    }
-    Ok(())
-}
-
-fn heard(e: &Event, sides: &mut [Side; 2], o: &mut Outcome) {
-    match e.message() {
-        "slow turn" if e.number("worked_us").is_some_and(|us| us > 20_000) => o.slow_turns += 1,
-        "motor list in force" => {
-            let Some(side) = sides.iter().find(|s| s.source == e.text("source")) else { return };
-            if side.emptied.contains(e.text("digest")) {
-                o.emptied_taken += 1;
-            } else if !side.valid.contains(e.text("digest")) {
-                o.wrongly_taken += 1;
-            }
-        }
-        _ => {}
-    }
-}
-
-const NO_WAYS: &[Way] = &[Way::Rename];
 const SEALED: Plan =
     Plan { swaps: 0, seals: true, without: &[], wrongs: &WRONGS, ways: &FILE_WAYS, pause: Duration::ZERO };
 
-/// Runs that leave a safeguard out, each beside the same run with it, and the harm that it keeps away.
-fn safeguards(swaps: u32) -> Vec<(&'static str, Plan, Harm)> {
-    let plan =
-        |seals, without, wrongs, ways| Plan { swaps, seals, without, wrongs, ways, pause: Duration::ZERO };
-    vec![
-        ("seal", plan(true, &["seal"], &[Wrong::CutBetween, Wrong::Edited, Wrong::Mixed], NO_WAYS), |o| {
-            o.wrongly_taken
-        }),
-        ("settle", plan(false, &["settle"], &[], &[Way::Pieces, Way::Over]), |o| o.wrongly_taken),
-        (
-            "check",
-            plan(
-                true,
-                &["check"],
-                &[Wrong::SameUid, Wrong::SameAddress, Wrong::NoWeight, Wrong::UnknownRoom],
-                NO_WAYS,
-            ),
-            |o| o.wrongly_taken,
-        ),
-        ("guard", plan(true, &["guard"], &[Wrong::Emptied], NO_WAYS), |o| o.emptied_taken),
-        ("drain", Plan { pause: Duration::from_millis(70), ..plan(true, &["drain"], &[], NO_WAYS) }, |o| {
-            o.after_told
-        }),
-    ]
-}
-
-/// What counts as the harm of a safeguard that is left out.
-type Harm = fn(&Outcome) -> u64;
-
 /// The whole measurement; whether all aims are met.
 pub fn prove(program: &Path, results: &Path, swaps: u32, seed: u64, slice: bool) -> Result<bool, Fault> {
     let scratch = std::env::temp_dir().join(format!("ottercroft-lab-{}", std::process::id()));
@@ -400,48 +207,3 @@
     );
     Ok(missed.is_empty())
 }
-
-fn describe(name: &str, o: &Outcome) -> String {
-    format!(
-        "{name}: swaps={} invalid={} taken wrongly={} emptied={} missed={} after drain={} slow turns={} memory={:?} kB {:?}",
-        o.swaps,
-        o.wrongs,
-        o.wrongly_taken,
-        o.emptied_taken,
-        o.missed,
-        o.after_drain,
-        o.slow_turns,
-        o.memory_kb.last().map(|m| m.1),
-        o.counts
-    )
-}
-
-/// Tables and the chart.
-fn keep(
-    results: &Path,
-    all: &Outcome,
-    harms: &[(&str, u64, u64)],
-    large: &large::Large,
-) -> Result<(), Fault> {
-    std::fs::create_dir_all(results)?;
-    let mut table = String::from("way,swaps,p50_ms,p90_ms,p99_ms,max_ms\n");
-    let mut lines = Vec::new();
-    for (way, times) in &all.times {
-        let q = |share| quantile(times, share);
-        let most = times.iter().copied().fold(0.0, f64::max);
-        let (n, name) = (times.len(), way.name());
-        writeln!(table, "{name},{n},{:.2},{:.2},{:.2},{most:.2}", q(0.5), q(0.9), q(0.99))?;
-        let points = (0..=100).map(|p| (f64::from(p), q(f64::from(p) / 100.0).max(0.01))).collect();
-        lines.push((name.to_string(), points));
-    }
-    std::fs::write(results.join("time-to-in-force.csv"), table)?;
-    let mut table = String::from("safeguard,harm_with_it,harm_without_it\n");
-    harms.iter().try_for_each(|(name, with, without)| writeln!(table, "{name},{with},{without}"))?;
-    std::fs::write(results.join("safeguards.csv"), table)?;
-    let mut table = String::from("swaps,resident_kb\n");
-    all.memory_kb.iter().try_for_each(|(n, kb)| writeln!(table, "{n},{kb}"))?;
-    std::fs::write(results.join("memory.csv"), table)?;
-    std::fs::write(results.join("large-list.csv"), large.table())?;
-    let title = "From the swap of a valid list to in force, by way";
-    chart::lines(&results.join("time-to-in-force.svg"), title, ["percentile", "milliseconds"], &lines)
-}
