Take a null in the settings for a key that is absent

Cause: the platform conveys a value that is not present as null. Keys with a default of their own (step, areas, kinds, costs, domain and its lists, permissions, report, and name, seed, limits and known of the file) took a missing key but ended the program at a null: 'field step: invalid type: null, expected f64'.

Change: src/settings/env.rs reads null as absent for all of them (absent, lines 5-8), as the optional keys did before; src/settings/config.rs likewise.

--- a/src/settings/config.rs
+++ b/src/settings/config.rs
@@ -1,7 +1,7 @@
 //! The configuration of one dispatcher: the file that `ROUTER_CONFIG` names, and the variables beside it.
 
 use crate::codec::coordinator::Known;
-use crate::settings::{self, Env};
+use crate::settings::{self, Env, env::absent};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -22,20 +22,20 @@
 #[derive(Deserialize)]
 pub struct Config {
     /// Its name, the same after a restart.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// For random numbers, in hex; new with each start.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub seed: String,
     /// What it may use.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub limits: Limits,
     /// Where the coordinator is.
     pub coordinator: SocketAddr,
     /// The coordinator's events so far.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub known: Known,
     /// The settings, as the simulator gives them too.
     pub settings: Env,
--- a/src/settings/env.rs
+++ b/src/settings/env.rs
@@ -1,33 +1,38 @@
 //! The JSON form of the platform's settings, before it is translated.
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
+
+/// A value that is null is one that is absent: the platform writes both.
+pub(super) fn absent<'de, D: Deserializer<'de>, T: Deserialize<'de> + Default>(d: D) -> Result<T, D::Error> {
+    Option::deserialize(d).map(Option::unwrap_or_default)
+}
 
 /// The settings as they stand in JSON; unknown keys are skipped.
 #[derive(Deserialize)]
 #[serde(rename_all = "camelCase")]
 pub struct Env {
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub(super) areas: Vec<String>,
     pub(super) balancers: u32,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub(super) costs: CostsIn,
     #[serde(default)]
     pub(super) discovery: Option<String>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub(super) domain: DomainIn,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub(super) kinds: Vec<String>,
     #[serde(default)]
     pub(super) over_share_worth: Option<f64>,
     #[serde(default)]
     pub(super) parties: Option<Vec<PartyIn>>,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub(super) permissions: PermissionsIn,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub(super) report: ReportIn,
     pub(super) request_classes: Vec<ClassIn>,
     pub(super) rules: RulesIn,
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub(super) step: f64,
     #[serde(default)]
     pub(super) zone: Option<String>,
@@ -44,13 +49,18 @@
 #[derive(Deserialize, Default)]
 #[serde(rename_all = "camelCase", default)]
 pub(super) struct DomainIn {
+    #[serde(deserialize_with = "absent")]
     pub(super) class_load: Vec<bool>,
+    #[serde(deserialize_with = "absent")]
     pub(super) yields_to_loads: Vec<bool>,
     pub(super) grant_cap: Option<f64>,
+    #[serde(deserialize_with = "absent")]
     pub(super) kind_cores: Vec<f64>,
+    #[serde(deserialize_with = "absent")]
     pub(super) memory_by_kind_mb: Vec<f64>,
     pub(super) memory_heeded: Option<bool>,
     pub(super) on_shortage: Option<String>,
+    #[serde(deserialize_with = "absent")]
     pub(super) parallelism: Vec<u32>,
     pub(super) progress_pace: Option<f64>,
     pub(super) takes_priority: Option<bool>,
