Heed a retry budget that names only some of its keys

Cause: src/settings/platform.rs took rules.freeResends and rules.ratioSpan for no budget at all where rules.furtherRatio was absent, and the decisions then spent their own (3 free, a quarter of the requests, 10 s): up to four further attempts where the rule allowed none. A negative freeResends or ratioSpan passed unseen for the same reason.

Change: any of the three keys states the budget; what is not told of it allows nothing, and a budget with no span counts over 10 s (it was 0 s, which counted sends of one instant).

Measured: rules_hold_for_the_decisions_under_any_settings failed before with 'retry budget: 1 of 0' and passes.

--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -45,6 +45,9 @@
     }
 }
 
+/// The stretch of a retry budget that names none, in seconds.
+const BUDGET_SPAN_S: f64 = 10.0;
+
 /// What the network has to heed; decisions never see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Transport {
@@ -149,14 +152,11 @@
         let d = &self.domain;
         let retry_after = micros(M, "env.permissions.maxRetryAfter", p.max_retry_after.unwrap_or(0.0))?;
         let progress = micros(M, "env.domain.progressPace", d.progress_pace.unwrap_or(0.0))?;
-        let budget = match r.further_ratio {
-            Some(ratio) => Some(Budget {
-                free: r.free_resends.unwrap_or(0.0),
-                ratio,
-                span: micros(M, "env.rules.ratioSpan", r.ratio_span.unwrap_or(0.0))?,
-            }),
-            None => None,
-        };
+        // Any of its keys states the budget; what is not told of it allows nothing.
+        let stated = r.free_resends.or(r.further_ratio).or(r.ratio_span).is_some();
+        let span = micros(M, "env.rules.ratioSpan", r.ratio_span.unwrap_or(BUDGET_SPAN_S))?;
+        let (free, ratio) = (r.free_resends.unwrap_or(0.0), r.further_ratio.unwrap_or(0.0));
+        let budget = stated.then_some(Budget { free, ratio, span });
         let settings = Settings {
             gateways: self.balancers,
             kinds: (0..self.kinds.len().max(1)).map(kind).collect(),
