Bound what the facade takes for an estimate

Cause: src/dispatch/request.rs passed any finite positive estimate on. From some 1e13 s the decisions' sums of times overflow (src/control/requests.rs:17 and :32, attempts.rs:65, health.rs:99): a panic in debug builds, a wrapped time in release builds. Statements bound their fields by 1e9 ms, so that no client reaches it today; the facade rested on that.

Change: work counts as 1e6 s and memory as 1e9 MB at most.

Measured: rules_hold_for_the_facade_under_any_settings failed before with 'attempt to add with overflow' and passes.

--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -7,6 +7,16 @@
 const MARGIN: Micros = 250_000;
 const MARGIN_PART: Micros = 8;
 
+/// The largest work, in seconds, and memory, in MB, that an estimate is taken for: longer than any client waits,
+/// larger than any machine.
+const MOST_WORK_S: f64 = 1e6;
+const MOST_MEMORY_MB: f64 = 1e9;
+
+/// What an estimate is worth to the decisions: nothing where it is no positive number.
+fn told(estimate: Option<f64>, most: f64) -> Option<f64> {
+    estimate.filter(|e| e.is_finite() && *e > 0.0).map(|e| e.min(most))
+}
+
 /// One attempt of one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Ticket {
@@ -56,8 +66,8 @@
         tenant: request.tenant,
         key: request.key,
         grace: grace(request),
-        estimate_s: request.work_s.filter(|e| e.is_finite() && *e > 0.0),
-        memory_mb: request.memory_mb.filter(|e| e.is_finite() && *e > 0.0),
+        estimate_s: told(request.work_s, MOST_WORK_S),
+        memory_mb: told(request.memory_mb, MOST_MEMORY_MB),
         group: request.group,
         repeated: request.repeated,
     })
