Play short lives under settings that nobody here has seen

Need: every class, tenant, zone, kind, effect, time, limit and price has to come from the settings, and the tests knew two sites' alone.

Change: tests/any_settings draws 320 customers (one to thirty classes with any effect, group and window under any name, times from milliseconds to minutes, prices of 0, keys missing, null and in any order, zones and kinds bound, permissions given, refused or absent, a retry budget whole, in part or absent), writes them as JSON text, reads them as the programs do, and plays 400 steps with each: of the decisions, and of the facade over them. A referee that knows the drawn plan alone checks each step. Draws are the same at every run; each case has to come up thirty times at least.

--- /dev/null
+++ b/tests/any_settings/decisions.rs
@@ -0,0 +1,169 @@
+//! A short life of the decision module.
+
+use crate::plan::Plan;
+use crate::seen::Seen;
+use crate::world::{START, Standing, World};
+use ottercroft::Gateway;
+use ottercroft::api::*;
+
+struct Life {
+    world: World,
+    gateway: Gateway,
+    timers: Vec<(u64, u64)>,
+}
+
+impl Life {
+    fn event(&mut self, event: Event) {
+        let mut actions = Vec::new();
+        self.gateway.handle(self.world.now, event, &mut actions);
+        for a in actions {
+            self.act(a);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        let now = self.world.now;
+        match action {
+            Action::Wake { token, after } => self.timers.push((now + after.max(1), token)),
+            Action::Send { query, engine, .. } => {
+                self.world.send(query, engine);
+            }
+            Action::Cancel { query, attempt } => {
+                let n = attempt as usize;
+                self.world.referee.cancel(now, query, n);
+                let soon = now + 1 + self.world.below(5_000);
+                // What is on its way already comes first.
+                if let Some(fate) = self.world.fates.get_mut(&(query, n))
+                    && fate.is_none_or(|(t, _)| t > soon)
+                {
+                    *fate = Some((soon, Outcome::Cancelled));
+                }
+            }
+            Action::Refuse { query, retry_after } => {
+                let told = self.world.referee.plan.retry_after == Some(true);
+                assert!(told || retry_after.is_none(), "advice that nobody hears");
+                self.world.referee.refuse(now, query);
+            }
+            Action::Fail { query } => self.world.referee.fail(now, query),
+            Action::Probe { engine } => self.world.probe(engine),
+            Action::Terms { priority, memory_mb, .. } => {
+                assert!(priority <= 3 && memory_mb.is_finite() && memory_mb >= 0.0);
+            }
+            Action::Tell { .. } => panic!("told a peer, which no settings here permit"),
+            Action::Log(line) => assert!(!line.contains(&self.world.referee.plan.class_name(0))),
+            Action::Watch | Action::Unwatch | Action::ReadList | Action::CloseIdle { .. } => {}
+        }
+    }
+
+    fn entry(&self, engine: u32, standing: Standing, started: Option<u64>) -> Entry {
+        let p = self.world.referee.places[&engine];
+        let readiness = match standing {
+            Standing::Up => Readiness::Active,
+            Standing::Draining => Readiness::Leaving,
+            Standing::Gone => Readiness::Left,
+        };
+        let (zone, kind, cell) = (p.zone, p.kind, p.cell);
+        Entry { engine, zone, kind, cell, readiness, rating: 1.0, started, weight: None }
+    }
+
+    fn report(&mut self) -> Option<Report> {
+        let some = self.world.below(4) > 0 && self.world.referee.plan.reports < 2;
+        some.then(|| {
+            let x = self.world.below(100) as f64 / 50.0;
+            Report { util: Some(x.min(1.0)), inflight: Some(8.0 * x), memory: Some(x), ..Report::default() }
+        })
+    }
+
+    fn step(&mut self, more: bool) {
+        let timer = self.timers.iter().map(|(t, _)| *t).min();
+        self.world.advance(timer);
+        let now = self.world.now;
+        let due: Vec<u64> = self.timers.iter().filter(|(t, _)| *t <= now).map(|(_, n)| *n).collect();
+        self.timers.retain(|(t, _)| *t > now);
+        due.into_iter().for_each(|token| self.event(Event::Timer { token }));
+        for engine in self.world.echoes() {
+            let outcome = if self.world.broken(engine) { Outcome::Timeout } else { Outcome::Ok };
+            let report = self.report().filter(|_| outcome == Outcome::Ok);
+            self.event(Event::Probed { engine, outcome, latency: 2_000, report });
+        }
+        for (query, n, outcome) in self.world.ends() {
+            if !self.world.referee.end(now, query, n, outcome) {
+                continue;
+            }
+            if outcome == Outcome::Ok && !self.world.referee.open[&query].over {
+                self.world.referee.serve(now, query);
+            }
+            let o = &self.world.referee.open[&query];
+            let (done, a, attempt) = (o.over, o.attempts[n].clone(), n as u32);
+            let inline = self.world.referee.plan.reports == 0;
+            let report = self.report().filter(|_| inline);
+            let (engine, latency) = (a.engine, now - a.sent);
+            let bill = (outcome == Outcome::Ok && query % 2 == 0)
+                .then_some(Bill { work_s: latency as f64 / 1e6, memory_mb: 120.0 });
+            let finished = Finished { query, attempt, engine, done, outcome, latency, bill, report };
+            self.event(Event::Finished(finished));
+        }
+        self.word();
+        if let Some(id) = self.world.leaver() {
+            self.event(Event::HungUp { query: id });
+        }
+        if let Some(c) = self.world.change() {
+            let started = (c.standing == Standing::Up).then_some(now);
+            let changed = self.entry(c.engine, c.standing, started);
+            let (kind, entries) = if self.world.below(4) > 0 {
+                (ListKind::Update, vec![changed])
+            } else {
+                // The whole list, in which those that are gone are simply missing.
+                let listed = self.world.standing.iter().filter(|(_, s)| **s != Standing::Gone);
+                (ListKind::Replace, listed.map(|(e, s)| self.entry(*e, *s, started)).collect())
+            };
+            self.event(Event::List { kind, entries });
+        }
+        if self.world.below(200) == 0 {
+            self.event(Event::List { kind: ListKind::Unavailable, entries: vec![] });
+        }
+        if let Some(r) = more.then(|| self.world.request()).flatten() {
+            self.event(Event::Arrival(Arrival {
+                query: r.id,
+                class: r.class,
+                tenant: r.tenant,
+                key: r.key,
+                grace: r.grace,
+                estimate_s: r.estimate_s,
+                memory_mb: r.memory_mb,
+                group: r.group,
+                repeated: false,
+            }));
+        }
+    }
+
+    /// News of an attempt that is out.
+    fn word(&mut self) {
+        if self.world.referee.plan.notes.is_none() || self.world.fates.is_empty() {
+            return;
+        }
+        let n = self.world.below(self.world.fates.len() as u64) as usize;
+        let (query, n) = *self.world.fates.keys().nth(n).unwrap();
+        let engine = self.world.referee.open[&query].attempts[n].engine;
+        let note = match self.world.below(6) {
+            0..4 => Note::Progress(self.world.below(100) as f64 / 100.0),
+            4 => Note::Spill(64.0),
+            _ => Note::Waits,
+        };
+        self.event(Event::Noted { query, attempt: n as u32, engine, note });
+    }
+}
+
+pub fn life(plan: Plan, steps: u32) -> Seen {
+    let (settings, _) = plan.settings();
+    let gateway = Gateway::new(settings, plan.seed).unwrap();
+    let mut life = Life { world: World::new(plan), gateway, timers: vec![] };
+    assert_eq!(life.world.now, START);
+    let entries = life.world.standing.iter().map(|(e, s)| life.entry(*e, *s, None)).collect();
+    life.event(Event::List { kind: ListKind::Restored, entries });
+    (0..steps).for_each(|_| life.step(true));
+    while life.world.owed() {
+        life.step(false);
+    }
+    life.world.referee.seen
+}
--- /dev/null
+++ b/tests/any_settings/referee.rs
@@ -0,0 +1,195 @@
+//! The platform's rules, by the plan and not by what the program made of it.
+
+use crate::plan::{Effect, Plan, Reach};
+use crate::seen::Seen;
+use ottercroft::api::Outcome;
+use std::collections::BTreeMap;
+
+/// Where an executor stands; the same for its whole life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    pub zone: usize,
+    pub kind: usize,
+    pub cell: u64,
+}
+
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    pub engine: u32,
+    pub sent: u64,
+    pub outcome: Option<Outcome>,
+}
+
+#[derive(Debug, Clone)]
+pub struct Open {
+    pub class: usize,
+    pub key: Option<u64>,
+    pub deadline: u64,
+    /// A final answer was given, or none is owed.
+    pub over: bool,
+    pub attempts: Vec<Attempt>,
+}
+
+impl Open {
+    fn never_ran(&self) -> bool {
+        self.attempts.iter().all(|a| a.outcome.is_some_and(Outcome::never_ran))
+    }
+}
+
+pub struct Referee {
+    pub plan: Plan,
+    pub places: BTreeMap<u32, Place>,
+    pub open: BTreeMap<u64, Open>,
+    /// Since when executors are known to drain or to be gone.
+    pub told: BTreeMap<u32, u64>,
+    rested: BTreeMap<u64, u64>,
+    taken: Vec<u64>,
+    further: Vec<(u64, u64, usize)>,
+    pub seen: Seen,
+}
+
+impl Referee {
+    pub fn new(plan: Plan, places: BTreeMap<u32, Place>) -> Referee {
+        let (open, told, rested) = Default::default();
+        Referee { plan, places, open, told, rested, taken: vec![], further: vec![], seen: Seen::default() }
+    }
+
+    pub fn take(&mut self, now: u64, id: u64, class: usize, key: Option<u64>, grace: u64) {
+        self.taken.push(now);
+        let key = key.filter(|_| self.plan.classes[class].keep_order);
+        let open = Open { class, key, deadline: now + grace, over: false, attempts: vec![] };
+        assert!(self.open.insert(id, open).is_none());
+    }
+
+    pub fn send(&mut self, now: u64, id: u64, engine: u32) {
+        let (p, seen) = (&self.plan, &mut self.seen);
+        let o = &self.open[&id];
+        let (c, place) = (&p.classes[o.class], self.places[&engine]);
+        assert!(!o.over && now < o.deadline, "sent after its end or deadline");
+        assert!(o.attempts.len() < p.max_attempts as usize, "too many attempts");
+        assert!(c.zones.as_ref().is_none_or(|z| z.contains(&place.zone)), "wrong zone");
+        assert!(c.kinds.as_ref().is_none_or(|k| k.contains(&place.kind)), "wrong kind");
+        seen.bound += u32::from(c.zones.is_some() || c.kinds.is_some());
+        let grace_over = |t: &u64| now > *t + p.drain;
+        assert!(!self.told.get(&engine).is_some_and(grace_over), "sent to what drains or is gone");
+        seen.drained += u32::from(!self.told.is_empty());
+        let out = o.attempts.iter().any(|a| a.outcome.is_none());
+        assert!(!out || p.copies == Some(true), "two attempts out at once");
+        seen.copies += u32::from(out);
+        let ran: Vec<&Attempt> =
+            o.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran)).collect();
+        match c.effect {
+            Effect::ReadLike => {}
+            Effect::NonIdempotent => {
+                assert!(ran.is_empty(), "what must not run twice is sent again");
+                seen.unsafe_again += u32::from(!o.attempts.is_empty());
+            }
+            Effect::Keyed(reach) => {
+                for a in &ran {
+                    let there = self.places[&a.engine];
+                    let same = match reach {
+                        Reach::All => true,
+                        Reach::Zone => there.zone == place.zone,
+                        Reach::Cell => there.cell == place.cell,
+                    };
+                    assert!(same && now <= a.sent + c.window, "keyed outside its group or window");
+                }
+                seen.keyed_again += u32::from(!ran.is_empty());
+            }
+        }
+        if let Some(k) = o.key.filter(|_| o.attempts.is_empty()) {
+            for (before, x) in self.open.range(..id).filter(|(_, x)| x.key == Some(k)) {
+                let over = x.over && x.attempts.iter().all(|a| a.outcome.is_some());
+                assert!(over, "{id} sent while {before} of its key is open");
+            }
+            assert!(self.rested.get(&k).is_none_or(|t| now >= *t), "its key has not rested");
+        }
+        seen.sends += 1;
+        if !o.attempts.is_empty() {
+            seen.further += 1;
+            self.further.push((now, id, o.attempts.len()));
+        }
+        if let Some(b) = p.budget.as_ref().filter(|_| !o.attempts.is_empty()) {
+            // Those that never left are not counted: the program may count them all the same.
+            let moot = |id: &u64, n: usize| {
+                self.open[id].attempts.get(n).is_some_and(|a| a.outcome == Some(Outcome::Moot))
+            };
+            let counted = self.further.iter().filter(|(t, id, n)| t + b.span >= now && !moot(id, *n));
+            let taken = self.taken.iter().filter(|t| **t + b.span > now).count() as f64;
+            let most = b.free.unwrap_or(0.0) + b.ratio.unwrap_or(0.0) * taken;
+            let n = counted.count() as f64;
+            assert!(n <= most + 1e-9, "retry budget: {n} of {most}");
+            seen.budget_full += u32::from(n + 1.0 > most);
+        }
+        self.open.get_mut(&id).unwrap().attempts.push(Attempt { engine, sent: now, outcome: None });
+    }
+
+    /// An attempt is over; served ones finish their request. False if it was over before.
+    pub fn end(&mut self, now: u64, id: u64, n: usize, outcome: Outcome) -> bool {
+        let o = self.open.get_mut(&id).unwrap();
+        let Some(a) = o.attempts.get_mut(n).filter(|a| a.outcome.is_none()) else { return false };
+        a.outcome = Some(outcome);
+        if let (Some(k), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (o.key, outcome) {
+            let rest = now + self.plan.key_quiet.unwrap_or(0);
+            let t = self.rested.entry(k).or_default();
+            *t = rest.max(*t);
+        }
+        true
+    }
+
+    /// A final answer; true where a refusal or a failure came after what may have run.
+    fn answer(&mut self, now: u64, id: u64) {
+        let o = self.open.get_mut(&id).expect("an answer to a request that was taken");
+        assert!(!o.over, "a second answer");
+        o.over = true;
+        assert!(now <= o.deadline + self.plan.slack, "answered late");
+        self.seen.overdue += u32::from(now >= o.deadline);
+        let (ran, effect) = (!o.never_ran(), self.plan.classes[o.class].effect);
+        self.seen.unsafe_kept += u32::from(ran && effect == Effect::NonIdempotent);
+        self.seen.keyed_kept += u32::from(ran && matches!(effect, Effect::Keyed(Reach::Zone | Reach::Cell)));
+    }
+
+    pub fn serve(&mut self, now: u64, id: u64) {
+        self.seen.served += 1;
+        self.answer(now, id);
+    }
+
+    pub fn fail(&mut self, now: u64, id: u64) {
+        self.seen.failed += 1;
+        self.answer(now, id);
+    }
+
+    pub fn refuse(&mut self, now: u64, id: u64) {
+        let o = &self.open[&id];
+        let free = matches!(self.plan.classes[o.class].effect, Effect::ReadLike | Effect::Keyed(Reach::All));
+        assert!(free || o.never_ran(), "refused what may have run");
+        self.seen.refused += 1;
+        self.answer(now, id);
+    }
+
+    /// An attempt is called off; at its deadline its time-out does as much.
+    pub fn cancel(&mut self, now: u64, id: u64, n: usize) {
+        let o = &self.open[&id];
+        assert!(n < o.attempts.len(), "called off what was never sent");
+        assert!(self.plan.cancel == Some(true) || now >= o.deadline, "called off where that is prohibited");
+        self.seen.cancels += u32::from(now < o.deadline);
+    }
+
+    pub fn probe(&mut self) {
+        assert!(self.plan.probes == Some(true), "probed where that is prohibited");
+        self.seen.probes += 1;
+    }
+
+    /// What has to hold as time passes.
+    pub fn pass(&mut self, now: u64) {
+        let late = |o: &Open| !o.over && now > o.deadline + self.plan.slack;
+        assert!(!self.open.values().any(late), "a request has no answer in time");
+        let waits = |o: &&Open| !o.over && o.key.is_some() && o.attempts.is_empty();
+        self.seen.in_line += u32::from(self.open.values().filter(waits).count() > 0);
+        // What is over for good is kept no longer than the budget may ask for it.
+        let done = |o: &Open| o.over && o.attempts.iter().all(|a| a.outcome.is_some());
+        let span = self.plan.budget.as_ref().map_or(0, |b| b.span) + 1;
+        self.open.retain(|_, o| !done(o) || o.deadline + span > now);
+        self.further.retain(|(t, ..)| t + span > now);
+    }
+}
