Name the key of each fault in a configuration, at the start and at SIGHUP

A SIGHUP checked less than the start: balancers 0 was 'read again' and moved the feed.

The adapter's exception for settings that make no sense is as before.

--- a/src/settings/config.rs
+++ b/src/settings/config.rs
@@ -63,7 +63,13 @@
 impl Config {
     /// Reads a configuration from JSON; an error names the field.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
-        settings::body("config", text).map_err(|e| ConfigError(e.to_string()))
+        let config: Config = settings::body("config", text).map_err(|e| ConfigError(e.to_string()))?;
+        let memory = config.limits.memory_mb;
+        if !(memory.is_finite() && memory >= 0.0) {
+            return Err(ConfigError(format!("config: field limits.memory_mb: {memory} is out of range")));
+        }
+        config.settings.checked().map_err(|e| ConfigError(e.to_string()))?;
+        Ok(config)
     }
 
     /// Reads what the environment names. `var` looks a variable up.
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -73,8 +73,19 @@
     pub kinds: BTreeMap<String, KindId>,
 }
 
-fn indices<'a>(names: impl Iterator<Item = &'a String>) -> BTreeMap<String, usize> {
-    names.enumerate().map(|(i, n)| (n.clone(), i)).collect()
+/// Names by their place; one that stands for two things stands for neither.
+fn indices<'a>(
+    name: &str,
+    field: &str,
+    names: impl Iterator<Item = &'a String>,
+) -> Result<BTreeMap<String, usize>, Malformed> {
+    let mut all = BTreeMap::new();
+    for (i, n) in names.enumerate() {
+        if all.insert(n.clone(), i).is_some() {
+            return Err(bad(name, field, format_args!("{n:?} is named twice")));
+        }
+    }
+    Ok(all)
 }
 
 /// Index of a name, or an error that says which field held one that is unknown.
@@ -102,10 +113,10 @@
         const M: &str = "ENLIST";
         let parties = self.parties.unwrap_or_default();
         let names = Names {
-            classes: indices(self.request_classes.iter().map(|c| &c.name)),
-            tenants: indices(parties.iter().map(|p| &p.name)),
-            zones: indices(self.areas.iter()),
-            kinds: indices(self.kinds.iter()),
+            classes: indices(M, "env.requestClasses", self.request_classes.iter().map(|c| &c.name))?,
+            tenants: indices(M, "env.parties", parties.iter().map(|p| &p.name))?,
+            zones: indices(M, "env.areas", self.areas.iter())?,
+            kinds: indices(M, "env.kinds", self.kinds.iter())?,
         };
         let mut classes = Vec::new();
         for (i, c) in self.request_classes.iter().enumerate() {
