Name classes in the examples for what they are, not for one customer

Need: a class is known by what the settings say of it. The examples, the policies and a test of the figures carried the class names of one customer (consulta-corta, reporte-largo, carga-noche); no decision, log line or figure did.

--- a/examples/policies/month-end.hcl
+++ b/examples/policies/month-end.hcl
@@ -2,12 +2,12 @@
 policy "month end" {
   over_share_worth = 0.2 # a request beyond its tenant's share counts a fifth of one inside it
 
-  class "reporte-largo" {
+  class "report" {
     aim        = "3s"
     worth      = 2
     late_worth = 0.8
   }
-  class "carga-noche" {
+  class "load" {
     worth = 20
   }
 
--- a/src/operator/tests.rs
+++ b/src/operator/tests.rs
@@ -145,17 +145,14 @@
 #[test]
 fn figures_use_the_names_of_the_page() {
     let f = Figures::new();
-    f.class("consulta-corta");
-    f.ended("consulta-corta", Disposition::Succeeded);
-    f.ended("consulta-corta", Disposition::Succeeded);
+    f.class("short");
+    f.ended("short", Disposition::Succeeded);
+    f.ended("short", Disposition::Succeeded);
     f.forwards.inc();
     f.outstanding.set(4);
     let text = f.text();
-    assert!(
-        text.contains("dispatcher_results{disposition=\"succeeded\",service=\"consulta-corta\"} 2"),
-        "{text}"
-    );
-    assert!(text.contains("dispatcher_results{disposition=\"declined\",service=\"consulta-corta\"} 0"));
+    assert!(text.contains("dispatcher_results{disposition=\"succeeded\",service=\"short\"} 2"), "{text}");
+    assert!(text.contains("dispatcher_results{disposition=\"declined\",service=\"short\"} 0"));
     for name in
         ["forwards 1", "outstanding 4", "discovered 0", "ejected 0", "sighup_applied 0", "sighup_rejected 0"]
     {
