--- a/src/settings/config.rs
+++ b/src/settings/config.rs
@@ -1,7 +1,7 @@
 //! The configuration of one dispatcher: the file that `ROUTER_CONFIG` names, and the variables beside it.
 
 use crate::codec::coordinator::Known;
-use crate::settings::{self, Env};
+use crate::settings::{self, Env, env::absent};
 use serde::Deserialize;
 use std::fmt;
 use std::net::SocketAddr;
@@ -22,20 +22,20 @@
 #[derive(Deserialize)]
 pub struct Config {
     /// Its name, the same after a restart.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
     /// For random numbers, in hex; new with each start.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub seed: String,
     /// What it may use.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub limits: Limits,
     /// Where the coordinator is.
     pub coordinator: SocketAddr,
     /// The coordinator's events so far.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "absent")]
     pub known: Known,
     /// The settings, as the simulator gives them too.
     pub settings: Env,
@@ -63,7 +63,13 @@
 impl Config {
     /// Reads a configuration from JSON; an error names the field.
     pub fn parse(text: &str) -> Result<Config, ConfigError> {
-        settings::body("config", text).map_err(|e| ConfigError(e.to_string()))
+        let config: Config = settings::body("config", text).map_err(|e| ConfigError(e.to_string()))?;
+        let memory = config.limits.memory_mb;
+        if !(memory.is_finite() && memory >= 0.0) {
+            return Err(ConfigError(format!("config: field limits.memory_mb: {memory} is out of range")));
+        }
+        config.settings.checked().map_err(|e| ConfigError(e.to_string()))?;
+        Ok(config)
     }
 
     /// Reads what the environment names. `var` looks a variable up.
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -45,6 +45,9 @@
     }
 }
 
+/// The stretch of a retry budget that names none, in seconds.
+const BUDGET_SPAN_S: f64 = 10.0;
+
 /// What the network has to heed; decisions never see it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Transport {
@@ -85,8 +88,19 @@
     pub kinds: BTreeMap<String, KindId>,
 }
 
-fn indices<'a>(names: impl Iterator<Item = &'a String>) -> BTreeMap<String, usize> {
-    names.enumerate().map(|(i, n)| (n.clone(), i)).collect()
+/// Names by their place; one that stands for two things stands for neither.
+fn indices<'a>(
+    name: &str,
+    field: &str,
+    names: impl Iterator<Item = &'a String>,
+) -> Result<BTreeMap<String, usize>, Malformed> {
+    let mut all = BTreeMap::new();
+    for (i, n) in names.enumerate() {
+        if all.insert(n.clone(), i).is_some() {
+            return Err(bad(name, field, format_args!("{n:?} is named twice")));
+        }
+    }
+    Ok(all)
 }
 
 /// Index of a name, or an error that says which field held one that is unknown.
@@ -118,10 +132,10 @@
         const M: &str = "ENLIST";
         let parties = self.parties.unwrap_or_default();
         let names = Names {
-            classes: indices(self.request_classes.iter().map(|c| &c.name)),
-            tenants: indices(parties.iter().map(|p| &p.name)),
-            zones: indices(self.areas.iter()),
-            kinds: indices(self.kinds.iter()),
+            classes: indices(M, "env.requestClasses", self.request_classes.iter().map(|c| &c.name))?,
+            tenants: indices(M, "env.parties", parties.iter().map(|p| &p.name))?,
+            zones: indices(M, "env.areas", self.areas.iter())?,
+            kinds: indices(M, "env.kinds", self.kinds.iter())?,
         };
         let mut classes = Vec::new();
         for (i, c) in self.request_classes.iter().enumerate() {
@@ -168,14 +182,11 @@
         let d = &self.domain;
         let retry_after = micros(M, "env.permissions.maxRetryAfter", p.max_retry_after.unwrap_or(0.0))?;
         let progress = micros(M, "env.domain.progressPace", d.progress_pace.unwrap_or(0.0))?;
-        let budget = match r.further_ratio {
-            Some(ratio) => Some(Budget {
-                free: r.free_resends.unwrap_or(0.0),
-                ratio,
-                span: micros(M, "env.rules.ratioSpan", r.ratio_span.unwrap_or(0.0))?,
-            }),
-            None => None,
-        };
+        // Any of its keys states the budget; what is not told of it allows nothing.
+        let stated = r.free_resends.or(r.further_ratio).or(r.ratio_span).is_some();
+        let span = micros(M, "env.rules.ratioSpan", r.ratio_span.unwrap_or(BUDGET_SPAN_S))?;
+        let (free, ratio) = (r.free_resends.unwrap_or(0.0), r.further_ratio.unwrap_or(0.0));
+        let budget = stated.then_some(Budget { free, ratio, span });
         let settings = Settings {
             gateways: self.balancers,
             kinds: (0..self.kinds.len().max(1)).map(kind).collect(),
