Test what is owed as connections, lists and the process end, with the order forced

Need: what a request, a list or a shutdown still owes in the moment something ends was tested for a few points only. Change: a test target with 36 stories on the real program: connections to executors that come up late or never, or close or are reset around a request, for each effect; processes replaced at an address; answers that stop or are spoilt; a small ration over a short span; watches that fall silent, break or move as executors drain; SIGTERM at each point of a request's life; readiness with all else away.

--- /dev/null
+++ b/tests/endings/answers.rs
@@ -0,0 +1,174 @@
+//! Answers that are spoilt, stop, or come too late.
+
+use super::*;
+use std::time::Duration;
+
+// A hang in the middle of an answer takes its connection along under a long deadline: what is out there ends
+// once each, what may run twice is served elsewhere, and all other connections go on.
+#[test]
+fn a_hang_in_an_answer_ends_what_shares_its_connection_once_each() {
+    let executor = Executor::new();
+    let mut launch = launch(&Quiet::default());
+    // So few descriptors that eight connections go to executors, and two requests share each.
+    launch.sockets = 64;
+    let (d, _coordinator) = launch.dispatcher(&[("e1", executor.address)]);
+    let mut reads: Vec<_> = (1..=8).map(|n| Client::asks(d.address, &long("read", n))).collect();
+    let mut peers: Vec<_> = reads.iter().map(|_| executor.accept()).collect();
+    let read_ids: Vec<_> = peers.iter_mut().map(|peer| peer.command().unwrap()[1].clone()).collect();
+    let mut loads: Vec<_> = (11..=18).map(|n| Client::asks(d.address, &long("load", n))).collect();
+    let load_ids: Vec<_> = peers.iter_mut().map(|peer| peer.command().unwrap()[1].clone()).collect();
+    let number = |id: &str| u64::from_str_radix(id, 16).unwrap() as usize;
+    let (read, load) = (number(&read_ids[0]) - 1, number(&load_ids[0]) - 11);
+    peers[0].say(&format!("{} OK pages=1 6\r\n1\t", read_ids[0]));
+    ended(&mut loads[load], 1105);
+    assert!(peers[0].command().is_none(), "its connection is over");
+    let mut again = executor.accept();
+    let pull = pulled(&mut again, read as u64 + 1);
+    again.page(&pull, "OK pages=1", ROW);
+    served(&mut reads[read], ROW);
+    for (n, peer) in peers.iter_mut().enumerate().skip(1) {
+        peer.page(&read_ids[n], "OK pages=1", ROW);
+        peer.page(&load_ids[n], "OK pages=1", "2\tx\ty\n");
+        served(&mut reads[number(&read_ids[n]) - 1], ROW);
+        served(&mut loads[number(&load_ids[n]) - 11], "2\tx\ty\n");
+    }
+    assert!(executor.came().is_empty());
+}
+
+/// Answers that can't be used, after the id; with `.` the executor closes right after it.
+const SPOILT: [&str; 9] = [
+    "OK pages=1 6\r\n1\t.",
+    "OK pages=1 6\r\n1\tx\ty\nZZ",
+    "OK pages=1 3000000000\r\n1\tx\ty\n",
+    "OK pages=1 -6\r\n1\tx\ty\n\r\n",
+    "OK - 6\r\n1\tx\ty\n\r\n",
+    "OK pages=1 4\r\n1\tx\n\r\n",
+    "ROWS page=1 6\r\n1\tx\ty\n\r\n",
+    "OK pages=2 6\r\n1\tx\ty\n\r\n.",
+    "OK pages=1 0",
+];
+
+// A spoilt answer ran: it is passed on to nobody, what may run twice is sent again, and a load fails, once.
+#[test]
+fn a_spoilt_answer_is_no_answer_for_any_effect() {
+    let stories: Vec<_> =
+        CLASSES.map(|class| std::thread::spawn(move || spoilt_answers(class))).into_iter().collect();
+    stories.into_iter().for_each(|s| s.join().unwrap());
+}
+
+fn spoilt_answers(class: &'static str) {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(client.got(), Got::Ok);
+    for (n, spoilt) in (1..).zip(SPOILT) {
+        client.ask(&long(class, n));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        // What has no line end could be a line yet: it is known to be none once it is too long.
+        let tail = if spoilt.contains('\r') { "" } else { &"9".repeat(1100) };
+        peer.say(&format!("{pull} {}{tail}", spoilt.trim_end_matches('.')));
+        if !spoilt.ends_with('.') {
+            assert!(peer.command().is_none(), "{spoilt:?} ends its connection");
+        }
+        drop(peer);
+        if class == "load" {
+            ended(&mut client, 1105);
+        } else {
+            let mut peer = executor.accept();
+            let pull = pulled(&mut peer, n);
+            peer.page(&pull, "OK pages=1", ROW);
+            served(&mut client, ROW);
+            peer.resets();
+        }
+        assert!(executor.came().is_empty(), "{class} {spoilt:?}");
+    }
+}
+
+// An answer that keeps coming without an end is not waited for: nothing is kept of it, and whoever waits is told.
+#[test]
+fn an_answer_of_three_gigabytes_that_keeps_coming_is_cut_off() {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &long("load", 1));
+    let mut peer = executor.accept();
+    let pull = pulled(&mut peer, 1);
+    peer.say(&format!("{pull} OK pages=1 3000000000\r\n"));
+    // Whoever sends on writes into a connection that is over, sooner than 3 GB.
+    let piece = "1\tx\ty\n".repeat(10_000);
+    awaited("the end of its connection", || {
+        use std::io::Write;
+        peer.stream().write_all(piece.as_bytes()).is_err()
+    });
+    ended(&mut client, 1105);
+}
+
+// A second copy comes some milliseconds later, while the next request is out on the same connection, or none
+// is: it belongs to nobody, whatever rows it brings.
+#[test]
+fn a_second_copy_is_nobodys_answer() {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &long("read", 1));
+    let mut peer = executor.accept();
+    for n in 1..=3 {
+        let pull = pulled(&mut peer, n);
+        if n > 1 {
+            let old = format!("{:016x}", n - 1);
+            peer.page(&old, "OK pages=1", "old\tx\ty\n");
+            peer.page(&old, "ERR -", "");
+            // Nor is an answer ahead, to a request that comes later.
+            peer.page(&format!("{:016x}", n + 1), "OK pages=1", "ahead\tx\ty\n");
+        }
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        peer.page(&pull, "OK pages=1", "old\tx\ty\n");
+        client.ask(&long(CLASSES[n as usize - 1], n + 1));
+    }
+    let pull = pulled(&mut peer, 4);
+    peer.page(&pull, "OK pages=1", ROW);
+    served(&mut client, ROW);
+}
+
+// An attempt that was silent is killed and its request sent again: the answer to the first, which comes after
+// KILL, is dropped, and the second is passed on.
+#[test]
+fn an_answer_after_kill_is_dropped() {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &request("read", 1, 15_000, 10));
+    let mut first = executor.accept();
+    let pull = pulled(&mut first, 1);
+    assert_eq!(first.command().unwrap(), ["KILL", pull.as_str()]);
+    let mut second = executor.accept();
+    pulled(&mut second, 1);
+    first.page(&pull, "OK pages=1", "late\tx\ty\n");
+    // Once a later request is answered there, that answer was read.
+    let mut other = Client::asks(d.address, &long("load", 2));
+    let next = pulled(&mut first, 2);
+    first.page(&next, "OK pages=1", ROW);
+    served(&mut other, ROW);
+    second.page(&pull, "OK pages=1", ROW);
+    served(&mut client, ROW);
+}
+
+// Pages that stop while their connection stays open end by the dispatcher's own clock, before the client's:
+// what may have run twice is refused, a load has failed.
+#[test]
+fn pages_that_stop_end_by_our_own_clock() {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    for (n, (class, number)) in (1..).zip([("read", 1203), ("load", 1105)]) {
+        let mut client = Client::asks(d.address, &request(class, n, 1_500, 4_000));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        peer.page(&pull, "OK pages=3", ROW);
+        assert_eq!(peer.command().unwrap(), ["SCROLL", pull.as_str(), "1"]);
+        let from = std::time::Instant::now();
+        ended(&mut client, number);
+        assert!(from.elapsed() < Duration::from_secs(10), "the client's patience");
+        let rest: Vec<_> = std::iter::from_fn(|| peer.command()).take(2).collect();
+        assert!(rest.iter().all(|c| c[0] == "SCROLL" || c[0] == "DISCARD"), "{rest:?}");
+        peer.resets();
+    }
+}
--- /dev/null
+++ b/tests/endings/executors.rs
@@ -0,0 +1,150 @@
+//! Connections that come up late or never, close while they rest, and processes that are replaced.
+
+use super::*;
+use std::io::Write;
+
+// A connection that came up late was a dial given up or a request sent twice: it carries its request once.
+#[test]
+fn a_connection_that_comes_up_late_carries_its_request_once() {
+    let executor = Executor::new();
+    let filler = executor.narrows();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+    dialed(executor.address, 3);
+    executor.widens(filler);
+    let mut peers = answered(&executor, 3);
+    clients.iter_mut().for_each(|client| served(client, ROW));
+    assert!(peers.iter_mut().all(|peer| peer.came().is_empty()) && executor.came().is_empty());
+}
+
+// What waits for a connection that never comes up never ran, whatever its effect: it is moved to another
+// executor, and where there is none it is refused, not failed.
+#[test]
+fn what_waits_for_a_connection_that_never_comes_up_is_moved_or_refused() {
+    let [dead, other] = [0; 2].map(|_| Executor::new());
+    let _filler = dead.narrows();
+    let launch = launch(&Quiet { dial_timeout: 2.0, ..Quiet::default() });
+    let feed = standins::feed::Feed::at("127.0.0.1:0", 1).unwrap();
+    let targets = [target("e1", dead.address, "up"), target("e2", other.address, "draining")];
+    let mut d = launch.serving(&launch.config_of(feed.address, &targets));
+    let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+    dialed(dead.address, 3);
+    feed.tell(false, &[target("e2", other.address, "up")]);
+    d.logs("motor listed anew motor=\"e2\" state=Up");
+    let _peers = answered(&other, 3);
+    clients.iter_mut().for_each(|client| served(client, ROW));
+    feed.tell(false, &[target("e2", other.address, "removed")]);
+    d.logs("motor listed anew motor=\"e2\" state=Removed");
+    for (n, client) in (11..).zip(&mut clients) {
+        client.ask(&long(CLASSES[n as usize - 11], n));
+    }
+    clients.iter_mut().for_each(|client| ended(client, 1203));
+    assert!(other.came().is_empty());
+}
+
+// A resting connection that its executor closed before a request came in is not used for it, whatever its
+// effect: the close and the request are read in one turn.
+#[test]
+fn a_connection_closed_before_the_request_came_is_not_used() {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    for (n, class) in (1..).zip(CLASSES) {
+        let mut client = Client::asks(d.address, &long("read", n));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        d.stands_still();
+        drop(peer);
+        client.ask(&long(class, n + 10));
+        d.goes_on();
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n + 10);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        peer.resets();
+        assert!(executor.came().is_empty());
+    }
+}
+
+// A request was read, and its resting connection closed just then, before it is written there: what may run
+// twice is sent again, a load is not, and its client is told that it failed.
+#[test]
+fn a_connection_closed_under_a_request_costs_no_second_run() {
+    for (n, class) in (1..).zip(CLASSES) {
+        let executor = Executor::new();
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut client = Client::asks(d.address, &long("read", n));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        d.stands_still();
+        client.ask(&long(class, n + 10));
+        drop(peer);
+        d.goes_on();
+        if class == "load" {
+            ended(&mut client, 1105);
+        } else {
+            let mut peer = executor.accept();
+            let pull = pulled(&mut peer, n + 10);
+            peer.page(&pull, "OK pages=1", ROW);
+            served(&mut client, ROW);
+        }
+        assert!(executor.came().is_empty());
+    }
+}
+
+// An address goes to a new process while answers of the old one are out: they are good, and end what they
+// answer. What is new goes to the new process on a connection of its own.
+#[test]
+fn answers_of_the_old_process_still_count_under_a_new_uid() {
+    let executor = Executor::new();
+    let (mut d, coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let (mut feed, _) = coordinator.accept();
+    let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+    let mut peers = [0; 3].map(|_| executor.accept());
+    let pulls = [0, 1, 2].map(|n: usize| peers[n].command().unwrap());
+    let news = [target("e2", executor.address, "up"), target("e1", executor.address, "removed")];
+    writeln!(feed, "{}", event(2, false, &news)).unwrap();
+    d.logs("motor listed anew motor=\"e1\" state=Removed");
+    let mut next = Client::asks(d.address, &long("load", 9));
+    let mut new = executor.accept();
+    let pull = pulled(&mut new, 9);
+    peers.iter_mut().zip(&pulls).for_each(|(peer, pull)| peer.page(&pull[1], "OK pages=1", ROW));
+    clients.iter_mut().for_each(|client| served(client, ROW));
+    new.page(&pull, "OK pages=1", ROW);
+    served(&mut next, ROW);
+    assert!(peers.iter_mut().all(|peer| peer.command().is_none()), "the old connections are closed");
+    assert!(executor.came().is_empty());
+}
+
+// A process crashes and the list tells of its successor at the same address in the same moment: what may run
+// twice goes to the successor, a load that was out does not.
+#[test]
+fn a_crash_and_its_successor_in_one_moment() {
+    for crash_first in [true, false] {
+        let executor = Executor::new();
+        let (d, coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let (mut feed, _) = coordinator.accept();
+        let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+        let mut peers = [0; 3].map(|_| executor.accept());
+        peers.iter_mut().for_each(|peer| assert_eq!(peer.command().unwrap()[0], "PULL"));
+        let news = [target("e1", executor.address, "removed"), target("e2", executor.address, "up")];
+        let line = format!("{}\n", event(2, false, &news));
+        d.stands_still();
+        if !crash_first {
+            feed.write_all(line.as_bytes()).unwrap();
+        }
+        peers.into_iter().for_each(Peer::resets);
+        if crash_first {
+            feed.write_all(line.as_bytes()).unwrap();
+        }
+        d.goes_on();
+        let _peers = answered(&executor, 2);
+        served(&mut clients[0], ROW);
+        ended(&mut clients[1], 1105);
+        served(&mut clients[2], ROW);
+        assert!(executor.came().is_empty());
+    }
+}
--- /dev/null
+++ b/tests/endings/lists.rs
@@ -0,0 +1,209 @@
+//! Watches that fall silent, break or move, while executors begin to drain or change places.
+
+use super::*;
+use std::io::{Read, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Two executors, one of them up, and one that is up too once an event says so.
+fn two(launch: &Launch, coordinator: &Coordinator, at: &[Executor; 2]) -> Dispatcher {
+    let targets = [target("e1", at[0].address, "up"), target("e2", at[1].address, "draining")];
+    launch.serving(&launch.config_of(coordinator.address, &targets))
+}
+
+/// The event by which they change: what was up drains.
+fn swapped(index: u64, at: &[Executor; 2]) -> String {
+    event(index, false, &[target("e2", at[1].address, "up"), target("e1", at[0].address, "draining")])
+}
+
+/// Requests of each effect go to one executor alone.
+fn goes_only_to(d: &Dispatcher, to: &Executor, other: &Executor, from: u64) {
+    for (rid, class) in (from..).zip(CLASSES) {
+        let mut client = Client::asks(d.address, &long(class, rid));
+        let mut peer = to.accept();
+        let pull = pulled(&mut peer, rid);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        // The next one needs a connection of its own.
+        peer.resets();
+    }
+    assert!(other.came().is_empty(), "nothing goes where the list forbids it");
+}
+
+// The watch falls silent without a close, and an executor begins to drain right after: the watch is opened anew
+// from the last event held, and nothing new goes to that executor.
+#[test]
+fn a_silent_watch_is_opened_anew_and_the_drain_heeded() {
+    for heard in [true, false] {
+        let at = [0; 2].map(|_| Executor::new());
+        let coordinator = Coordinator::new();
+        let mut d = two(&launch(&Quiet::default()), &coordinator, &at);
+        let (mut silent, line) = coordinator.accept();
+        assert_eq!(line, "follow 1\n");
+        if heard {
+            writeln!(silent, "1").unwrap();
+        }
+        goes_only_to(&d, &at[0], &at[1], 1);
+        let (mut feed, line) = coordinator.accept();
+        assert_eq!(line, "follow 1\n");
+        writeln!(feed, "{}", swapped(2, &at)).unwrap();
+        d.logs("motor listed anew motor=\"e1\" state=Draining");
+        assert_eq!(silent.read(&mut [0; 9]).unwrap(), 0, "the silent one is closed");
+        goes_only_to(&d, &at[1], &at[0], 11);
+    }
+}
+
+// What waits for a connection to an executor that begins to drain is moved, not sent there once it is up.
+#[test]
+fn what_waits_for_a_draining_executor_is_moved_not_sent() {
+    let at = [0; 2].map(|_| Executor::new());
+    let filler = at[0].narrows();
+    let coordinator = Coordinator::new();
+    let mut d = two(&launch(&Quiet::default()), &coordinator, &at);
+    let (mut feed, _) = coordinator.accept();
+    let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+    dialed(at[0].address, 3);
+    writeln!(feed, "{}", swapped(2, &at)).unwrap();
+    d.logs("motor listed anew motor=\"e1\" state=Draining");
+    let _peers = answered(&at[1], 3);
+    clients.iter_mut().for_each(|client| served(client, ROW));
+    // Whatever still comes up there brings nothing.
+    at[0].widens(filler);
+    std::thread::sleep(Duration::from_millis(1200));
+    assert!(at[0].came().is_empty());
+}
+
+// The connection comes up and the drain is told in one moment, in either order: the request is taken back as
+// long as nothing of it was written, and goes to one executor only.
+#[test]
+fn a_connection_that_comes_up_as_its_executor_drains() {
+    let at = [0; 2].map(|_| Executor::new());
+    let filler = at[0].narrows();
+    let coordinator = Coordinator::new();
+    let d = two(&launch(&Quiet::default()), &coordinator, &at);
+    let (mut feed, _) = coordinator.accept();
+    let mut client = Client::asks(d.address, &long("load", 1));
+    dialed(at[0].address, 1);
+    d.stands_still();
+    feed.write_all(format!("{}\n", swapped(2, &at)).as_bytes()).unwrap();
+    at[0].widens(filler);
+    // The machine, not the process, brings the connection up.
+    let mut late = at[0].accept();
+    d.goes_on();
+    let (mut peer, pull) = next_pull(&at[1]);
+    assert_eq!(pull[1], format!("{:016x}", 1));
+    peer.page(&pull[1], "OK pages=1", ROW);
+    served(&mut client, ROW);
+    assert!(late.came().is_empty());
+}
+
+// Discovery refuses connections for seconds, and a drain is told in the first line after its return.
+#[test]
+fn a_drain_at_once_with_the_return_of_discovery() {
+    let at = [0; 2].map(|_| Executor::new());
+    let (away, launch) = (Refusing::new(), launch(&Quiet::default()));
+    let targets = [target("e1", at[0].address, "up"), target("e2", at[1].address, "draining")];
+    let mut d = launch.serving(&launch.config_of(away.address, &targets));
+    for _ in 0..4 {
+        d.logs("feed: lost");
+    }
+    goes_only_to(&d, &at[0], &at[1], 1);
+    let coordinator = away.coordinator();
+    let (mut feed, line) = coordinator.accept();
+    assert_eq!(line, "follow 1\n");
+    writeln!(feed, "{}", swapped(2, &at)).unwrap();
+    d.logs("motor listed anew motor=\"e1\" state=Draining");
+    goes_only_to(&d, &at[1], &at[0], 11);
+}
+
+// A break in the middle of an event leaves half a line, also by a reset: it is no event, and the whole one is
+// taken once from the next watch, though it and the one before come twice.
+#[test]
+fn half_an_event_is_none_and_a_second_copy_changes_nothing() {
+    for reset in [false, true] {
+        let at = [0; 2].map(|_| Executor::new());
+        let coordinator = Coordinator::new();
+        let mut d = two(&launch(&Quiet::default()), &coordinator, &at);
+        let (mut broken, _) = coordinator.accept();
+        let (first, second) = (swapped(2, &at), event(3, false, &[target("e1", at[0].address, "removed")]));
+        let half = &second[..second.len() / 2];
+        broken.write_all(format!("{first}\n{half}").as_bytes()).unwrap();
+        d.logs("motor listed anew motor=\"e1\" state=Draining");
+        if reset {
+            resets(broken);
+        } else {
+            drop(broken);
+        }
+        let (mut feed, line) = coordinator.accept();
+        assert_eq!(line, "follow 2\n");
+        // Event 2 again would have e1 as it was, were it taken after 3.
+        feed.write_all(format!("{second}\n{second}\n{first}\n3\n").as_bytes()).unwrap();
+        d.logs("motor listed anew motor=\"e1\" state=Removed");
+        goes_only_to(&d, &at[1], &at[0], 1);
+        feed.write_all(
+            format!("{}\n", event(4, false, &[target("e2", at[1].address, "draining")])).as_bytes(),
+        )
+        .unwrap();
+        assert!(d.logs("motor listed anew").contains("e2"), "nothing was listed meanwhile");
+    }
+}
+
+fn moved(d: &Dispatcher, from: &Coordinator, to: &Coordinator) {
+    let config = d.config.replace(&format!("\"{}\"", from.address), &format!("\"{}\"", to.address));
+    std::fs::write(&d.file, config).unwrap();
+    d.signal("HUP");
+}
+
+// SIGHUP moves discovery while the old watch has brought half a line, and its other half comes in the same
+// moment as the signal: the new watch goes on from the last whole event, and the halves are not put together.
+#[test]
+fn sighup_moves_a_watch_that_holds_half_a_line() {
+    for (whole, held) in [(false, 1), (true, 2)] {
+        let at = [0; 2].map(|_| Executor::new());
+        let [old, new] = [0; 2].map(|_| Coordinator::new());
+        let mut d = two(&launch(&Quiet::default()), &old, &at);
+        let (mut watch, _) = old.accept();
+        let line = format!("{}\n", swapped(2, &at));
+        let (half, rest) = line.split_at(line.len() / 2);
+        watch.write_all(half.as_bytes()).unwrap();
+        d.stands_still();
+        if whole {
+            watch.write_all(rest.as_bytes()).unwrap();
+        }
+        moved(&d, &old, &new);
+        d.goes_on();
+        let (mut feed, asked): (TcpStream, String) = new.accept();
+        // In one moment the signal may be read before the other half: then the event is asked for again.
+        assert!(asked == format!("follow {held}\n") || asked == "follow 1\n", "{asked}");
+        feed.write_all(line.as_bytes()).unwrap();
+        d.logs("motor listed anew motor=\"e1\" state=Draining");
+        goes_only_to(&d, &at[1], &at[0], 1);
+    }
+}
+
+// An address goes to a new executor in the very moment in which an answer of the old one comes there, and what
+// still waited for a connection to the old one is moved to the new, not lost.
+#[test]
+fn an_address_goes_on_while_an_answer_comes() {
+    let executor = Executor::new();
+    let (d, coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let (mut feed, _) = coordinator.accept();
+    let mut answered = Client::asks(d.address, &long("load", 1));
+    let mut old = executor.accept();
+    let pull = pulled(&mut old, 1);
+    let filler = executor.narrows();
+    let mut waits = Client::asks(d.address, &long("load", 2));
+    dialed(executor.address, 1);
+    d.stands_still();
+    old.page(&pull, "OK pages=1", ROW);
+    let news = [target("e2", executor.address, "up"), target("e1", executor.address, "removed")];
+    feed.write_all(format!("{}\n", event(2, false, &news)).as_bytes()).unwrap();
+    d.goes_on();
+    served(&mut answered, ROW);
+    executor.widens(filler);
+    let (mut peer, pull) = next_pull(&executor);
+    assert_eq!(pull[1], format!("{:016x}", 2));
+    peer.page(&pull[1], "OK pages=1", ROW);
+    served(&mut waits, ROW);
+    assert!(executor.came().is_empty());
+}
--- /dev/null
+++ b/tests/endings/ration.rs
@@ -0,0 +1,89 @@
+//! The ration of further attempts, small and over a short span.
+
+use super::*;
+use std::time::{Duration, Instant};
+
+/// Asks so many requests one after the other at an executor that fails each, and tells how often each came.
+fn failed(d: &Dispatcher, executor: &Executor, class: &str, rids: std::ops::Range<u64>) -> Vec<usize> {
+    let (mut each, mut peers) = (Vec::new(), Vec::new());
+    for rid in rids {
+        let mut client = Client::asks(d.address, &long(class, rid));
+        let mut came = 0;
+        awaited("an answer", || {
+            peers.extend(executor.accepts());
+            for peer in &mut peers {
+                for pull in peer.came() {
+                    assert_eq!((pull[0].as_str(), &pull[1]), ("PULL", &format!("{rid:016x}")));
+                    came += 1;
+                    peer.page(&pull[1], "ERR -", "");
+                }
+            }
+            client.stream.set_nonblocking(true).unwrap();
+            let answered = client.stream.peek(&mut [0]).is_ok();
+            client.stream.set_nonblocking(false).unwrap();
+            answered
+        });
+        assert!(matches!(client.got(), Got::Error(..)));
+        alone(&mut client);
+        each.push(came);
+    }
+    // What rests here is used no more.
+    peers.into_iter().for_each(Peer::resets);
+    each
+}
+
+// Over a long span: of all attempts so far, those beyond each request's first stay within what the ration allows
+// for the requests so far. A load that failed is never sent again.
+#[test]
+fn further_attempts_stay_within_a_small_ration() {
+    let executor = Executor::new();
+    let settings = Quiet { free_resends: 1.0, further_ratio: 0.25, ratio_span: 60.0, ..Quiet::default() };
+    let (d, _coordinator) = launch(&settings).dispatcher(&[("e1", executor.address)]);
+    let mut further = 0;
+    let each = failed(&d, &executor, "read", 1..13);
+    for (n, attempts) in (1..).zip(&each) {
+        further += attempts - 1;
+        assert!(further as f64 <= 1.0 + 0.25 * f64::from(n), "{each:?}");
+    }
+    assert_eq!(further, 4, "the ration is used: {each:?}");
+    assert_eq!(failed(&d, &executor, "load", 13..17), [1; 4]);
+}
+
+// Over a short span the ration comes back, and no more of it than once. Each attempt is counted at the latest
+// when it is read here, so that a span that the dispatcher counts is never longer than the one seen.
+#[test]
+fn the_ration_of_a_short_span_comes_back_once() {
+    let executor = Executor::new();
+    let settings = Quiet { free_resends: 2.0, further_ratio: 0.0, ratio_span: 0.6, ..Quiet::default() };
+    let (d, _coordinator) = launch(&settings).dispatcher(&[("e1", executor.address)]);
+    for round in 0..3 {
+        let begun = Instant::now();
+        let each = failed(&d, &executor, "read", 1 + round * 4..5 + round * 4);
+        let further: usize = each.iter().map(|n| n - 1).sum();
+        assert!(further >= 2, "{each:?}");
+        let spans = begun.elapsed().as_secs_f64() / 0.6;
+        assert!(further <= 2 * (1 + spans as usize), "{each:?} in {spans} spans");
+        std::thread::sleep(Duration::from_millis(700));
+    }
+}
+
+// What was never sent, as its connection did not come up or was refused, is no run, but its repeats are rationed
+// too: a refused request ends, it is not tried for ever.
+#[test]
+fn refused_connections_are_tried_no_more_often_than_allowed() {
+    let refusing = Refusing::new();
+    let settings = Quiet { free_resends: 1.0, further_ratio: 0.0, ratio_span: 60.0, ..Quiet::default() };
+    let (mut d, _coordinator) = launch(&settings).dispatcher(&[("e1", refusing.address)]);
+    for (n, class) in (1..).zip(CLASSES) {
+        let mut client = Client::asks(d.address, &long(class, n));
+        ended(&mut client, 1203);
+    }
+    d.signal("TERM");
+    let line = d.logs("counters taken=3");
+    let number = |name: &str| {
+        let after = line.split(&format!(" {name}=")).nth(1).unwrap();
+        after.split_whitespace().next().unwrap().parse::<u64>().unwrap()
+    };
+    assert!((3..=4).contains(&number("attempts")), "{line}");
+    assert_eq!(number("attempts"), number("never_sent"), "{line}");
+}
--- /dev/null
+++ b/tests/endings/resets.rs
@@ -0,0 +1,127 @@
+//! Resets before, while and after a request is read, for each effect; groups and windows of repeats.
+
+use super::*;
+use std::time::Duration;
+
+/// When a connection is reset under a request.
+#[derive(Debug, Clone, Copy)]
+enum At {
+    Unread,
+    HalfRead,
+    Read,
+    /// After a first word on it, and a second and more.
+    LongAfter,
+}
+
+fn reset(mut peer: Peer, at: At, rid: u64) {
+    match at {
+        At::Unread => peer.unread(),
+        At::HalfRead => {
+            peer.unread();
+            peer.bytes(9);
+        }
+        At::Read => drop(pulled(&mut peer, rid)),
+        At::LongAfter => {
+            let id = pulled(&mut peer, rid);
+            peer.say(&format!("{id} NOTE res=done,v=0.2 0\r\n\r\n"));
+            std::thread::sleep(Duration::from_millis(1300));
+        }
+    }
+    peer.resets();
+}
+
+// Once a request was written it may have run, whenever its connection is reset: what may run twice is sent
+// again, a load never is, and each client gets one answer.
+#[test]
+fn a_reset_at_any_point_costs_no_second_run() {
+    let stories: Vec<_> = [At::Unread, At::HalfRead, At::Read, At::LongAfter]
+        .map(|at| std::thread::spawn(move || reset_at(at)))
+        .into();
+    stories.into_iter().for_each(|s| s.join().unwrap());
+}
+
+fn reset_at(at: At) {
+    for (n, class) in (1..).zip(CLASSES) {
+        let executor = Executor::new();
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut client = Client::asks(d.address, &long(class, n));
+        reset(executor.accept(), at, n);
+        if class == "load" {
+            ended(&mut client, 1105);
+        } else {
+            // Two in a row, as far as attempts go.
+            reset(executor.accept(), at, n);
+            let mut peer = executor.accept();
+            let pull = pulled(&mut peer, n);
+            peer.page(&pull, "OK pages=1", ROW);
+            served(&mut client, ROW);
+        }
+        assert!(executor.came().is_empty(), "{class} {at:?}");
+    }
+}
+
+// A resting connection is reset, not closed, before the request that was read just before is written: not a
+// byte of it went out, so that a load too is sent anew.
+#[test]
+fn a_request_that_could_not_be_written_never_ran() {
+    for (n, class) in (1..).zip(CLASSES) {
+        let executor = Executor::new();
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut client = Client::asks(d.address, &long("read", n));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        d.stands_still();
+        client.ask(&long(class, n + 10));
+        peer.resets();
+        d.goes_on();
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n + 10);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        assert!(executor.came().is_empty());
+    }
+}
+
+// Executors of another cell don't drop repeats of a keyed request: once it may have run it stays in its cell.
+#[test]
+fn a_keyed_request_stays_in_its_group() {
+    let executors = [0; 2].map(|_| Executor::new());
+    let launch = launch(&Quiet { group: "cell", ..Quiet::default() });
+    let coordinator = Coordinator::new();
+    let targets = [0, 1].map(|n: usize| {
+        let entry = target(&format!("e{n}"), executors[n].address, "up");
+        entry.replace("\"pod_group\":0", &format!("\"pod_group\":{n}"))
+    });
+    let d = launch.serving(&launch.config_of(coordinator.address, &targets));
+    for rid in 1..=6 {
+        let mut client = Client::asks(d.address, &long("keyed", rid));
+        let (first, mut peer) = Executor::any(&[&executors[0], &executors[1]]);
+        pulled(&mut peer, rid);
+        peer.resets();
+        let (second, mut peer) = Executor::any(&[&executors[0], &executors[1]]);
+        assert_eq!(second, first, "the other cell would run it again");
+        let pull = pulled(&mut peer, rid);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        // This connection may rest where the next request goes.
+        peer.resets();
+    }
+}
+
+// Repeats are dropped for a while only: once that is over, a keyed request that may have run is not sent again.
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window() {
+    let executor = Executor::new();
+    let settings = Quiet { dedup_window: 0.4, ..Quiet::default() };
+    let (d, _coordinator) = launch(&settings).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &long("keyed", 1));
+    let mut peer = executor.accept();
+    pulled(&mut peer, 1);
+    std::thread::sleep(Duration::from_millis(500));
+    peer.resets();
+    assert!(matches!(client.got(), Got::Error(..)));
+    alone(&mut client);
+    assert!(executor.came().is_empty());
+}
--- /dev/null
+++ b/tests/endings/shutdown.rs
@@ -0,0 +1,212 @@
+//! SIGTERM at each point of a request's life: what was taken gets one whole answer, and the program ends by itself.
+
+use super::*;
+use std::io::{Read, Write};
+use std::time::Duration;
+
+/// When accepting has ended, as of a moment after SIGTERM.
+const TAKEN_ON: Duration = Duration::from_millis(900);
+
+fn short(class: &str, rid: u64) -> String {
+    request(class, rid, 15_000, 10)
+}
+
+/// A query as it stands on the wire.
+fn packet(sql: &str) -> Vec<u8> {
+    let length = (sql.len() as u32 + 1).to_le_bytes();
+    [&length[..3], &[0, 3], sql.as_bytes()].concat()
+}
+
+fn one() -> (Executor, Dispatcher, Coordinator) {
+    one_of(&Quiet::default())
+}
+
+fn one_of(settings: &Quiet) -> (Executor, Dispatcher, Coordinator) {
+    let executor = Executor::new();
+    let (d, coordinator) = launch(settings).dispatcher(&[("e1", executor.address)]);
+    (executor, d, coordinator)
+}
+
+/// The one answer of a client whose dispatcher ends; its connection is closed after it.
+fn last(client: &mut Client) -> Got {
+    let got = client.got();
+    assert_ne!(got, Got::Closed, "no answer");
+    let rest = client.stream.read(&mut [0; 64]);
+    assert!(matches!(rest, Ok(0)), "an orderly close after {got:?}, not {rest:?}");
+    got
+}
+
+fn last_served(client: &mut Client) {
+    assert_eq!(last(client), Got::Rows(vec![["1", "x", "y"].map(String::from).to_vec()]));
+}
+
+fn last_ended(client: &mut Client, number: u16) {
+    let got = last(client);
+    assert!(matches!(got, Got::Error(n, _) if n == number), "{got:?} instead of {number}");
+}
+
+// The request's last half comes in one moment with SIGTERM, or after it and before accepting ends, while the
+// process stands still beyond that: it was taken in time either way.
+#[test]
+fn a_request_whose_end_comes_with_sigterm_or_after_it() {
+    for after in [false, true] {
+        let (executor, mut d, _coordinator) = one();
+        let mut clients = CLASSES.map(|_| Client::asks(d.address, "SET NAMES utf8mb4"));
+        clients.iter_mut().for_each(|client| assert_eq!(client.got(), Got::Ok));
+        let requests = [1, 2, 3].map(|n| packet(&short(CLASSES[n - 1], n as u64)));
+        for (client, request) in clients.iter_mut().zip(&requests) {
+            client.stream.write_all(&request[..40]).unwrap();
+        }
+        if after {
+            d.signal("TERM");
+            d.logs("SIGTERM");
+        }
+        d.stands_still();
+        for (client, request) in clients.iter_mut().zip(&requests) {
+            client.stream.write_all(&request[40..]).unwrap();
+        }
+        if after {
+            std::thread::sleep(TAKEN_ON);
+        } else {
+            d.signal("TERM");
+        }
+        d.goes_on();
+        let _peers = answered(&executor, 3);
+        clients.iter_mut().for_each(last_served);
+        assert!(d.ends());
+    }
+}
+
+// A request that stays half read was not taken: its connection ends, and the program does not wait for it.
+#[test]
+fn half_a_request_holds_nothing_up() {
+    let (_executor, mut d, _coordinator) = one();
+    let mut client = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(client.got(), Got::Ok);
+    client.stream.write_all(&packet(&short("load", 1))[..40]).unwrap();
+    d.signal("TERM");
+    assert!(d.ends());
+}
+
+// What waits for a connection as SIGTERM comes is sent once it is up, and refused if it never is.
+#[test]
+fn sigterm_while_requests_wait_for_a_connection() {
+    for comes_up in [true, false] {
+        let (executor, mut d, _coordinator) = one();
+        let filler = executor.narrows();
+        let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+        dialed(executor.address, 3);
+        d.signal("TERM");
+        d.logs("SIGTERM");
+        if comes_up {
+            executor.widens(filler);
+            let _peers = answered(&executor, 3);
+            clients.iter_mut().for_each(last_served);
+        } else {
+            for client in &mut clients {
+                let got = last(client);
+                assert!(matches!(got, Got::Error(1203 | 1105, _)), "{got:?}");
+            }
+        }
+        assert!(d.ends());
+        assert!(executor.came().is_empty());
+    }
+}
+
+// What was sent, or answered in part, as SIGTERM comes is answered whole; what its executor hangs on is told as
+// it is: refused where it may run twice, failed where it must not.
+#[test]
+fn sigterm_while_requests_are_out() {
+    for hangs in [false, true] {
+        let (executor, mut d, _coordinator) = one();
+        let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+        let mut peers: Vec<_> = (0..3).map(|_| executor.accept()).collect();
+        let ids: Vec<_> = peers.iter_mut().map(|peer| peer.command().unwrap()[1].clone()).collect();
+        // The first has its first page, the second half a page, the third nothing.
+        peers[0].page(&ids[0], "OK pages=2", ROW);
+        assert_eq!(peers[0].command().unwrap()[0], "SCROLL");
+        if !hangs {
+            peers[1].say(&format!("{} OK pages=1 6\r\n1\t", ids[1]));
+        }
+        d.stands_still();
+        d.signal("TERM");
+        if hangs {
+            d.goes_on();
+            d.logs("SIGTERM");
+            for (client, number) in clients.iter_mut().zip([1203, 1105, 1203]) {
+                last_ended(client, number);
+            }
+        } else {
+            peers[0].page(&ids[0], "ROWS page=1", "2\tx\ty\n");
+            peers[1].say("x\ty\n\r\n");
+            d.goes_on();
+            d.logs("SIGTERM");
+            peers[2].page(&ids[2], "OK pages=1", ROW);
+            assert!(matches!(last(&mut clients[0]), Got::Rows(rows) if rows.len() == 2));
+            clients[1..].iter_mut().for_each(last_served);
+        }
+        assert!(d.ends());
+        assert!(executor.came().is_empty());
+    }
+}
+
+// The first attempt is lost in one moment with SIGTERM: what may run twice is repeated on the way out and
+// served, a load fails.
+#[test]
+fn sigterm_while_requests_are_repeated() {
+    let (executor, mut d, _coordinator) = one();
+    let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &short(CLASSES[n - 1], n as u64)));
+    let mut peers: Vec<_> = (0..3).map(|_| executor.accept()).collect();
+    peers.iter_mut().for_each(|peer| assert_eq!(peer.command().unwrap()[0], "PULL"));
+    d.stands_still();
+    d.signal("TERM");
+    peers.into_iter().for_each(Peer::resets);
+    d.goes_on();
+    let _peers = answered(&executor, 2);
+    last_served(&mut clients[0]);
+    last_ended(&mut clients[1], 1105);
+    last_served(&mut clients[2]);
+    assert!(d.ends());
+    assert!(executor.came().is_empty());
+}
+
+// A second SIGTERM, SIGHUP with a good file and one with a bad file, all during the shutdown, change nothing of it.
+#[test]
+fn more_signals_during_the_shutdown() {
+    let (executor, mut d, _coordinator) = one();
+    let mut client = Client::asks(d.address, &short("load", 1));
+    let mut peer = executor.accept();
+    let pull = pulled(&mut peer, 1);
+    d.signal("TERM");
+    d.logs("SIGTERM");
+    d.signal("TERM");
+    d.signal("HUP");
+    d.logs("configuration read again");
+    std::fs::write(&d.file, "{").unwrap();
+    d.stands_still();
+    d.signal("HUP");
+    d.signal("TERM");
+    d.goes_on();
+    d.logs("the old configuration stays");
+    peer.page(&pull, "OK pages=1", ROW);
+    last_served(&mut client);
+    assert!(d.ends());
+}
+
+// SIGTERM as soon as the address takes connections, and both signals at once: an orderly end, with an answer to
+// who came in time.
+#[test]
+fn sigterm_right_after_the_start() {
+    for both in [false, true] {
+        let (executor, mut d, _coordinator) = one();
+        d.signal("TERM");
+        if both {
+            d.signal("HUP");
+        }
+        d.logs("SIGTERM");
+        let mut client = Client::asks(d.address, &short("load", 1));
+        let _peers = answered(&executor, 1);
+        last_served(&mut client);
+        assert!(d.ends());
+    }
+}
--- /dev/null
+++ b/tests/endings/start.rs
@@ -0,0 +1,95 @@
+//! Ready at once after a restart, whatever is away.
+
+use super::*;
+use std::time::{Duration, Instant};
+
+/// Connects, logs in and has a COM_PING answered, with the patience of a front.
+fn ready(d: &Dispatcher) -> Client {
+    use std::io::Write;
+    let from = Instant::now();
+    let mut client = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(client.got(), Got::Ok);
+    client.stream.write_all(&[1, 0, 0, 0, 0x0e]).unwrap();
+    assert_eq!(client.got(), Got::Ok);
+    assert!(from.elapsed() < Duration::from_secs(10), "ready late");
+    client
+}
+
+fn without_known(config: &str) -> String {
+    let (from, to) = (config.find("\"known\":").unwrap(), config.find("\"settings\":").unwrap());
+    format!("{}\"known\":{{\"index\":0}},{}", &config[..from], &config[to..])
+}
+
+// A restart while discovery refuses, or takes connections and says nothing, and nothing is known: the front is
+// answered, and whoever asks is refused, not kept waiting.
+#[test]
+fn ready_with_discovery_away_and_nothing_known() {
+    let launch = launch(&Quiet::default());
+    let (refusing, silent) = (Refusing::new(), Coordinator::new());
+    for coordinator in [refusing.address, silent.address] {
+        let d = launch.serving(&without_known(&launch.config(coordinator, &[])));
+        let mut client = ready(&d);
+        for (n, class) in (1..).zip(CLASSES) {
+            client.ask(&long(class, n));
+            ended(&mut client, 1203);
+        }
+        // And it ends, too.
+        let mut d = d;
+        d.signal("TERM");
+        assert!(d.ends());
+    }
+}
+
+// A dispatcher that knew nothing gets the whole list once discovery returns, by its first event.
+#[test]
+fn the_first_event_after_nothing_was_known() {
+    let (launch, away, executor) = (launch(&Quiet::default()), Refusing::new(), Executor::new());
+    let mut d = launch.serving(&without_known(&launch.config(away.address, &[])));
+    d.logs("feed: lost");
+    let mut client = ready(&d);
+    let coordinator = away.coordinator();
+    let (mut feed, line) = coordinator.accept();
+    assert_eq!(line, "follow 0\n");
+    use std::io::Write;
+    writeln!(feed, "{}", event(1, true, &[target("e1", executor.address, "up")])).unwrap();
+    writeln!(feed, "{}", event(2, false, &[target("e9", executor.address, "removed")])).unwrap();
+    // No line tells of a first listing: it is asked until it is there, each time under a new id.
+    let (mut rid, mut found) = (1, None);
+    awaited("an executor", || {
+        client.ask(&long("load", rid));
+        awaited("an answer or a pull", || {
+            found = executor.accepts();
+            client.stream.set_nonblocking(true).unwrap();
+            let answered = client.stream.peek(&mut [0]).is_ok();
+            client.stream.set_nonblocking(false).unwrap();
+            found.is_some() || answered
+        });
+        if found.is_none() {
+            ended(&mut client, 1203);
+            rid += 1;
+        }
+        found.is_some()
+    });
+    let mut peer = found.unwrap();
+    let pull = pulled(&mut peer, rid);
+    peer.page(&pull, "OK pages=1", ROW);
+    served(&mut client, ROW);
+}
+
+// All executors hang as it starts: connections don't come up, or come up and bring nothing. The front is
+// answered at once, and the requests by the dispatcher's own clock.
+#[test]
+fn ready_while_all_executors_hang() {
+    let [narrow, mute] = [0; 2].map(|_| Executor::new());
+    let _filler = narrow.narrows();
+    for executor in [&narrow, &mute] {
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut clients =
+            [1, 2, 3].map(|n| Client::asks(d.address, &request(CLASSES[n - 1], n as u64, 1_500, 100)));
+        ready(&d);
+        for client in &mut clients {
+            assert!(matches!(client.got(), Got::Error(1203 | 1105, _)));
+        }
+        ready(&d);
+    }
+}
