Test connections that end as they come up, and answers that are whole before a reset

Need: a connection may end before a byte was written on it, or right behind a whole answer; both are settled by what was there, whatever the effect of the request. Change: two more stories in the target on endings.

--- a/tests/endings/resets.rs
+++ b/tests/endings/resets.rs
@@ -125,3 +125,42 @@
     alone(&mut client);
     assert!(executor.came().is_empty());
 }
+
+// A connection is reset or closed in the very moment in which it comes up, before a byte was written on it:
+// nothing ran, whatever the effect, and the request goes out on another one.
+#[test]
+fn a_connection_that_ends_as_it_comes_up() {
+    for reset in [true, false] {
+        let executor = Executor::new();
+        let filler = executor.narrows();
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+        dialed(executor.address, 3);
+        d.stands_still();
+        executor.widens(filler);
+        let peers = [0; 3].map(|_| executor.accept());
+        peers.into_iter().for_each(|peer| if reset { peer.resets() } else { drop(peer) });
+        d.goes_on();
+        let _peers = answered(&executor, 3);
+        clients.iter_mut().for_each(|client| served(client, ROW));
+        assert!(executor.came().is_empty());
+    }
+}
+
+// An answer that is whole counts, though its connection is reset right behind it.
+#[test]
+fn a_whole_answer_before_a_reset_counts() {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    for (n, class) in (1..).zip(CLASSES) {
+        let mut client = Client::asks(d.address, &long(class, n));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        d.stands_still();
+        peer.page(&pull, "OK pages=1", ROW);
+        peer.resets();
+        d.goes_on();
+        served(&mut client, ROW);
+        assert!(executor.came().is_empty());
+    }
+}
