Test what is given up before its connection is up, and keyed requests of a part of the fleet

Need: a connection that comes up late must bring nothing of a request whose time is over or whose client left, and a keyed request that only a cell drops repeats of is failed, not refused, once it may have run. Change: two more stories in the target on endings.

--- a/tests/endings/executors.rs
+++ b/tests/endings/executors.rs
@@ -148,3 +148,45 @@
         assert!(executor.came().is_empty());
     }
 }
+
+// The time of a request is over, its client says KILL, or leaves, while its connection has not come up: once it
+// does, nothing of the request is written there, and the connection serves what comes next.
+#[test]
+fn what_was_given_up_is_not_sent_once_its_connection_is_up() {
+    given_up(["read", "read", "keyed"]);
+    given_up(["load", "keyed", "read"]);
+}
+
+/// The class of the request whose time is over, of the one that is killed, and of the one whose client leaves.
+fn given_up(classes: [&str; 3]) {
+    let executor = Executor::new();
+    let filler = executor.narrows();
+    let (mut d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    let mut over = Client::asks(d.address, &request(classes[0], 1, 500, 100));
+    let mut killed = Client::asks(d.address, &long(classes[1], 2));
+    let leaves = Client::asks(d.address, &long(classes[2], 3));
+    dialed(executor.address, 3);
+    assert!(matches!(over.got(), Got::Error(1203 | 1105, _)));
+    let mut other = Client::asks(d.address, &format!("KILL QUERY {}", killed.id));
+    assert_eq!(other.got(), Got::Ok);
+    ended(&mut killed, 1317);
+    drop(leaves);
+    d.logs("client left request=0000000000000003");
+    executor.widens(filler);
+    let mut peers = [0; 3].map(|_| executor.accept());
+    // What waits is written as a connection comes up: all that is to come is here as a later request is answered.
+    let mut next = Client::asks(d.address, &long("load", 4));
+    let mut came = Vec::new();
+    awaited("the last pull", || {
+        for peer in &mut peers {
+            for command in peer.came() {
+                peer.page(&command[1], "OK pages=1", ROW);
+                came.push(command[1].clone());
+            }
+        }
+        came.contains(&format!("{:016x}", 4))
+    });
+    served(&mut next, ROW);
+    assert_eq!(came, [format!("{:016x}", 4)], "nothing of those given up");
+    assert!(peers.iter_mut().all(|peer| peer.came().is_empty()) && executor.came().is_empty());
+}
--- a/tests/endings/resets.rs
+++ b/tests/endings/resets.rs
@@ -164,3 +164,34 @@
         assert!(executor.came().is_empty());
     }
 }
+
+// Whoever drops repeats in a part of the fleet only can't be asked again just anywhere: a keyed request of such
+// a class that may have run has failed, it is not refused, whether attempts are lost, hang, or SIGTERM comes.
+#[test]
+fn a_keyed_request_of_a_group_that_may_have_run_is_failed() {
+    for ends_by in ["resets", "its deadline", "SIGTERM"] {
+        let executor = Executor::new();
+        let launch = launch(&Quiet { group: "cell", ..Quiet::default() });
+        let (mut d, _coordinator) = launch.dispatcher(&[("e1", executor.address)]);
+        let budget = if ends_by == "its deadline" { 1_000 } else { 15_000 };
+        let mut client = Client::asks(d.address, &request("keyed", 1, budget, 4_000));
+        let mut peers = vec![executor.accept()];
+        pulled(&mut peers[0], 1);
+        match ends_by {
+            "resets" => {
+                for _ in 0..2 {
+                    peers.pop().unwrap().resets();
+                    peers.push(executor.accept());
+                    pulled(&mut peers[0], 1);
+                }
+                peers.pop().unwrap().resets();
+            }
+            "SIGTERM" => d.signal("TERM"),
+            _ => {}
+        }
+        let got = client.got();
+        assert!(matches!(got, Got::Error(1105, _)), "{got:?} by {ends_by}");
+        assert!(ends_by != "SIGTERM" || d.ends());
+        assert!(executor.came().is_empty());
+    }
+}
