Test a whole list that leaves an executor out, and keep scripted watches alive

Need: a whole list may leave an executor out as a request comes in; and a story on something else must not lose its watch to the dispatcher's own limit on silence when the machine is slow. Change: one more story; watches that a story writes to later bring the last number twice a second.

--- a/tests/endings/executors.rs
+++ b/tests/endings/executors.rs
@@ -101,7 +101,7 @@
 fn answers_of_the_old_process_still_count_under_a_new_uid() {
     let executor = Executor::new();
     let (mut d, coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
-    let (mut feed, _) = coordinator.accept();
+    let mut feed = watch(&coordinator);
     let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
     let mut peers = [0; 3].map(|_| executor.accept());
     let pulls = [0, 1, 2].map(|n: usize| peers[n].command().unwrap());
@@ -126,7 +126,7 @@
     for crash_first in [true, false] {
         let executor = Executor::new();
         let (d, coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
-        let (mut feed, _) = coordinator.accept();
+        let mut feed = watch(&coordinator);
         let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
         let mut peers = [0; 3].map(|_| executor.accept());
         peers.iter_mut().for_each(|peer| assert_eq!(peer.command().unwrap()[0], "PULL"));
--- a/tests/endings/lists.rs
+++ b/tests/endings/lists.rs
@@ -60,7 +60,7 @@
     let filler = at[0].narrows();
     let coordinator = Coordinator::new();
     let mut d = two(&launch(&Quiet::default()), &coordinator, &at);
-    let (mut feed, _) = coordinator.accept();
+    let mut feed = watch(&coordinator);
     let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
     dialed(at[0].address, 3);
     writeln!(feed, "{}", swapped(2, &at)).unwrap();
@@ -81,7 +81,7 @@
     let filler = at[0].narrows();
     let coordinator = Coordinator::new();
     let d = two(&launch(&Quiet::default()), &coordinator, &at);
-    let (mut feed, _) = coordinator.accept();
+    let mut feed = watch(&coordinator);
     let mut client = Client::asks(d.address, &long("load", 1));
     dialed(at[0].address, 1);
     d.stands_still();
@@ -187,7 +187,7 @@
 fn an_address_goes_on_while_an_answer_comes() {
     let executor = Executor::new();
     let (d, coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
-    let (mut feed, _) = coordinator.accept();
+    let mut feed = watch(&coordinator);
     let mut answered = Client::asks(d.address, &long("load", 1));
     let mut old = executor.accept();
     let pull = pulled(&mut old, 1);
@@ -207,3 +207,33 @@
     served(&mut waits, ROW);
     assert!(executor.came().is_empty());
 }
+
+// A whole list leaves an executor out as a request comes in, in one moment: what waited for it is moved, the new
+// request goes elsewhere, and what it has out is still answered.
+#[test]
+fn a_whole_list_that_leaves_an_executor_out() {
+    let at = [0; 2].map(|_| Executor::new());
+    let coordinator = Coordinator::new();
+    let d = two(&launch(&Quiet::default()), &coordinator, &at);
+    let mut feed = watch(&coordinator);
+    let mut out = Client::asks(d.address, &long("load", 1));
+    let mut old = at[0].accept();
+    let pull = pulled(&mut old, 1);
+    let filler = at[0].narrows();
+    let mut waits = Client::asks(d.address, &long("load", 2));
+    let mut next = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(next.got(), Got::Ok);
+    dialed(at[0].address, 1);
+    d.stands_still();
+    feed.write_all(format!("{}\n", event(2, true, &[target("e2", at[1].address, "up")])).as_bytes()).unwrap();
+    next.ask(&long("load", 3));
+    d.goes_on();
+    let _peers = answered(&at[1], 2);
+    served(&mut waits, ROW);
+    served(&mut next, ROW);
+    old.page(&pull, "OK pages=1", ROW);
+    served(&mut out, ROW);
+    assert!(old.command().is_none(), "its connection goes once nothing is out there");
+    at[0].widens(filler);
+    assert!(at[0].came().is_empty() && at[1].came().is_empty());
+}
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -10,6 +10,9 @@
 mod start;
 
 use standins::scripted::*;
+use std::io::Write;
+use std::net::TcpStream;
+use std::time::Duration;
 
 /// A class of each effect.
 const CLASSES: [&str; 3] = ["read", "load", "keyed"];
@@ -58,6 +61,19 @@
     pull[1].clone()
 }
 
+/// The watch of a dispatcher that holds event 1, kept alive by the number that is told every so often.
+fn watch(coordinator: &Coordinator) -> TcpStream {
+    let (stream, line) = coordinator.accept();
+    assert_eq!(line, "follow 1\n");
+    let mut beat = stream.try_clone().unwrap();
+    std::thread::spawn(move || {
+        while beat.write_all(b"1\n").is_ok() {
+            std::thread::sleep(Duration::from_millis(500));
+        }
+    });
+    stream
+}
+
 /// The next connection that brings anything, and what it brings first.
 fn next_pull(executor: &Executor) -> (Peer, Vec<String>) {
     loop {
