--- /dev/null
+++ b/tests/endings/resets.rs
@@ -0,0 +1,223 @@
+//! Resets before, while and after a request is read, for each effect; groups and windows of repeats.
+
+use super::*;
+use std::time::Duration;
+
+/// When a connection is reset under a request.
+#[derive(Debug, Clone, Copy)]
+enum At {
+    Unread,
+    HalfRead,
+    Read,
+    /// After a first word on it, and a second and more.
+    LongAfter,
+}
+
+fn reset(mut peer: Peer, at: At, rid: u64) {
+    match at {
+        At::Unread => peer.unread(),
+        At::HalfRead => {
+            peer.unread();
+            peer.bytes(9);
+        }
+        At::Read => drop(pulled(&mut peer, rid)),
+        At::LongAfter => {
+            let id = pulled(&mut peer, rid);
+            peer.say(&format!("{id} NOTE res=done,v=0.2 0\r\n\r\n"));
+            std::thread::sleep(Duration::from_millis(1300));
+        }
+    }
+    peer.resets();
+}
+
+// Once a request was written it may have run, whenever its connection is reset: what may run twice is sent
+// again, a load never is, and each client gets one answer.
+#[test]
+fn a_reset_at_any_point_costs_no_second_run() {
+    let stories: Vec<_> = [At::Unread, At::HalfRead, At::Read, At::LongAfter]
+        .map(|at| std::thread::spawn(move || reset_at(at)))
+        .into();
+    stories.into_iter().for_each(|s| s.join().unwrap());
+}
+
+fn reset_at(at: At) {
+    for (n, class) in (1..).zip(CLASSES) {
+        let executor = Executor::new();
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut client = Client::asks(d.address, &long(class, n));
+        reset(executor.accept(), at, n);
+        if class == "load" {
+            ended(&mut client, 1105);
+        } else {
+            // Two in a row, as far as attempts go.
+            reset(executor.accept(), at, n);
+            let mut peer = executor.accept();
+            let pull = pulled(&mut peer, n);
+            peer.page(&pull, "OK pages=1", ROW);
+            served(&mut client, ROW);
+        }
+        assert!(executor.came().is_empty(), "{class} {at:?}");
+    }
+}
+
+// A resting connection is reset, not closed, before the request that was read just before is written: not a
+// byte of it went out, so that a load too is sent anew.
+#[test]
+fn a_request_that_could_not_be_written_never_ran() {
+    for (n, class) in (1..).zip(CLASSES) {
+        let executor = Executor::new();
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut client = Client::asks(d.address, &long("read", n));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        d.stands_still();
+        client.ask(&long(class, n + 10));
+        peer.resets();
+        d.goes_on();
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n + 10);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        assert!(executor.came().is_empty());
+    }
+}
+
+// Executors of another cell don't drop repeats of a keyed request: once it may have run it stays in its cell.
+#[test]
+fn a_keyed_request_stays_in_its_group() {
+    let executors = [0; 2].map(|_| Executor::new());
+    let launch = launch(&Quiet { group: "cell", ..Quiet::default() });
+    let coordinator = Coordinator::new();
+    let targets = [0, 1].map(|n: usize| {
+        let entry = target(&format!("e{n}"), executors[n].address, "up");
+        entry.replace("\"pod_group\":0", &format!("\"pod_group\":{n}"))
+    });
+    let d = launch.serving(&launch.config_of(coordinator.address, &targets));
+    for rid in 1..=6 {
+        let mut client = Client::asks(d.address, &long("keyed", rid));
+        let (first, mut peer) = Executor::any(&[&executors[0], &executors[1]]);
+        pulled(&mut peer, rid);
+        peer.resets();
+        let (second, mut peer) = Executor::any(&[&executors[0], &executors[1]]);
+        assert_eq!(second, first, "the other cell would run it again");
+        let pull = pulled(&mut peer, rid);
+        peer.page(&pull, "OK pages=1", ROW);
+        served(&mut client, ROW);
+        // This connection may rest where the next request goes.
+        peer.resets();
+    }
+}
+
+// Repeats are dropped for a while only: once that is over, a keyed request that may have run is not sent again.
+#[test]
+fn a_keyed_request_is_not_repeated_after_its_window() {
+    let executor = Executor::new();
+    let settings = Quiet { dedup_window: 0.4, ..Quiet::default() };
+    let (d, _coordinator) = launch(&settings).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &long("keyed", 1));
+    let mut peer = executor.accept();
+    pulled(&mut peer, 1);
+    std::thread::sleep(Duration::from_millis(500));
+    peer.resets();
+    assert!(matches!(client.got(), Got::Error(..)));
+    alone(&mut client);
+    assert!(executor.came().is_empty());
+}
+
+// A connection is reset or closed in the very moment in which it comes up, before a byte was written on it:
+// nothing ran, whatever the effect, and the request goes out on another one.
+#[test]
+fn a_connection_that_ends_as_it_comes_up() {
+    for reset in [true, false] {
+        let executor = Executor::new();
+        let filler = executor.narrows();
+        let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let mut clients = [1, 2, 3].map(|n| Client::asks(d.address, &long(CLASSES[n - 1], n as u64)));
+        dialed(executor.address, 3);
+        d.stands_still();
+        executor.widens(filler);
+        let peers = [0; 3].map(|_| executor.accept());
+        peers.into_iter().for_each(|peer| if reset { peer.resets() } else { drop(peer) });
+        d.goes_on();
+        let _peers = answered(&executor, 3);
+        clients.iter_mut().for_each(|client| served(client, ROW));
+        assert!(executor.came().is_empty());
+    }
+}
+
+// An answer that is whole counts, though its connection is reset right behind it.
+#[test]
+fn a_whole_answer_before_a_reset_counts() {
+    let executor = Executor::new();
+    let (d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+    for (n, class) in (1..).zip(CLASSES) {
+        let mut client = Client::asks(d.address, &long(class, n));
+        let mut peer = executor.accept();
+        let pull = pulled(&mut peer, n);
+        d.stands_still();
+        peer.page(&pull, "OK pages=1", ROW);
+        peer.resets();
+        d.goes_on();
+        served(&mut client, ROW);
+        assert!(executor.came().is_empty());
+    }
+}
+
+// Whoever drops repeats in a part of the fleet only can't be asked again just anywhere: a keyed request of such
+// a class that may have run has failed, it is not refused, whether attempts are lost, hang, or SIGTERM comes.
+#[test]
+fn a_keyed_request_of_a_group_that_may_have_run_is_failed() {
+    for ends_by in ["resets", "its deadline", "SIGTERM"] {
+        let executor = Executor::new();
+        let launch = launch(&Quiet { group: "cell", ..Quiet::default() });
+        let (mut d, _coordinator) = launch.dispatcher(&[("e1", executor.address)]);
+        let budget = if ends_by == "its deadline" { 1_000 } else { 15_000 };
+        let mut client = Client::asks(d.address, &request("keyed", 1, budget, 4_000));
+        let mut peers = vec![executor.accept()];
+        pulled(&mut peers[0], 1);
+        match ends_by {
+            "resets" => {
+                for _ in 0..2 {
+                    peers.pop().unwrap().resets();
+                    peers.push(executor.accept());
+                    pulled(&mut peers[0], 1);
+                }
+                peers.pop().unwrap().resets();
+            }
+            "SIGTERM" => d.signal("TERM"),
+            _ => {}
+        }
+        let got = client.got();
+        assert!(matches!(got, Got::Error(1105, _)), "{got:?} by {ends_by}");
+        assert!(ends_by != "SIGTERM" || d.ends());
+        assert!(executor.came().is_empty());
+    }
+}
+
+// The entry of an executor that is gone may name no more than that: the group in which its requests may have
+// run is the one that it was listed in, and their repeats stay there.
+#[test]
+fn the_group_of_an_executor_that_is_gone_is_the_one_it_was_in() {
+    let executors = [0; 2].map(|_| Executor::new());
+    let launch = launch(&Quiet { group: "cell", ..Quiet::default() });
+    let coordinator = Coordinator::new();
+    let in_cell = |n: usize, state: &str| {
+        let entry = target(&format!("e{n}"), executors[n].address, state);
+        entry.replace("\"pod_group\":0", &format!("\"pod_group\":{n}"))
+    };
+    let config = launch.config_of(coordinator.address, &[in_cell(0, "draining"), in_cell(1, "up")]);
+    let mut d = launch.serving(&config);
+    let mut feed = watch(&coordinator);
+    let mut client = Client::asks(d.address, &request("keyed", 1, 3_000, 1_000));
+    let mut peer = executors[1].accept();
+    pulled(&mut peer, 1);
+    let gone = String::from(r#"{"uid":"e1","state":"removed"}"#);
+    writeln!(feed, "{}", event(2, false, &[in_cell(0, "up"), gone])).unwrap();
+    d.logs("motor listed anew motor=\"e1\" state=Removed");
+    peer.resets();
+    let got = client.got();
+    assert!(matches!(got, Got::Error(1105, _)), "{got:?}");
+    assert!(executors[0].came().is_empty(), "the other cell would run it again");
+}
