Know a cold executor from the first list, and count what a fleet sends to cold ones

Need: a cold executor falls under the sum of what all dispatchers send. Beyond its budget N (multiple x present capacity x window, in requests of mean work) only 2 x root of N + 2 are put down to chance.

At a dispatcher that has just started nothing is known before, and what its first list names is not fresh, so the time of start was dropped and the executor drawn as a warm one. Now an unknown executor counts as changed (`is_none_or`); without a time of start the first list's are warm as before.

--- a/src/control/health.rs
+++ b/src/control/health.rs
@@ -15,7 +15,7 @@
             let known = self.index.get(&entry.engine).map(|&i| &self.engines[i]);
             // An engine that appears or comes back without a time of start is cold from now.
             let fresh = known.map_or(!first, |e| !e.present || e.entry.readiness == Readiness::Left);
-            let changed = fresh || known.is_some_and(|e| e.entry.started != entry.started);
+            let changed = fresh || known.is_none_or(|e| e.entry.started != entry.started);
             let started = entry.started.filter(|t| self.now.saturating_sub(*t) < self.s.cold.ramp);
             let cold = started.or(fresh.then_some(self.now));
             let i = self.enter(entry, cold.filter(|_| changed));
--- /dev/null
+++ b/tests/cold_sum/module.rs
@@ -0,0 +1,195 @@
+//! One dispatcher of a fleet: a decision module, its clients and what its executors answer, in virtual time.
+
+use crate::common::*;
+use crate::count::Sent;
+use crate::scene::{BEFORE, Scene};
+use ottercroft::Gateway;
+use ottercroft::api::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+
+/// When it begins, and when executors 1 up to the number of cold ones start anew.
+const BEGIN: Micros = 100 * S;
+const START: Micros = BEGIN + BEFORE;
+
+#[derive(Debug, Clone)]
+enum Next {
+    Arrival,
+    Told,
+    Restart,
+    Timer(u64),
+    Probed(EngineId),
+    Over(QueryId, u32, Outcome),
+}
+
+/// A request that is open: its work, its class, and where its attempts went.
+struct Open {
+    work: f64,
+    class: ClassId,
+    attempts: Vec<(EngineId, Micros, bool)>,
+}
+
+struct Module<'a> {
+    scene: &'a Scene,
+    gateway: Gateway,
+    rng: Pcg64Mcg,
+    now: Micros,
+    rate: f64,
+    told: bool,
+    next: BTreeMap<(Micros, u64), Next>,
+    planned: u64,
+    open: BTreeMap<QueryId, Open>,
+    sent: Vec<Sent>,
+}
+
+/// What one dispatcher sends to cold executors within the ramp.
+pub fn play(scene: &Scene, seed: u64) -> Vec<Sent> {
+    let mut rng = Pcg64Mcg::seed_from_u64(seed ^ 0xC01D);
+    let gateway = Gateway::new(scene.settings(), rng.next_u64()).expect("good settings");
+    let mut m = Module {
+        scene,
+        gateway,
+        rng,
+        now: BEGIN,
+        rate: 0.0,
+        told: false,
+        next: BTreeMap::new(),
+        planned: 0,
+        open: BTreeMap::new(),
+        sent: vec![],
+    };
+    m.rate = scene.rate * if m.chance() < 0.1 { 4.0 } else { 2.0 / 3.0 };
+    let late = if m.chance() < scene.late { (m.chance() * 1e6) as Micros } else { 0 };
+    m.plan(START - BEGIN + late, Next::Told);
+    if m.chance() < scene.restarted {
+        let after = m.chance() * scene.played as f64 / 2.0;
+        m.plan(START - BEGIN + late + after as Micros, Next::Restart);
+    }
+    m.list(ListKind::Restored);
+    m.plan_arrival();
+    while let Some(((at, _), next)) = m.next.pop_first().filter(|((at, _), _)| *at < START + scene.played) {
+        m.now = at;
+        m.step(next);
+    }
+    m.sent
+}
+
+impl Module<'_> {
+    fn chance(&mut self) -> f64 {
+        (self.rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn plan(&mut self, after: Micros, next: Next) {
+        self.planned += 1;
+        self.next.insert((self.now + after, self.planned), next);
+    }
+
+    fn plan_arrival(&mut self) {
+        let woken = START + self.scene.quiet * self.scene.rule.cold.fall;
+        let times = if self.scene.quiet > 0 && self.now >= woken { 4.0 } else { 1.0 };
+        let mut after = (-(1.0 - self.chance()).ln() / (self.rate * times) * 1e6) as Micros;
+        if (START..woken).contains(&(self.now + after)) {
+            after = woken - self.now + after % (100 * MS);
+        }
+        self.plan(after, Next::Arrival);
+    }
+
+    /// Tells the whole list, or of those that started anew.
+    fn list(&mut self, kind: ListKind) {
+        let (rule, told) = (self.scene.rule, self.told);
+        let cold = |e: EngineId| e <= rule.cold_engines;
+        let all = (1..=rule.cold_engines + self.scene.warm_engines)
+            .filter(|e| cold(*e) || kind != ListKind::Update)
+            .map(|e| Entry { started: (told && cold(e)).then_some(START), ..entry(e) });
+        self.handle(Event::List { kind, entries: all.collect() });
+    }
+
+    fn step(&mut self, next: Next) {
+        match next {
+            Next::Told => {
+                self.told = true;
+                self.list(ListKind::Update);
+            }
+            Next::Restart => {
+                // Another process in its place: nothing of it is known, and what it had out is its clients' loss.
+                let seed = self.rng.next_u64();
+                self.gateway = Gateway::new(self.scene.settings(), seed).expect("good settings");
+                self.next.retain(|_, n| matches!(n, Next::Arrival));
+                self.open.clear();
+                self.list(ListKind::Restored);
+            }
+            Next::Timer(token) => self.handle(Event::Timer { token }),
+            Next::Arrival => self.arrive(),
+            Next::Probed(engine) => {
+                // Cold executors look idle, warm ones well used.
+                let inflight = Some(if engine <= self.scene.rule.cold_engines { 0.0 } else { 8.0 });
+                let report = Some(Report { inflight, ..Report::default() });
+                self.handle(Event::Probed { engine, outcome: Outcome::Ok, latency: MS, report });
+            }
+            Next::Over(query, attempt, outcome) => self.over(query, attempt, outcome),
+        }
+    }
+
+    /// A request: its work is up to half more or less than its class's mean, its estimate rough.
+    fn arrive(&mut self) {
+        self.plan_arrival();
+        let class = usize::from(self.chance() < self.scene.dear);
+        let work = self.scene.work[class] * (0.5 + self.chance());
+        let estimate = work * (0.7 + 0.6 * self.chance());
+        let (query, group) = (self.planned, self.rng.next_u64() % 20);
+        self.open.insert(query, Open { work, class, attempts: vec![] });
+        self.handle(Event::Arrival(Arrival { group, ..arrival(query, class, estimate) }));
+    }
+
+    /// An attempt is over, unless it was so before.
+    fn over(&mut self, query: QueryId, attempt: u32, outcome: Outcome) {
+        let Some(o) = self.open.get_mut(&query) else { return };
+        let (engine, at, out) = &mut o.attempts[attempt as usize];
+        if !std::mem::replace(out, false) {
+            return;
+        }
+        let done = outcome == Outcome::Ok;
+        let bill = done.then_some(Bill { work_s: o.work, memory_mb: 100.0 });
+        let (engine, latency) = (*engine, self.now - *at);
+        let event = Finished { query, attempt, engine, done, outcome, latency, bill, report: None };
+        self.handle(Event::Finished(event));
+    }
+
+    fn handle(&mut self, event: Event) {
+        let mut actions = vec![];
+        self.gateway.handle(self.now, event, &mut actions);
+        for a in actions {
+            match a {
+                Action::Send { query, engine, .. } => self.send(query, engine),
+                Action::Probe { engine } => {
+                    self.reach(engine, self.scene.rule.mean_work);
+                    self.plan(MS, Next::Probed(engine));
+                }
+                Action::Cancel { query, attempt } => {
+                    self.plan(MS, Next::Over(query, attempt, Outcome::Cancelled));
+                }
+                Action::Wake { token, after } => self.plan(after, Next::Timer(token)),
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, query: QueryId, engine: EngineId) {
+        let fails = self.chance() < self.scene.failing;
+        let o = self.open.get_mut(&query).expect("an open request");
+        let (n, work, class) = (o.attempts.len() as u32, o.work, o.class);
+        o.attempts.push((engine, self.now, true));
+        let takes = (work / f64::from(class as u32 + 1) * 1e6) as Micros;
+        let (after, outcome) = if fails { (5 * MS, Outcome::Error) } else { (takes, Outcome::Ok) };
+        self.plan(after, Next::Over(query, n, outcome));
+        self.reach(engine, work);
+    }
+
+    /// Counts what reaches a cold executor; a probe as a request of mean work.
+    fn reach(&mut self, engine: EngineId, work: f64) {
+        if engine <= self.scene.rule.cold_engines && self.now >= START {
+            self.sent.push(Sent { at: self.now - START, engine, work, told: self.told });
+        }
+    }
+}
--- a/tests/control/health.rs
+++ b/tests/control/health.rs
@@ -86,3 +86,20 @@
     }
     assert!((3..=14).contains(&sent), "{sent}");
 }
+
+/// A dispatcher that has just started gets its first list with the times of start, and took those that had started a
+/// moment ago for warm, as nothing had changed for it.
+#[test]
+fn an_engine_that_the_first_list_tells_to_be_cold_gets_little() {
+    let sent = |since: Micros| {
+        let mut rig = Rig::new(settings(), 0);
+        rig.gateway = ottercroft::Gateway::new(settings(), 1).expect("good settings");
+        let entries = vec![Entry { started: Some(rig.now - since), ..entry(1) }];
+        rig.event(Event::List { kind: ListKind::Restored, entries });
+        rig.pass(2 * S);
+        (0..60).filter(|_| sent_to(&rig.arrive(0, 0.2).1).is_some()).count()
+    };
+    // 2.5 x 0.34 x 8 cores x 1.5 s push it over: 51 of these, half of them for one of two gateways.
+    assert!(sent(S) <= 25, "{} of 60 within a moment to one that started a second ago", sent(S));
+    assert_eq!(sent(60 * S), 60, "one that started long ago is warm");
+}
