Stake no more at cold executors within a window than two windows bring

Need: in the worst case the bound N + 2 x root of N + 2 was broken by what is saved. A dispatcher saves up to four windows of its part of each cold executor's budget (`COLD_SAVED` in `wins`, src/control/guards.rs). If all are quiet and then busy at once, each stakes five windows, 0.4 x 5 = 2 N in the mean.

Change: besides, what a dispatcher stakes at all cold executors together fills at the sum of its parts up to one window of that, so within a window it stakes two at most: 0.4 x 2 = 0.8 N in the mean, which follows from the rule's window. Saving at one executor goes on, as a thin dispatcher meets few of them in a window.

It's an even spread that is assumed: if all went for one of many cold executors at once, that one could still get up to five windows.

--- a/src/control/guards.rs
+++ b/src/control/guards.rs
@@ -43,26 +43,26 @@
     /// Draws lots for a place at a cold engine: the chance is what this gateway's share of the least budget
     /// has come to since the last lots there, over the query's work. So all send what is meant in the mean,
     /// however many gateways there are and however few queries each has; what is staked is spent, won or not.
-    /// Besides, one that sends many stays within its own share, and one that sends few waits between them.
+    /// One that sends many stays within its own share, and within a window nobody stakes more at all cold
+    /// engines than two windows bring: what was saved at each must not come together.
     pub(super) fn wins(&mut self, id: QueryId, i: usize) -> bool {
         let Some((_, own)) = self.cold_rate(&self.engines[i]) else { return true };
-        let (work, window) = (self.cold_work(&self.queries[&id]), own * self.s.cold.fall as f64 / 1e6);
-        let (now, most) = (self.now, self.overall.value.clamp(window, window * COLD_SAVED));
+        let (work, span, lot) =
+            (self.cold_work(&self.queries[&id]), self.s.cold.fall as f64 / 1e6, self.chance());
+        let listed = self.engines.iter().filter(|e| e.listed());
+        let all: f64 = listed.filter_map(|e| self.cold_rate(e)).map(|(_, own)| own).sum();
         // Its own share is that of the first moment, and a query counts as its class's mean: no luck there.
-        let first = self.s.cold.from / self.warmth(&self.engines[i]).max(1e-9);
+        let first = own * self.s.cold.from / self.warmth(&self.engines[i]).max(1e-9);
         let whole = work.max(self.class_mean(self.queries[&id].class));
-        let e = &mut self.engines[i];
-        (e.cold.rate, e.lots.rate) = (own * first, own);
-        e.cold.refill(now, window * first);
-        e.lots.refill(now, most);
-        let staked = e.lots.level.min(work);
+        let (now, e, most) = (self.now, &mut self.engines[i], own * span);
+        e.cold.fill(now, first, first * span);
+        e.lots.fill(now, own, self.overall.value.clamp(most, most * COLD_SAVED));
+        self.stakes.fill(now, all, all * span);
+        let staked = e.lots.level.min(work).min(self.stakes.level);
         e.lots.level -= staked;
-        let room = e.cold.level >= whole.min(window * first);
-        let won = self.chance() * work < staked && room;
-        if won {
-            let left = &mut self.engines[i].cold.level;
-            *left = (*left - whole).max(0.0);
-        }
+        self.stakes.level -= staked;
+        let won = lot * work < staked && e.cold.level >= whole.min(first * span);
+        e.cold.level = (e.cold.level - if won { whole } else { 0.0 }).max(0.0);
         won
     }
 
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -35,6 +35,8 @@
     pub(crate) tenants: Vec<f64>,
     /// Probes that own queries have paid for.
     pub(crate) purse: f64,
+    /// What may be staked in lots at all cold engines together.
+    pub(crate) stakes: TokenBucket,
     /// When engines that are gone were looked for last.
     pub(crate) swept: Micros,
     pub(crate) engines: Vec<Engine>,
@@ -83,6 +85,7 @@
             overall: Mean::default(),
             tenants: vec![0.0; s.tenants.len()],
             purse: 0.0,
+            stakes: TokenBucket::default(),
             engines: Vec::new(),
             swept: Micros::MAX,
             index: BTreeMap::new(),
--- a/src/state/rule.rs
+++ b/src/state/rule.rs
@@ -18,6 +18,12 @@
         self.level = (self.level + self.rate * dt).min(most);
         self.at = now;
     }
+
+    /// The same at this rate.
+    pub(crate) fn fill(&mut self, now: Micros, rate: f64, most: f64) {
+        self.rate = rate;
+        self.refill(now, most);
+    }
 }
 
 /// Selector, condition, priority and limiter; an absent selector matches all.
--- a/tests/cold_sum/main.rs
+++ b/tests/cold_sum/main.rs
@@ -35,6 +35,7 @@
     // Dispatchers that have just started know a cold executor from the first list that they get.
     holds("started anew", &Scene { restarted: 1.0, ..busy }, seeds, 0.1);
     holds("told late", &Scene::late(dispatchers), seeds, 0.01);
+    holds("woken", &Scene::woken(dispatchers), seeds.min(4), 0.01);
 }
 
 const RAMP: Micros = 14 * S;
--- a/tests/cold_sum/scene.rs
+++ b/tests/cold_sum/scene.rs
@@ -57,6 +57,13 @@
         Scene { rate: all / f64::from(dispatchers), late: 0.1, ..s }
     }
 
+    /// Quiet for five windows after the start, then all dispatchers busy at once, for two: what each saved for a cold
+    /// executor comes together.
+    pub fn woken(dispatchers: u32) -> Scene {
+        let s = Scene::busy(dispatchers);
+        Scene { quiet: 5, played: 7 * s.rule.cold.fall, ..s }
+    }
+
     pub fn settings(&self) -> Settings {
         let mut s = settings();
         (s.gateways, s.cold, s.reports, s.probe_price) =
