Shed a class that is worth nothing no sooner than one alone that is worth something

Seen: a class alone with credit 0 has 485 of 600 queries refused where with credit 1 none is (engines a little over the load at which pressure begins). Cause: control/rules.rs set_rates, (density / least).sqrt().min(2.0) is 0 where the least density is 0, as least is floored: pressure / 0 closes the rule wholly, and 0 / 0 is no number. Measured: 0 of 600; the new story fails without it.

--- a/src/control/rules.rs
+++ b/src/control/rules.rs
@@ -64,7 +64,7 @@
             let fits = |e: &&Engine| e.listed() && r.class.is_none_or(|c| self.placed(c, e));
             let cores: f64 = self.engines.iter().filter(fits).map(|e| e.cores).sum();
             // A class that earns more for each thread-second closes later.
-            let later = r.class.map_or(1.0, |c| (density(c) / least).sqrt().min(2.0));
+            let later = r.class.map_or(1.0, |c| (density(c) / least).sqrt().clamp(1.0, 2.0));
             let pressure = r.class.map_or(self.pressure, |c| self.models[c].pressure);
             let step = if r.over_share { OVER_SHARE_STEP } else { 2.0 * TIER_STEP };
             r.open = 1.0 - ((pressure / later - r.closes_from) / step).clamp(0.0, 1.0);
--- a/tests/control/admission.rs
+++ b/tests/control/admission.rs
@@ -140,3 +140,30 @@
     // Some four of its twenty a second pass, not all and not none.
     assert!((8..60).contains(&sends[1]), "{sends:?}");
 }
+
+/// How many of 600 queries of the only class are refused while engines are a little over the load at which pressure
+/// begins.
+fn refusals(worth: f64) -> usize {
+    let mut s = settings();
+    s.classes.truncate(1);
+    s.classes[0].worth = worth;
+    let mut rig = Rig::new(s, 4);
+    rig.teach(0, 30, 0.2);
+    let busy = Report { util: Some(1.0), inflight: Some(16.0), ..Report::default() };
+    let mut passes = |_: &usize| {
+        let (q, actions) = rig.arrive(0, 0.2);
+        rig.pass(20 * MS);
+        if let Some(e) = sent_to(&actions) {
+            rig.finish_with(q, 0, e, Outcome::Ok, 0.2, Some(busy));
+        }
+        refused(&actions).is_some()
+    };
+    (0..600).filter(|n| passes(n)).count()
+}
+
+// A class that is worth 0 was shed at the first pressure, and with none its bucket held no number: the weight of its
+// worth came to 0. Worth only sets classes against each other; a class alone is treated alike whatever it is worth.
+#[test]
+fn a_class_that_is_worth_nothing_is_shed_no_sooner_than_the_same_class_alone() {
+    assert_eq!([0.0, 1e-9, 7.0].map(refusals), [refusals(1.0); 3]);
+}
