Wait until what a scripted peer wrote, closed or reset has arrived before the next step

Change: a step waits until the other end's system has acknowledged it (/proc/net/tcp), closes and resets too.

--- a/crates/standins/src/scripted/faults.rs
+++ b/crates/standins/src/scripted/faults.rs
@@ -24,6 +24,46 @@
     });
 }
 
+/// Both ends' ports of a connection.
+fn ports(stream: &TcpStream) -> (u16, u16) {
+    (stream.local_addr().unwrap().port(), stream.peer_addr().unwrap().port())
+}
+
+/// The state and the bytes not yet acknowledged of a connection's end, while the system has it.
+fn end(near: u16, far: u16) -> Option<(String, u64)> {
+    let (near, far) = (format!(":{near:04X}"), format!(":{far:04X}"));
+    let all = std::fs::read_to_string("/proc/net/tcp").unwrap();
+    all.lines().find_map(|line| {
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let queued = words.get(4)?.split(':').next()?;
+        let found = words[1].ends_with(&near) && words[2].ends_with(&far);
+        found.then(|| (words[3].to_string(), u64::from_str_radix(queued, 16).unwrap_or(0)))
+    })
+}
+
+/// Waits until all that was written is at the other machine, where a process that stands still will find it: what
+/// is written to two connections may else arrive in another order on a busy machine.
+pub fn arrived(stream: &TcpStream) {
+    let (near, far) = ports(stream);
+    awaited("an acknowledgement", || end(near, far).is_none_or(|(_, unacknowledged)| unacknowledged == 0));
+}
+
+/// Ends a connection with a reset, and waits until that has arrived.
+pub fn resets(stream: TcpStream) {
+    let (near, far) = ports(&stream);
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    drop(stream);
+    awaited("a reset", || end(far, near).is_none());
+}
+
+/// Ends a connection in order, and waits until that has arrived.
+pub fn closes(stream: TcpStream) {
+    let (near, far) = ports(&stream);
+    drop(stream);
+    // Still 1 or 4 while the close is on its way.
+    awaited("a close", || end(near, far).is_none_or(|(state, _)| state != "01" && state != "04"));
+}
+
 /// An address that refuses connections, until something listens there.
 pub struct Refusing {
     socket: Socket,
@@ -123,13 +163,13 @@
         self.0.read_exact(&mut vec![0; n]).unwrap();
     }
 
-    /// Ends its connection with a reset, whatever was read.
+    /// Ends its connection with a reset, whatever was read, and waits until that has arrived.
     pub fn resets(self) {
-        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO)).unwrap();
+        resets(self.0.into_inner());
     }
-}
 
-/// Ends a connection with a reset.
-pub fn resets(stream: TcpStream) {
-    SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+    /// Ends its connection in order, and waits until that has arrived.
+    pub fn closes(self) {
+        closes(self.0.into_inner());
+    }
 }
--- a/tests/endings/executors.rs
+++ b/tests/endings/executors.rs
@@ -55,8 +55,8 @@
         peer.page(&pull, "OK pages=1", ROW);
         served(&mut client, ROW);
         d.stands_still();
-        drop(peer);
-        client.ask(&long(class, n + 10));
+        peer.closes();
+        asks(&mut client, &long(class, n + 10));
         d.goes_on();
         let mut peer = executor.accept();
         let pull = pulled(&mut peer, n + 10);
@@ -80,8 +80,8 @@
         peer.page(&pull, "OK pages=1", ROW);
         served(&mut client, ROW);
         d.stands_still();
-        client.ask(&long(class, n + 10));
-        drop(peer);
+        asks(&mut client, &long(class, n + 10));
+        peer.closes();
         d.goes_on();
         if class == "load" {
             ended(&mut client, 1105);
@@ -135,10 +135,12 @@
         d.stands_still();
         if !crash_first {
             feed.write_all(line.as_bytes()).unwrap();
+            arrived(&feed);
         }
         peers.into_iter().for_each(Peer::resets);
         if crash_first {
             feed.write_all(line.as_bytes()).unwrap();
+            arrived(&feed);
         }
         d.goes_on();
         let _peers = answered(&executor, 2);
--- a/tests/endings/lists.rs
+++ b/tests/endings/lists.rs
@@ -86,6 +86,7 @@
     dialed(at[0].address, 1);
     d.stands_still();
     feed.write_all(format!("{}\n", swapped(2, &at)).as_bytes()).unwrap();
+    arrived(&feed);
     at[0].widens(filler);
     // The machine, not the process, brings the connection up.
     let mut late = at[0].accept();
@@ -166,9 +167,11 @@
         let line = format!("{}\n", swapped(2, &at));
         let (half, rest) = line.split_at(line.len() / 2);
         watch.write_all(half.as_bytes()).unwrap();
+        arrived(&watch);
         d.stands_still();
         if whole {
             watch.write_all(rest.as_bytes()).unwrap();
+            arrived(&watch);
         }
         moved(&d, &old, &new);
         d.goes_on();
@@ -196,8 +199,10 @@
     dialed(executor.address, 1);
     d.stands_still();
     old.page(&pull, "OK pages=1", ROW);
+    arrived(old.stream());
     let news = [target("e2", executor.address, "up"), target("e1", executor.address, "removed")];
     feed.write_all(format!("{}\n", event(2, false, &news)).as_bytes()).unwrap();
+    arrived(&feed);
     d.goes_on();
     served(&mut answered, ROW);
     executor.widens(filler);
@@ -226,7 +231,8 @@
     dialed(at[0].address, 1);
     d.stands_still();
     feed.write_all(format!("{}\n", event(2, true, &[target("e2", at[1].address, "up")])).as_bytes()).unwrap();
-    next.ask(&long("load", 3));
+    arrived(&feed);
+    asks(&mut next, &long("load", 3));
     d.goes_on();
     let _peers = answered(&at[1], 2);
     served(&mut waits, ROW);
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -34,6 +34,12 @@
     format!("/* method={class},rid={rid:016x},budget={budget},est={est}.0 */ SELECT a FROM sales_7.t")
 }
 
+/// Asks, and waits until that has arrived.
+fn asks(client: &mut Client, sql: &str) {
+    client.ask(sql);
+    arrived(&client.stream);
+}
+
 /// What the client gets is the rows, and it is its one answer.
 fn served(client: &mut Client, rows: &str) {
     let rows = rows.lines().map(|r| r.split('\t').map(String::from).collect()).collect();
--- a/tests/endings/resets.rs
+++ b/tests/endings/resets.rs
@@ -73,7 +73,7 @@
         peer.page(&pull, "OK pages=1", ROW);
         served(&mut client, ROW);
         d.stands_still();
-        client.ask(&long(class, n + 10));
+        asks(&mut client, &long(class, n + 10));
         peer.resets();
         d.goes_on();
         let mut peer = executor.accept();
@@ -139,7 +139,7 @@
         d.stands_still();
         executor.widens(filler);
         let peers = [0; 3].map(|_| executor.accept());
-        peers.into_iter().for_each(|peer| if reset { peer.resets() } else { drop(peer) });
+        peers.into_iter().for_each(|peer| if reset { peer.resets() } else { peer.closes() });
         d.goes_on();
         let _peers = answered(&executor, 3);
         clients.iter_mut().for_each(|client| served(client, ROW));
@@ -158,6 +158,7 @@
         let pull = pulled(&mut peer, n);
         d.stands_still();
         peer.page(&pull, "OK pages=1", ROW);
+        arrived(peer.stream());
         peer.resets();
         d.goes_on();
         served(&mut client, ROW);
--- a/tests/endings/shutdown.rs
+++ b/tests/endings/shutdown.rs
@@ -64,6 +64,7 @@
         d.stands_still();
         for (client, request) in clients.iter_mut().zip(&requests) {
             client.stream.write_all(&request[40..]).unwrap();
+            arrived(&client.stream);
         }
         if after {
             std::thread::sleep(TAKEN_ON);
@@ -139,6 +140,7 @@
         } else {
             peers[0].page(&ids[0], "ROWS page=1", "2\tx\ty\n");
             peers[1].say("x\ty\n\r\n");
+            peers[..2].iter().for_each(|peer| arrived(peer.stream()));
             d.goes_on();
             d.logs("SIGTERM");
             peers[2].page(&ids[2], "OK pages=1", ROW);
