Show that a repeat waiting for its connection is sent after its window or span (red)

Noticed: a further attempt is decided within the window of repeats, or the ration, and written when its connection is up, which may be a second and more later; nothing is looked at again by then. Cause: guards.rs effect_allows and budget_allows are asked once, at the decision; net/executors/traffic.rs writes Outgoing::Pull whenever the connection comes up, until the request's deadline.

--- /dev/null
+++ b/tests/endings/late.rs
@@ -0,0 +1,59 @@
+//! What a connection that comes up late brings too late.
+
+use super::*;
+use std::time::Instant;
+
+/// Whether a pull comes there before the client has its answer.
+fn comes(executor: &Executor, client: &Client) -> bool {
+    let (mut peers, mut came) = (Vec::new(), false);
+    awaited("an answer or a pull", || {
+        peers.extend(executor.accepts());
+        came = peers.iter_mut().any(|peer| peer.came().iter().any(|c| c[0] == "PULL"));
+        client.stream.set_nonblocking(true).unwrap();
+        let answered = client.stream.peek(&mut [0]).is_ok();
+        client.stream.set_nonblocking(false).unwrap();
+        came || answered
+    });
+    came
+}
+
+// A keyed request is repeated within its window, on a connection that comes up only after it: by then its
+// repeats are dropped no more, and it would run twice.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_the_window_is_not_sent() {
+    let executor = Executor::new();
+    let settings = Quiet { dedup_window: 0.9, ..Quiet::default() };
+    let (d, _coordinator) = launch(&settings).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &long("keyed", 1));
+    let mut peer = executor.accept();
+    pulled(&mut peer, 1);
+    let read = Instant::now();
+    let filler = executor.narrows();
+    peer.resets();
+    dialed(executor.address, 1);
+    executor.widens(filler);
+    // Their machine asks again after a second at the earliest.
+    let came = comes(&executor, &client);
+    assert!(!came, "sent again {:?} after it was read, in a window of 0.9 s", read.elapsed());
+    assert!(matches!(client.got(), Got::Error(..)));
+}
+
+// A further attempt was within the ration as it was decided, by a request that has left the span once its
+// connection is up: sent then, it is beyond what the requests of that span allow.
+#[test]
+fn a_repeat_whose_connection_comes_up_after_the_span_is_not_sent() {
+    let executor = Executor::new();
+    let settings = Quiet { free_resends: 0.0, further_ratio: 1.0, ratio_span: 0.9, ..Quiet::default() };
+    let (d, _coordinator) = launch(&settings).dispatcher(&[("e1", executor.address)]);
+    let mut client = Client::asks(d.address, &long("read", 1));
+    let mut peer = executor.accept();
+    let pull = pulled(&mut peer, 1);
+    let read = Instant::now();
+    let filler = executor.narrows();
+    peer.page(&pull, "ERR -", "");
+    dialed(executor.address, 1);
+    executor.widens(filler);
+    let came = comes(&executor, &client);
+    assert!(!came, "sent again {:?} after the only request, in a span of 0.9 s", read.elapsed());
+    assert!(matches!(client.got(), Got::Error(..)));
+}
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -3,6 +3,7 @@
 
 mod answers;
 mod executors;
+mod late;
 mod lists;
 mod ration;
 mod resets;
