Show that a keyed request leaves its group once its executor's entry goes bare (red)

Noticed: the codec takes an entry of an executor that is gone without zone and cell, and reads them as none: a keyed request that may have run there then counts as run in cell 0 (or the first zone), where it is sent again. Cause: net/orders.rs members() fills in zone 0 and pod_group 0 for a bare entry that is gone, and state/table.rs enter() puts it in place of what was known of the executor.

--- a/tests/endings/resets.rs
+++ b/tests/endings/resets.rs
@@ -196,3 +196,29 @@
         assert!(executor.came().is_empty());
     }
 }
+
+// The entry of an executor that is gone may name no more than that: the group in which its requests may have
+// run is the one that it was listed in, and their repeats stay there.
+#[test]
+fn the_group_of_an_executor_that_is_gone_is_the_one_it_was_in() {
+    let executors = [0; 2].map(|_| Executor::new());
+    let launch = launch(&Quiet { group: "cell", ..Quiet::default() });
+    let coordinator = Coordinator::new();
+    let in_cell = |n: usize, state: &str| {
+        let entry = target(&format!("e{n}"), executors[n].address, state);
+        entry.replace("\"pod_group\":0", &format!("\"pod_group\":{n}"))
+    };
+    let config = launch.config_of(coordinator.address, &[in_cell(0, "draining"), in_cell(1, "up")]);
+    let mut d = launch.serving(&config);
+    let mut feed = watch(&coordinator);
+    let mut client = Client::asks(d.address, &request("keyed", 1, 3_000, 1_000));
+    let mut peer = executors[1].accept();
+    pulled(&mut peer, 1);
+    let gone = String::from(r#"{"uid":"e1","state":"removed"}"#);
+    writeln!(feed, "{}", event(2, false, &[in_cell(0, "up"), gone])).unwrap();
+    d.logs("motor listed anew motor=\"e1\" state=Removed");
+    peer.resets();
+    let got = client.got();
+    assert!(matches!(got, Got::Error(1105, _)), "{got:?}");
+    assert!(executors[0].came().is_empty(), "the other cell would run it again");
+}
