Show that a load that was never written is told as failed (red)

Noticed: a load whose connection has not come up as its time, or the program's, is over gets "whether it ran is not known", though not a byte of it was written; refused, its client could try again. Cause: dispatch/ends.rs expire() and close() take every attempt that is out for one that may have run; net/executors/attempts.rs stop() knows of those that were not begun and tells nobody. Measured: fails on the program as it is, at the deadline.

--- a/tests/endings/late.rs
+++ b/tests/endings/late.rs
@@ -57,3 +57,23 @@
     assert!(!came, "sent again {:?} after the only request, in a span of 0.9 s", read.elapsed());
     assert!(matches!(client.got(), Got::Error(..)));
 }
+
+// A load whose connection does not come up before its time is over was never written: its client is told that
+// trying again is harmless, not that it may have run. The same at the end of the program.
+#[test]
+fn a_load_that_was_never_written_is_refused_not_failed() {
+    for sigterm in [false, true] {
+        let executor = Executor::new();
+        let _filler = executor.narrows();
+        let (mut d, _coordinator) = launch(&Quiet::default()).dispatcher(&[("e1", executor.address)]);
+        let budget = if sigterm { 15_000 } else { 1_500 };
+        let mut client = Client::asks(d.address, &request("load", 1, budget, 1_000));
+        dialed(executor.address, 1);
+        if sigterm {
+            d.signal("TERM");
+        }
+        let got = client.got();
+        assert!(matches!(got, Got::Error(1203, _)), "{got:?} with SIGTERM {sigterm}");
+        assert!(!sigterm || d.ends());
+    }
+}
