Show that a whole answer is thrown away by a write that meets the reset behind it (red)

Noticed: an answer is here unread, its connection was reset behind it, and something is written there in the same turn before it is read: the write fails with ECONNRESET and all that is out there is lost, the answered load failed. Cause: net/executors/traffic.rs write() ends the connection on any error without a last read. Measured: fails on the program as it is: the connection is lost with both attempts, "Connection reset by peer".

--- a/tests/endings/answers.rs
+++ b/tests/endings/answers.rs
@@ -172,3 +172,33 @@
         peer.resets();
     }
 }
+
+// A whole answer came, its connection was reset behind it, and a further request is written there in the same
+// moment, as descriptors are scarce: the write fails, but the answer that is here is still owed.
+#[test]
+fn a_whole_answer_counts_though_a_write_meets_the_reset() {
+    let executor = Executor::new();
+    let mut launch = launch(&Quiet::default());
+    // Eight connections go to executors, so that a ninth request shares the one heard last.
+    launch.sockets = 64;
+    let (d, _coordinator) = launch.dispatcher(&[("e1", executor.address)]);
+    let mut loads: Vec<_> = (1..=8).map(|n| Client::asks(d.address, &long("load", n))).collect();
+    let mut peers: Vec<_> = loads.iter().map(|_| executor.accept()).collect();
+    let ids: Vec<_> = peers.iter_mut().map(|peer| peer.command().unwrap()[1].clone()).collect();
+    let mut ninth = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(ninth.got(), Got::Ok);
+    let (mut peer, id) = (peers.remove(0), &ids[0]);
+    peer.say(&format!("{id} NOTE res=done,v=0.2 0\r\n\r\n"));
+    arrived(peer.stream());
+    d.stands_still();
+    asks(&mut ninth, &long("load", 9));
+    peer.page(id, "OK pages=1", ROW);
+    arrived(peer.stream());
+    peer.resets();
+    d.goes_on();
+    let mut again = executor.accept();
+    let pull = pulled(&mut again, 9);
+    again.page(&pull, "OK pages=1", ROW);
+    served(&mut ninth, ROW);
+    served(&mut loads[u64::from_str_radix(id, 16).unwrap() as usize - 1], ROW);
+}
