--- a/tests/endings/answers.rs
+++ b/tests/endings/answers.rs
@@ -189,9 +189,11 @@
     assert_eq!(ninth.got(), Got::Ok);
     let (mut peer, id) = (peers.remove(0), &ids[0]);
     peer.say(&format!("{id} NOTE res=done,v=0.2 0\r\n\r\n"));
+    arrived(peer.stream());
     d.stands_still();
-    ninth.ask(&long("load", 9));
+    asks(&mut ninth, &long("load", 9));
     peer.page(id, "OK pages=1", ROW);
+    arrived(peer.stream());
     peer.resets();
     d.goes_on();
     let mut again = executor.accept();
--- a/tests/endings/backlog.rs
+++ b/tests/endings/backlog.rs
@@ -26,6 +26,7 @@
             stream
                 .write_all(&[&head, &login[..], &shutdown::packet(&request("read", n, 15_000, 10))].concat())
                 .unwrap();
+            arrived(&stream);
             Client { stream, id: 0 }
         })
         .collect();
