Begin no attempt that a rule allows no longer; read what came before a reset

Order::Start now says by when the first byte has to be written (dispatch/actions.rs: the window of the first send that may have run; an eighth of the budget's span for a rationed attempt); the pull is taken back by then. The decisions count the budget with that slack at both ends of the span, on sockets only (Budget::slack, 0 in the simulator). - 'Error(1105, failed; whether it ran is not known)' for a load that was never written when its time was over: dispatch/ends.rs expire told the decisions of a time-out. It tells them that it was never sent. - A keyed request left its group once its executor's last entry named no cell ('the other cell would run it again'): net/orders.rs members took a removed executor's cell, zone and kind from that entry; they stay as listed. - A whole answer was thrown away by a write that met the reset behind it: executors/traffic.rs write lost the connection before reading the rest.

--- a/src/api/settings.rs
+++ b/src/api/settings.rs
@@ -116,6 +116,8 @@
     pub ratio: f64,
     /// Length of the window.
     pub span: Micros,
+    /// An attempt may reach its engine so much after it was decided, and the window is counted there.
+    pub slack: Micros,
 }
 
 /// The cold-engine rule.
--- a/src/control/guards.rs
+++ b/src/control/guards.rs
@@ -77,9 +77,9 @@
     /// The attempt budget, counted as the rule does, with the present one included.
     pub(super) fn budget_allows(&mut self) -> bool {
         let b = self.s.budget.unwrap_or(OWN_BUDGET);
-        // Sends on the window's edge count, requests on it do not.
-        self.further.retain(|t| t + b.span >= self.now);
-        self.taken.retain(|t| t + b.span > self.now);
+        // Sends on the window's edge count, requests on it do not; sends may arrive later than decided.
+        self.further.retain(|t| t + b.span + b.slack >= self.now);
+        self.taken.retain(|t| t + b.span > self.now + b.slack);
         (self.further.len() + 1) as f64 <= b.free + b.ratio * self.taken.len() as f64
     }
 
--- a/src/dispatch/actions.rs
+++ b/src/dispatch/actions.rs
@@ -1,7 +1,7 @@
 //! The decisions' actions become orders.
 
 use super::open::Attempt;
-use super::{Answer, BACKOFF_MS, Dispatch, Order, Ticket};
+use super::{Answer, BACKOFF_MS, Dispatch, Order, Terms, Ticket};
 use crate::api::{Action, Event, Finished, Micros, Outcome};
 use crate::must;
 use std::cmp::Reverse;
@@ -58,15 +58,22 @@
                     return;
                 }
                 self.tally.attempts += 1;
+                let further = !open.attempts.is_empty();
+                let in_budget = self.budget_slack.filter(|_| further).map(|slack| now + slack);
+                let begin_by =
+                    in_budget.into_iter().chain(open.repeats_known_until()).fold(open.deadline, Micros::min);
                 let ticket = Ticket { request: query, attempt: open.attempts.len() as u32 };
                 let (begun, outcome, priority) = (false, None, open.priority);
                 open.attempts.push(Attempt { engine, sent: now, begun, outcome, priority });
                 self.orders.push(Order::Start {
                     ticket,
                     executor: engine,
-                    memory_mb: open.memory_mb,
-                    priority: open.priority,
-                    until: timeout.map_or(open.deadline, |t| open.deadline.min(now + t)),
+                    terms: Terms {
+                        memory_mb: open.memory_mb,
+                        priority: open.priority,
+                        until: timeout.map_or(open.deadline, |t| open.deadline.min(now + t)),
+                        begin_by,
+                    },
                 });
             }
             Action::Cancel { query, attempt } => {
--- a/src/dispatch/ends.rs
+++ b/src/dispatch/ends.rs
@@ -16,7 +16,7 @@
         }
         while let Some((at, id)) = self.deadlines.first().copied().filter(|(t, _)| *t <= now) {
             self.deadlines.remove(&(at, id));
-            orders.append(&mut self.expire(now, id));
+            orders.append(&mut self.expire(now, id, true));
         }
         orders
     }
@@ -34,11 +34,12 @@
 
     /// The right to act on a request is lost: what is out of it is called off, and its client told.
     pub fn let_go(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
-        self.expire(now, id)
+        self.expire(now, id, false)
     }
 
-    /// The request's time is over: what is out is given up and has timed out.
-    fn expire(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+    /// What is out of a request is given up and has timed out; `over` if the request's own time is, so that nothing of
+    /// it begins again.
+    fn expire(&mut self, now: Micros, id: u64, over: bool) -> Vec<Order<R>> {
         let Some(open) = self.open.get(&id) else { return Vec::new() };
         let out: Vec<u32> = open.all_out().collect();
         let mut orders = Vec::new();
@@ -46,7 +47,10 @@
             let ticket = Ticket { request: id, attempt };
             self.tally.expired += 1;
             self.orders.push(Order::Stop(ticket));
-            if let Some(event) = self.finish(now, ticket, Outcome::Timeout, None) {
+            // What was stopped before its first byte never ran.
+            let never = over && self.out(ticket).is_some_and(|a| !a.begun);
+            let outcome = if never { Outcome::ConnectFailed } else { Outcome::Timeout };
+            if let Some(event) = self.finish(now, ticket, outcome, None) {
                 orders.append(&mut self.run(now, event));
             }
         }
--- a/src/dispatch/exchange.rs
+++ b/src/dispatch/exchange.rs
@@ -98,6 +98,19 @@
     Failed,
 }
 
+/// The terms of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Terms {
+    /// Memory granted in MB; 0 leaves it to the executor.
+    pub memory_mb: f64,
+    /// Priority, 0 to 3.
+    pub priority: u8,
+    /// When the dispatcher stops waiting.
+    pub until: Micros,
+    /// Its first byte has to be written by then, or the attempt ends as never sent: a rule allows it no longer.
+    pub begin_by: Micros,
+}
+
 /// What the network has to do, in order.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Order<R> {
@@ -107,12 +120,8 @@
         ticket: Ticket,
         /// Where to.
         executor: ExecutorId,
-        /// Memory granted in MB; 0 leaves it to the executor.
-        memory_mb: f64,
-        /// Priority, 0 to 3.
-        priority: u8,
-        /// When the dispatcher stops waiting.
-        until: Micros,
+        /// On what terms.
+        terms: Terms,
     },
     /// Give an attempt up; nothing more is to be told of it.
     Stop(Ticket),
--- a/src/dispatch/intake.rs
+++ b/src/dispatch/intake.rs
@@ -2,7 +2,7 @@
 
 use super::open::Open;
 use super::request::{arrival, grace};
-use super::{Answer, BACKOFF_MS, Class, Dispatch, KEY_REST, Order, Request};
+use super::{Answer, BACKOFF_MS, Class, Dispatch, Order, Request, on_sockets};
 use crate::api::{Event, Micros, Settings, SettingsError};
 use crate::must;
 
@@ -48,7 +48,7 @@
         if self.take(now, request, before)? {
             return Ok(std::mem::take(&mut self.orders));
         }
-        let own = under.and_then(|s| self.gateway.take_on(self.quiet(s.clone())).ok());
+        let own = under.and_then(|s| self.gateway.take_on(on_sockets(s.clone())).ok());
         let orders = self.run(now, arrival(request));
         if let Some(own) = own {
             let back = self.gateway.take_on(own);
@@ -60,14 +60,11 @@
     /// Admits by other settings of the same classes, tenants and machines from now on; what is open ends as it was
     /// admitted. An error changes nothing.
     pub fn take_on(&mut self, settings: Settings) -> Result<(), SettingsError> {
-        let settings = self.quiet(settings);
-        self.gateway.take_on(settings).map(drop)
-    }
-
-    /// Settings with the rest of keys that is needed here.
-    fn quiet(&self, mut settings: Settings) -> Settings {
-        settings.key_quiet = Some(settings.key_quiet.unwrap_or(0).max(KEY_REST));
-        settings
+        let settings = on_sockets(settings);
+        let slack = settings.budget.map(|b| b.slack);
+        self.gateway.take_on(settings).map(drop)?;
+        self.budget_slack = slack;
+        Ok(())
     }
 
     /// Takes a request in that the decisions get later, once there is word of the fleet. It is open from now on:
@@ -120,12 +117,13 @@
 
     /// Takes a request in; whether it was refused at once, as too many are open.
     fn take(&mut self, now: Micros, request: &Request, before: usize) -> Result<bool, &'static str> {
-        let Class { safe, .. } = self.acceptable(request)?;
+        let Class { safe, window, .. } = self.acceptable(request)?;
         self.tally.taken += 1;
         let open = Open {
             arrived: now,
             deadline: now + grace(request),
             safe,
+            window,
             closed: false,
             left: false,
             late: None,
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -23,7 +23,7 @@
 mod request;
 
 pub use crate::codec::coordinator::executor_id;
-pub use exchange::{Answer, Echo, End, Load, Order, Report, Word};
+pub use exchange::{Answer, Echo, End, Load, Order, Report, Terms, Word};
 pub use fleet::{ExecutorId, Fleet, Member, News, Standing};
 pub use request::{Request, Ticket};
 
@@ -70,11 +70,25 @@
     pub probes: u64,
 }
 
+/// A further attempt may begin by this part of the budget's window after it was decided: long beside a connection
+/// that comes up, short beside the window.
+const BUDGET_SLACK_PART: Micros = 8;
+
+/// The settings as the decisions need them where attempts go out on sockets: the KILL of a stopped one takes a moment,
+/// and so does the connection of one that begins.
+fn on_sockets(mut settings: Settings) -> Settings {
+    settings.key_quiet = Some(settings.key_quiet.unwrap_or(0).max(KEY_REST));
+    settings.budget.iter_mut().for_each(|b| b.slack = b.span / BUDGET_SLACK_PART);
+    settings
+}
+
 /// What has to be known of a class here.
 #[derive(Debug, Clone, Copy)]
 struct Class {
     /// Refusing is harmless whatever ran.
     safe: bool,
+    /// Repeats are harmless for so long after a send, where anything makes them so.
+    window: Option<Micros>,
     /// The longest budget that can be meant.
     most_budget: Micros,
 }
@@ -92,6 +106,8 @@
     /// What becomes of requests whose clients left is told.
     follows: bool,
     most_attempts: usize,
+    /// A further attempt may begin so long after it was decided, where the settings ration them.
+    budget_slack: Option<Micros>,
     deadlines: BTreeSet<(Micros, u64)>,
     wakes: BinaryHeap<Reverse<(Micros, u64)>>,
     orders: Vec<Order<R>>,
@@ -102,9 +118,11 @@
 impl<R> Dispatch<R> {
     /// One that knows its settings and no executor.
     pub fn new(mut settings: Settings, most_held: usize, seed: u64) -> Result<Dispatch<R>, SettingsError> {
-        settings.key_quiet = Some(settings.key_quiet.unwrap_or(0).max(KEY_REST));
+        settings = on_sockets(settings);
+        let budget_slack = settings.budget.map(|b| b.slack);
         let class = |c: &api::Class| Class {
             safe: matches!(c.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }),
+            window: if let Effect::Keyed { window, .. } = c.effect { Some(window) } else { None },
             most_budget: c.deadline + SLACK,
         };
         let classes = settings.classes.iter().map(class).collect();
@@ -118,6 +136,7 @@
             held: BTreeMap::new(),
             follows: false,
             most_attempts,
+            budget_slack,
             deadlines: BTreeSet::new(),
             wakes: BinaryHeap::new(),
             orders: Vec::new(),
--- a/src/dispatch/open.rs
+++ b/src/dispatch/open.rs
@@ -20,6 +20,8 @@
     pub(super) deadline: Micros,
     /// Refusing it is harmless whatever ran.
     pub(super) safe: bool,
+    /// Executors know repeats for so long, if that is what makes them harmless.
+    pub(super) window: Option<Micros>,
     /// Answered, or the client has left.
     pub(super) closed: bool,
     /// The client has left.
@@ -43,6 +45,12 @@
         self.attempts.iter().all(|a| !a.begun || a.outcome.is_some_and(Outcome::never_ran))
     }
 
+    /// Until when executors know a repeat of what may have run; `None` if they need not.
+    pub(super) fn repeats_known_until(&self) -> Option<Micros> {
+        let ran = self.attempts.iter().filter(|a| !a.outcome.is_some_and(Outcome::never_ran));
+        self.window.and_then(|w| ran.map(|a| a.sent + w).min())
+    }
+
     /// The attempts that are out.
     pub(super) fn all_out(&self) -> impl Iterator<Item = u32> {
         (0..).zip(&self.attempts).filter(|(_, a)| a.outcome.is_none()).map(|(n, _)| n)
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -3,7 +3,7 @@
 use super::buffers::{Block, Inbox, Outbox, Pool};
 use crate::api::Micros;
 use crate::codec::executor::{self, Note};
-use crate::dispatch::{End, ExecutorId, Ticket, Word};
+use crate::dispatch::{End, ExecutorId, Terms, Ticket, Word};
 use crate::must;
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
@@ -45,7 +45,7 @@
 
 /// What waits to be written.
 pub(super) enum Outgoing {
-    Pull { id: u64, job: Job, memory_mb: f64, priority: u8, until: Micros },
+    Pull { id: u64, job: Job, terms: Terms },
     Kill(u64),
     Boost(u64, u8),
     Scroll(u64, u32),
--- a/src/net/executors/attempts.rs
+++ b/src/net/executors/attempts.rs
@@ -2,7 +2,7 @@
 
 use super::{Due, Executors, Job, PROBE_SLACK};
 use crate::api::Micros;
-use crate::dispatch::{Echo, End, ExecutorId, Report, Ticket};
+use crate::dispatch::{Echo, End, ExecutorId, Report, Terms, Ticket};
 use crate::must;
 use crate::net::connection::{Outgoing, Stream};
 use crate::net::poll::{Key, Poll};
@@ -13,18 +13,7 @@
 
 impl Executors {
     /// Sends an attempt.
-    #[allow(clippy::too_many_arguments)]
-    pub fn start(
-        &mut self,
-        t: Ticket,
-        to: ExecutorId,
-        job: Job,
-        memory_mb: f64,
-        priority: u8,
-        until: Micros,
-        now: Micros,
-        poll: &Poll,
-    ) {
+    pub fn start(&mut self, t: Ticket, to: ExecutorId, job: Job, terms: Terms, now: Micros, poll: &Poll) {
         let id = t.request;
         let most = if t.attempt < SUSPECT { self.transport.streams_per_conn } else { 1 };
         let Some(key) = self.connection(to, now, poll, |c| c.takes(id, most, now)) else {
@@ -34,7 +23,10 @@
         let Some(conn) = self.conns.get_mut(&key) else { return };
         let (rows, begun, written) = (Vec::new(), false, false);
         conn.streams.insert(id, Stream { ticket: t, begun, written, pages: 0, rows, bytes: 0, since: now });
-        conn.queue.push_back(Outgoing::Pull { id, job, memory_mb, priority, until });
+        conn.queue.push_back(Outgoing::Pull { id, job, terms });
+        if terms.begin_by < terms.until {
+            self.timers.set(terms.begin_by, Due::Begin(t));
+        }
         must!(self.places.insert(t, key).is_none(), "an attempt was started twice");
         self.write(key, now, poll);
     }
@@ -72,10 +64,10 @@
         let Some(key) = self.places.get(&t).copied() else { return };
         let Some(conn) = self.conns.get_mut(&key) else { return };
         for o in &mut conn.queue {
-            if let Outgoing::Pull { id, priority: p, .. } = o
+            if let Outgoing::Pull { id, terms, .. } = o
                 && *id == t.request
             {
-                *p = priority;
+                terms.priority = priority;
                 return;
             }
         }
--- a/src/net/executors/mod.rs
+++ b/src/net/executors/mod.rs
@@ -54,6 +54,8 @@
     Part(Key),
     /// Word on what was written.
     Word(Key),
+    /// An attempt that may not begin later.
+    Begin(Ticket),
 }
 
 /// Counters of the connections.
--- a/src/net/executors/silence.rs
+++ b/src/net/executors/silence.rs
@@ -78,6 +78,7 @@
                     }
                 }
                 Due::Word(key) => self.ask_for_word(key, now, poll),
+                Due::Begin(ticket) => self.withdraw(ticket, now, poll),
             }
         }
     }
--- a/src/net/executors/tests.rs
+++ b/src/net/executors/tests.rs
@@ -1,6 +1,6 @@
 use super::*;
 use crate::codec::coordinator::Target;
-use crate::dispatch::{End, Load};
+use crate::dispatch::{End, Load, Terms};
 use crate::net::poll::Poll;
 use crate::net::room::Room;
 use std::net::TcpListener;
@@ -25,7 +25,9 @@
 fn start(e: &mut Executors, request: u64, now: Micros, poll: &Poll) -> Ticket {
     let ticket = Ticket { request, attempt: 0 };
     let job = Job { kind: "read".into(), statement: "SELECT 1".into(), token: None };
-    e.start(ticket, executor_id("e1"), job, 0.0, 1, now + 9_000_000, now, poll);
+    let until = now + 9_000_000;
+    let terms = Terms { memory_mb: 0.0, priority: 1, until, begin_by: until };
+    e.start(ticket, executor_id("e1"), job, terms, now, poll);
     ticket
 }
 
--- a/src/net/executors/traffic.rs
+++ b/src/net/executors/traffic.rs
@@ -3,7 +3,7 @@
 use super::{Due, Executors, PART};
 use crate::api::Micros;
 use crate::codec::executor::{self, Answer, Gauges, Terms};
-use crate::dispatch::{Echo, End, Load, Report};
+use crate::dispatch::{self as attempt, Echo, End, Load, Report};
 use crate::net::connection::{Outgoing, Step, advance};
 use crate::net::dial;
 use crate::net::poll::{Key, Poll};
@@ -38,6 +38,16 @@
         }
     }
 
+    /// Reads what a connection that is over has still brought.
+    fn read_rest(&mut self, key: Key, now: Micros, poll: &Poll) {
+        while let Some(conn) = self.conns.get_mut(&key) {
+            if !matches!(conn.inbox.fill(&mut conn.stream), Ok(n) if n > 0) {
+                return;
+            }
+            self.read(key, now, poll);
+        }
+    }
+
     fn read(&mut self, key: Key, now: Micros, poll: &Poll) {
         let mut consumed = 0;
         loop {
@@ -141,7 +151,15 @@
             self.scratch.clear();
             let out = &mut self.scratch;
             match next {
-                Outgoing::Pull { id, job, memory_mb, priority, until } => {
+                Outgoing::Pull { id, job, terms } => {
+                    let attempt::Terms { memory_mb, priority, until, begin_by } = terms;
+                    if now > begin_by
+                        && let Some(s) = conn.streams.remove(&id)
+                    {
+                        self.places.remove(&s.ticket);
+                        self.reports.push_back(Report::Ended(s.ticket, End::NeverSent, None));
+                        continue;
+                    }
                     let wait_ms = (until.saturating_sub(now) / 1000).max(1);
                     executor::pull(
                         out,
@@ -160,6 +178,8 @@
             conn.outbox.append(&self.scratch);
         };
         if let Some(e) = failed {
+            // A reset ends both ways, and what came before it is still here to be read.
+            self.read_rest(key, now, poll);
             return self.lose(key, poll, &e.to_string());
         }
         let waits = !conn.outbox.is_empty();
--- a/src/net/orders.rs
+++ b/src/net/orders.rs
@@ -27,7 +27,7 @@
 
     pub(super) fn carry_out(&mut self, now: Micros, order: Order<Rows>) {
         match order {
-            Order::Start { ticket, executor, memory_mb, priority, until } => {
+            Order::Start { ticket, executor, terms } => {
                 // The client may have left since this was decided: then nothing goes out, and that is told.
                 let Some((_, job)) = self.jobs.get(&ticket.request) else {
                     return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent, None));
@@ -36,7 +36,7 @@
                 if !self.may_send(now, ticket, executor) {
                     return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent, None));
                 }
-                self.executors.start(ticket, executor, job, memory_mb, priority, until, now, &self.poll);
+                self.executors.start(ticket, executor, job, terms, now, &self.poll);
             }
             Order::Stop(ticket) => self.executors.stop(ticket, now, &self.poll),
             Order::Withdraw(ticket) => self.executors.withdraw(ticket, now, &self.poll),
@@ -119,6 +119,10 @@
 
     pub(super) fn members(&mut self, now: Micros, news: News, targets: &[Target]) {
         let member = |t: &Target| {
+            // Who is gone may be named by no more than that: it was where it was listed.
+            let known = self.targets.get(&t.uid).filter(|_| t.state == State::Removed);
+            let listed = known.map(|k| Target { state: t.state, ..k.clone() });
+            let t = listed.as_ref().unwrap_or(t);
             let (zone, kind) = (self.names.zones.get(&t.az), self.names.kinds.get(&t.model));
             let gone = t.state == State::Removed;
             if !gone && (zone.is_none() || kind.is_none() || t.endpoint.is_none()) {
--- a/src/policies/apply.rs
+++ b/src/policies/apply.rs
@@ -96,11 +96,17 @@
         }
     }
     if a.free.or(a.ratio).is_some() || a.span.is_some() {
-        let own = base.budget.unwrap_or(api::Budget { free: f64::MAX, ratio: f64::MAX, span: 10_000_000 });
+        let own = base.budget.unwrap_or(api::Budget {
+            free: f64::MAX,
+            ratio: f64::MAX,
+            span: 10_000_000,
+            slack: 0,
+        });
         let budget = api::Budget {
             free: a.free.unwrap_or(own.free),
             ratio: a.ratio.unwrap_or(own.ratio),
             span: a.span.map_or(own.span, micros),
+            slack: own.slack,
         };
         // A ration of the platform may be made tighter, not wider; where there is none, this is one.
         if base.budget.is_some()
--- a/src/policies/stricter.rs
+++ b/src/policies/stricter.rs
@@ -26,9 +26,12 @@
     s.over_share_worth = s.over_share_worth.min(b.over_share_worth);
     s.max_attempts = s.max_attempts.min(b.max_attempts);
     s.budget = match (a.budget, b.budget) {
-        (Some(a), Some(b)) => {
-            Some(Budget { free: a.free.min(b.free), ratio: a.ratio.min(b.ratio), span: a.span.max(b.span) })
-        }
+        (Some(a), Some(b)) => Some(Budget {
+            free: a.free.min(b.free),
+            ratio: a.ratio.min(b.ratio),
+            span: a.span.max(b.span),
+            slack: a.slack.max(b.slack),
+        }),
         (a, b) => a.or(b),
     };
     s
--- a/src/policies/tests.rs
+++ b/src/policies/tests.rs
@@ -76,7 +76,8 @@
             (s.classes[0].only_kinds, s.classes[0].only_zones) = (kinds, zones);
             (s.classes[0].deadline, s.classes[0].aim) = (deadline * 1_000_000, 1_000_000);
             (s.tenants[0].quota_per_s, s.over_share_worth, s.max_attempts) = (quota, over, most);
-            s.budget = free.map(|free| crate::api::Budget { free, ratio: free / 9.0, span: 10_000_000 });
+            s.budget =
+                free.map(|free| crate::api::Budget { free, ratio: free / 9.0, span: 10_000_000, slack: 0 });
             s
         })
 }
--- a/src/settings/platform.rs
+++ b/src/settings/platform.rs
@@ -186,7 +186,7 @@
         let stated = r.free_resends.or(r.further_ratio).or(r.ratio_span).is_some();
         let span = micros(M, "env.rules.ratioSpan", r.ratio_span.unwrap_or(BUDGET_SPAN_S))?;
         let (free, ratio) = (r.free_resends.unwrap_or(0.0), r.further_ratio.unwrap_or(0.0));
-        let budget = stated.then_some(Budget { free, ratio, span });
+        let budget = stated.then_some(Budget { free, ratio, span, slack: 0 });
         let settings = Settings {
             gateways: self.balancers,
             kinds: (0..self.kinds.len().max(1)).map(kind).collect(),
