--- a/tests/endings/lists.rs
+++ b/tests/endings/lists.rs
@@ -65,10 +65,10 @@
     dialed(at[0].address, 3);
     writeln!(feed, "{}", swapped(2, &at)).unwrap();
     d.logs("motor listed anew motor=\"e1\" state=Draining");
+    // Whatever comes up there from now on brings nothing, also a second and more later.
+    at[0].widens(filler);
     let _peers = answered(&at[1], 3);
     clients.iter_mut().for_each(|client| served(client, ROW));
-    // Whatever still comes up there brings nothing.
-    at[0].widens(filler);
     std::thread::sleep(Duration::from_millis(1200));
     assert!(at[0].came().is_empty());
 }
