Tell an executor's lack of connections from our own; follow the old coordinator to the end

Seen by reading, shown by tests: with all its connections busy a dispatcher reported an attempt as never sent, which the decisions take for an executor that does not listen and eject (executors/pool.rs connection, attempts.rs start and probe); it ends as void now, which blames nobody. After SIGHUP the old coordinator is kept also where it had told nothing yet; a story has it tell of a drain while the new one is not there.

--- a/src/net/executors/attempts.rs
+++ b/src/net/executors/attempts.rs
@@ -1,5 +1,6 @@
 //! The dispatcher's orders: attempts and probes.
 
+use super::pool::Lack;
 use super::{Due, Executors, Job, PROBE_SLACK};
 use crate::api::Micros;
 use crate::dispatch::{Echo, End, ExecutorId, Report, Terms, Ticket};
@@ -16,9 +17,12 @@
     pub fn start(&mut self, t: Ticket, to: ExecutorId, job: Job, terms: Terms, now: Micros, poll: &Poll) {
         let id = t.request;
         let most = if t.attempt < SUSPECT { self.transport.streams_per_conn } else { 1 };
-        let Some(key) = self.connection(to, now, poll, |c| c.takes(id, most, now)) else {
-            self.reports.push_back(Report::Ended(t, End::NeverSent, None));
-            return;
+        let key = match self.connection(to, now, poll, |c| c.takes(id, most, now)) {
+            Ok(key) => key,
+            Err(lack) => {
+                let end = if lack == Lack::Ours { End::Void } else { End::NeverSent };
+                return self.reports.push_back(Report::Ended(t, end, None));
+            }
         };
         let Some(conn) = self.conns.get_mut(&key) else { return };
         let (rows, begun, written) = (Vec::new(), false, false);
@@ -79,9 +83,12 @@
 
     /// Probes an executor.
     pub fn probe(&mut self, to: ExecutorId, now: Micros, poll: &Poll) {
-        let Some(key) = self.connection(to, now, poll, |c| !c.retired && !c.doubtful(now)) else {
-            self.reports.push_back(Report::Probed(to, Echo::Unreachable, 0));
-            return;
+        let key = match self.connection(to, now, poll, |c| !c.retired && !c.doubtful(now)) {
+            Ok(key) => key,
+            Err(lack) => {
+                let echo = if lack == Lack::Ours { Echo::Unknown } else { Echo::Unreachable };
+                return self.reports.push_back(Report::Probed(to, echo, 0));
+            }
         };
         self.meter(key, now, poll);
     }
--- a/src/net/executors/pool.rs
+++ b/src/net/executors/pool.rs
@@ -14,6 +14,15 @@
 /// An id that ended is remembered on its connection for this long, longer than an answer can be under way.
 const REMEMBERED: Micros = 60_000_000;
 
+/// Why there is no connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Lack {
+    /// The executor is not there, or does not listen.
+    Theirs,
+    /// All that this dispatcher may have are busy, which says nothing of the executor.
+    Ours,
+}
+
 impl Executors {
     /// A connection that will do, or a new one.
     pub(super) fn connection(
@@ -22,9 +31,9 @@
         now: Micros,
         poll: &Poll,
         fits: impl Fn(&Conn) -> bool,
-    ) -> Option<Key> {
+    ) -> Result<Key, Lack> {
         let best = loop {
-            let conns = self.list.get(&to)?.conns.iter();
+            let conns = self.list.get(&to).ok_or(Lack::Theirs)?.conns.iter();
             let usable = conns.filter_map(|k| self.conns.get(k).map(|c| (*k, c))).filter(|(_, c)| fits(c));
             // The least shared one; among those the one heard last, so that the others can go.
             let best = usable.min_by_key(|(_, c)| (c.streams.len(), !c.up, Reverse(c.heard)));
@@ -38,23 +47,23 @@
             break Some((key, c.streams.is_empty()));
         };
         if let Some((key, true)) = best {
-            return Some(key);
+            return Ok(key);
         }
         let shared = best.map(|(key, _)| key);
-        let e = self.list.get(&to)?;
+        let e = self.list.get(&to).ok_or(Lack::Theirs)?;
         let listed = self.list.values().filter(|e| e.state == State::Up).count().max(1);
         let share = (self.most_conns / listed).max(2);
         let full = self.conns.len() >= self.most_conns;
-        if shared.is_some() && (full || e.conns.len() >= share) {
-            return shared;
+        if let Some(key) = shared.filter(|_| full || e.conns.len() >= share) {
+            return Ok(key);
         }
-        let Some(address) = e.address else { return shared };
+        let Some(address) = e.address else { return shared.ok_or(Lack::Theirs) };
         if full {
             // Another executor may keep more than it needs just now.
             let idle = self.conns.iter().filter(|(_, c)| c.idle()).min_by_key(|(_, c)| c.touched);
             let Some(key) = idle.map(|(key, _)| *key) else {
                 tracing::warn!(motor = e.uid, most = self.most_conns, "no connection left");
-                return None;
+                return Err(Lack::Ours);
             };
             self.lose(key, poll, "its place is needed");
         }
@@ -63,8 +72,9 @@
             Ok(dialed) => dialed,
             Err(err) => {
                 tracing::warn!(%address, error = %err, "can't dial");
-                self.starved |= dial::out_of_descriptors(&err);
-                return shared;
+                let ours = dial::out_of_descriptors(&err);
+                self.starved |= ours;
+                return shared.ok_or(if ours { Lack::Ours } else { Lack::Theirs });
             }
         };
         self.wire.dials += 1;
@@ -94,8 +104,10 @@
                 watched: true,
             },
         );
-        self.list.get_mut(&to)?.conns.push(key);
-        Some(key)
+        if let Some(e) = self.list.get_mut(&to) {
+            e.conns.push(key);
+        }
+        Ok(key)
     }
 
     /// Closes a connection; all that was open on it is over.
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -81,7 +81,7 @@
             return;
         }
         match self.watch.take() {
-            Some(w) if w.told => {
+            Some(w) if w.told || (w.up && self.previous.is_none()) => {
                 if let Some(older) = self.previous.replace(w) {
                     poll.remove(&older.stream);
                 }
--- a/tests/endings/main.rs
+++ b/tests/endings/main.rs
@@ -6,6 +6,7 @@
 mod executors;
 mod late;
 mod lists;
+mod moves;
 mod ration;
 mod resets;
 mod shutdown;
--- /dev/null
+++ b/tests/endings/moves.rs
@@ -0,0 +1,32 @@
+//! Discovery that moves while something is still told at the old place.
+
+use super::*;
+use std::io::Read;
+
+// SIGHUP names a coordinator that is not there yet, and the old one tells of a drain after it: its connection was
+// dropped with the signal, so that nothing was known until the new one was there. It is followed until then.
+#[test]
+fn the_old_coordinator_is_followed_until_the_new_one_has_told_anything() {
+    let executors = [0; 2].map(|_| Executor::new());
+    let (old, new) = (Coordinator::new(), Refusing::new());
+    let known = [("e1", executors[0].address), ("e2", executors[1].address)];
+    let launch = launch(&Quiet::default());
+    let mut d = launch.serving(&launch.config(old.address, &known));
+    let (mut watch, _) = old.accept();
+    let config = d.config.replace(&format!("\"{}\"", old.address), &format!("\"{}\"", new.address));
+    std::fs::write(&d.file, config).unwrap();
+    d.signal("HUP");
+    d.logs("read again");
+    writeln!(watch, "{}", event(2, false, &[target("e1", executors[0].address, "draining")])).unwrap();
+    d.logs("motor listed anew motor=\"e1\" state=Draining");
+    let mut client = Client::asks(d.address, &long("load", 1));
+    let mut peer = executors[1].accept();
+    let pull = pulled(&mut peer, 1);
+    peer.page(&pull, "OK pages=1", ROW);
+    served(&mut client, ROW);
+    let new = new.coordinator();
+    let (mut feed, asked) = new.accept();
+    assert_eq!(asked, "follow 2\n", "what the old one told is held");
+    writeln!(feed, "2").unwrap();
+    assert_eq!(watch.read(&mut [0]).unwrap(), 0, "then the old one is closed");
+}
