Move a key's line on in rounds, not each from within the end of the one before

Seen: 5,000 requests in the line of one key that are all hopeless at once (the first has failed, its key rests, and the dispatcher ends): 'has overflowed its stack', the process aborts. Cause: control/requests.rs end, close, forget, next_in_line, start, end: as deep as the line is long. Ruled out: the same with the first still out, where check_lines ends each from the tick (20,000 pass). Change: next_in_line goes round in a loop and is not entered from within; keys without requests are dropped at the tick once they have rested.

--- a/src/control/draw.rs
+++ b/src/control/draw.rs
@@ -68,7 +68,6 @@
         fit
     }
 
-    /// Draws one by weight.
     fn pick(&mut self, id: QueryId, among: &[usize]) -> Option<usize> {
         let q = &self.queries[&id];
         let weights: Vec<f64> = among.iter().map(|&i| self.weight(q, &self.engines[i])).collect();
@@ -118,8 +117,7 @@
             self.query(id).asked_until.get_or_insert(until);
             return None;
         }
-        // With little known all are drawn from, the unknown as loaded as their pool; last those that a probe
-        // is out to.
+        // With little known all are drawn from, unknown ones as loaded as their pool, last those being probed.
         if choice < CANDIDATES {
             let silent = |i: &usize| self.engines[*i].probe_sent.is_some();
             let (asked, rest): (Vec<usize>, Vec<usize>) = unknown.into_iter().chain(wanted).partition(silent);
--- a/src/control/guards.rs
+++ b/src/control/guards.rs
@@ -40,11 +40,9 @@
         self.cold_rate(e).is_none_or(|rates| self.cold_work(q) <= most(rates))
     }
 
-    /// Draws lots for a place at a cold engine: the chance is what this gateway's share of the least budget
-    /// has come to since the last lots there, over the query's work. So all send what is meant in the mean,
-    /// however many gateways there are and however few queries each has; what is staked is spent, won or not.
-    /// One that sends many stays within its own share, and within a window nobody stakes more at all cold
-    /// engines than two windows bring: what was saved at each must not come together.
+    /// Lots for a place at a cold engine: the chance is what this gateway's share of the least budget has
+    /// come to, over the query's work; what is staked is spent: all send what is meant in the mean. Each
+    /// stays within its share, and stakes no more in a window than two bring at all cold engines.
     pub(super) fn wins(&mut self, id: QueryId, i: usize) -> bool {
         let Some((_, own)) = self.cold_rate(&self.engines[i]) else { return true };
         let (work, span, lot) =
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -25,8 +25,7 @@
         self.start(a.query);
     }
 
-    /// In line for its key with too little time left, or with more to run than this gateway has: asked on
-    /// arrival too, for tries with little patience.
+    /// In line for its key with too little time left, or with more to run than is left: asked on arrival too.
     fn hopeless(&self, id: QueryId) -> bool {
         let (q, run) = (&self.queries[&id], (self.expected(&self.queries[&id]) * 1e6) as Micros);
         let held = q.key.is_some() && !self.has_turn(id) && self.now + run.max(HELD_MARGIN) > q.deadline;
@@ -93,25 +92,30 @@
         }
     }
 
+    /// Whoever ends within is passed by in the same round, however long the line.
     fn next_in_line(&mut self, key: u64) {
-        let Some(line) = self.keys.get(&key) else { return };
-        let (head, rested) = (line.waiting.front().copied(), self.now >= line.rest_until);
-        match head {
-            Some(id) if self.queries[&id].attempts.is_empty() => self.start(id),
-            None if rested => drop(self.keys.remove(&key)),
-            _ => {}
+        if std::mem::replace(&mut self.moves_on, true) {
+            return;
+        }
+        let mut tried = None;
+        while let Some(id) = self.keys.get(&key).and_then(|l| l.waiting.front().copied()) {
+            if tried.replace(id) == Some(id) || !self.queries[&id].attempts.is_empty() {
+                break;
+            }
+            self.start(id);
         }
+        self.moves_on = false;
     }
 
     /// Rested keys go on; queries held in line are given up before their clients leave.
     pub(super) fn check_lines(&mut self) {
         for k in Vec::from_iter(self.keys.keys().copied()) {
             for id in Vec::from_iter(self.keys[&k].waiting.iter().copied()) {
-                if self.queries.contains_key(&id) && self.hopeless(id) {
-                    self.end(id, SECOND);
-                }
+                let over = self.queries.contains_key(&id) && self.hopeless(id);
+                over.then(|| self.end(id, SECOND));
             }
             self.next_in_line(k);
         }
+        self.keys.retain(|_, l| !l.waiting.is_empty() || self.now < l.rest_until);
     }
 }
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -60,6 +60,8 @@
     pub(crate) tells_load: Option<bool>,
     /// Queries that wait for probes.
     pub(crate) asking: Vec<QueryId>,
+    /// A key's line is moving on.
+    pub(crate) moves_on: bool,
     pub(crate) loaded: bool,
     /// When it ends; far off while it does not.
     pub(crate) ends: Micros,
@@ -102,6 +104,7 @@
             occupancy: 0.0,
             pools: BTreeMap::new(),
             tells_load: None,
+            moves_on: false,
             asking: Vec::new(),
             loaded: false,
             ends: Micros::MAX,
--- a/tests/control/requests.rs
+++ b/tests/control/requests.rs
@@ -92,3 +92,23 @@
     assert!(refused(&rig.arrive(0, 9.0).1).is_some(), "and so is anything else");
     assert!(sent_to(&rig.arrive(0, 0.2).1).is_some(), "what fits is served");
 }
+
+// Each that was given up in a key's line had the next one looked at from within its own end: a long line all of whose
+// time was over at once, as when the dispatcher itself ends, went as deep as it was long.
+#[test]
+fn a_long_line_that_is_hopeless_all_at_once_ends_one_by_one() {
+    let mut s = settings();
+    (s.classes[0].keep_order, s.classes[0].effect) = (true, Effect::Unsafe);
+    let mut rig = Rig::new(s, 2);
+    let keyed = |grace| Arrival { key: Some(7), grace, ..arrival(0, 0, 0.2) };
+    let (first, actions) = rig.arrive_as(keyed(4 * S));
+    let engine = sent_to(&actions).expect("the first is sent");
+    for _ in 0..5_000 {
+        assert!(rig.arrive_as(keyed(40 * S)).1.is_empty(), "they wait for the first");
+    }
+    rig.gateway.ends_at(rig.now);
+    // Its key rests now, and nobody is at the head of the line.
+    let mut actions = rig.finish(first, 0, engine, Outcome::Reset, 0.1);
+    actions.extend(rig.pass(300 * MS));
+    assert!(actions.iter().filter(|a| refused(std::slice::from_ref(a)).is_some()).count() >= 5_000);
+}
