--- a/src/control/draw.rs
+++ b/src/control/draw.rs
@@ -117,7 +117,7 @@
             self.query(id).asked_until.get_or_insert(until);
             return None;
         }
-        // With little known all are drawn from, unknown ones as loaded as their pool, last those being probed.
+        // With little known all are drawn from, unknown ones as loaded as their pool, last those probed.
         if choice < CANDIDATES {
             let silent = |i: &usize| self.engines[*i].probe_sent.is_some();
             let (asked, rest): (Vec<usize>, Vec<usize>) = unknown.into_iter().chain(wanted).partition(silent);
