--- a/tests/clients/standstill.rs
+++ b/tests/clients/standstill.rs
@@ -100,7 +100,8 @@
     assert_eq!(client.got(), row());
 }
 
-// News that an executor drains lay in the feed's socket while requests were read, and they were sent there.
+// News that an executor drains lies in the feed's socket while requests are read: none of them goes there. It held before
+// the order in a turn was settled too, as what was not written was taken back.
 #[test]
 fn who_drains_is_known_before_anything_begins() {
     let (executor, other, old) = (Executor::new(), Executor::new(), Executor::new());
