Read a client that was paused for its mistakes to its end before it begins anything

Change: a client whose last command was a mistake is read on to its end, as all are after a standstill.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -15,7 +15,8 @@
     pub(super) fn read(&mut self, key: Key, now: Micros) {
         let away = self.was_away();
         let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
-        if !s.read(now) || (away && !s.read_on()) || s.leaves() {
+        // Who was not read for its mistakes may have gone meanwhile, too.
+        if !s.read(now) || ((away || s.erred()) && !s.read_on()) || s.leaves() {
             return self.hang_up(key, now);
         }
         if s.open.is_some() && s.overruns() {
--- a/tests/clients/standstill.rs
+++ b/tests/clients/standstill.rs
@@ -138,3 +138,21 @@
     });
     assert!(clients.iter_mut().all(|c| c.got() == row()), "none went to the one that drains");
 }
+
+// A client that made mistakes is not read for a while: what it asks then and its end behind it lie in the socket, and
+// the request was read alone once the pause was over, long after its client had gone.
+#[test]
+fn a_request_whose_client_closed_during_its_pause_does_not_begin() {
+    let executor = Executor::new();
+    let (d, _coordinator, mut peer) = with_idle_connection(&executor);
+    let mut client = rests(&d);
+    for _ in 0..6 {
+        client.ask("SELECT a FROM t");
+        assert!(matches!(client.got(), Got::Error(1064, _)));
+    }
+    client.ask(&request("load", "a1"));
+    drop(client);
+    // Longer than the pause after the sixth mistake.
+    std::thread::sleep(3 * STILL);
+    next_is_first(&d, &mut peer);
+}
