--- /dev/null
+++ b/crates/fleet/src/control/follower/stream.rs
@@ -0,0 +1,104 @@
+//! What a member sends: its welcome, what is agreed, and leases.
+
+use super::connection::Connection;
+use super::{Follower, FollowerEvent, Lost};
+use crate::control::messages::MemberMessage;
+use crate::policy::{Change, Policies, Revision};
+use crate::{Micros, Peer};
+
+impl Follower {
+    /// A member says something. Once what came was taken, the host looks at what is agreed if
+    /// [`Follower::take_changed`] says so, before it admits anything more.
+    pub fn hear(&mut self, now: Micros, message: MemberMessage) {
+        if let Connection::Following { heard, .. } = &mut self.connection {
+            *heard = now;
+        }
+        match (message, self.connection) {
+            (MemberMessage::Welcome { group, member }, Connection::Subscribing { member: dialed, .. }) => {
+                self.welcome(now, &group, member, dialed);
+            }
+            (MemberMessage::Rejected(why), Connection::Subscribing { .. }) => {
+                self.lose(now, Lost::Rejected(why));
+            }
+            (MemberMessage::Snapshot { fleet, policies }, Connection::Following { .. }) => {
+                self.snapshot(now, fleet, *policies);
+            }
+            (MemberMessage::Change(revision, change), Connection::Following { .. }) => {
+                self.change(now, revision, change);
+            }
+            (MemberMessage::Keepalive { asked, lease, .. }, Connection::Following { .. }) => {
+                self.keepalive(now, asked, lease);
+            }
+            (MemberMessage::GoAway, Connection::Following { .. }) => self.lose(now, Lost::GoAway),
+            // Out of turn: whoever speaks so is none of the members that are listed.
+            (_, Connection::Subscribing { .. } | Connection::Following { .. }) => {
+                self.lose(now, Lost::WrongMember);
+            }
+            _ => {}
+        }
+    }
+
+    fn welcome(&mut self, now: Micros, group: &str, member: Peer, dialed: usize) {
+        if group != self.config.group || usize::from(member) != dialed + 1 {
+            return self.lose(now, Lost::WrongMember);
+        }
+        self.connection = Connection::Following { member: dialed, heard: now, no_lease_since: Some(now) };
+        self.term += 1;
+        // What was said of a change to another member is said to this one, too.
+        self.changed = true;
+        self.renew_at = now;
+        self.events.push_back(FollowerEvent::Following(dialed));
+    }
+
+    fn snapshot(&mut self, now: Micros, fleet: u64, policies: Policies) {
+        let older =
+            self.known.as_ref().is_some_and(|(f, p)| *f == fleet && p.revision() > policies.revision());
+        if older {
+            return self.lose(now, Lost::Stale);
+        }
+        self.known = Some((fleet, policies));
+        self.heeded = 0;
+        self.tally.snapshots += 1;
+        self.changed = true;
+        // So that the member knows that it came, and another follower can have one.
+        self.renew_at = now;
+    }
+
+    fn change(&mut self, now: Micros, revision: Revision, change: Change) {
+        let followed = self.known.as_mut().map(|(_, policies)| policies.follow(revision, change));
+        match followed {
+            Some(Ok(())) => {
+                self.tally.changes += 1;
+                self.changed = true;
+            }
+            Some(Err(gap)) => {
+                self.tally.gaps += 1;
+                self.lose(now, Lost::Gap(gap));
+            }
+            None => self.lose(now, Lost::WrongMember),
+        }
+    }
+
+    fn keepalive(&mut self, now: Micros, asked: Micros, lease: Option<Micros>) {
+        // Only a renewal of this connection's can bring a lease, and one no longer than leases are.
+        let own = asked <= self.last_asked;
+        let length = lease.map(|l| l.min(self.config.timing.follower_lease)).filter(|_| own);
+        let until = length.map(|l| asked + l).filter(|until| *until > now);
+        let Connection::Following { no_lease_since, .. } = &mut self.connection else { return };
+        match until {
+            Some(until) => {
+                *no_lease_since = None;
+                self.failures = 0;
+                if self.lease_until.is_none() {
+                    self.changed = true;
+                    self.events.push_back(FollowerEvent::LeaseHeld);
+                }
+                self.lease_until = Some(self.lease_until.map_or(until, |u| u.max(until)));
+            }
+            None => {
+                no_lease_since.get_or_insert(now);
+                self.tally.denied += 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control/member/consent.rs
@@ -0,0 +1,111 @@
+//! What a member says in the log of a change, which holds for itself and for all its followers.
+//!
+//! Its own *yes* and *stopped* wait until each follower that it gave a lease to has said the same, or that lease is
+//! over. A *no* of anyone is said at once.
+
+use super::sessions::Session;
+use super::{Member, MemberRecord};
+use crate::control::messages::FollowerId;
+use crate::policy::{Command, Policies, Waiting};
+use crate::{Holder, Micros};
+use std::collections::BTreeMap;
+
+/// Time limits of a policy that is proposed again after the group has lost its record.
+const RESTORE_LIMITS: [Micros; 2] = [3_000_000, 3_000_000];
+
+/// What the member has to say of a change once all its followers have said so.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Deferred {
+    /// Yes to the change of this number.
+    Yes(Holder, u64),
+    /// Stopped for the change of this number.
+    Stopped(Holder, u64),
+}
+
+impl Member {
+    /// Says a command in the log, or keeps it until the followers allow it.
+    pub(super) fn defer(&mut self, now: Micros, record: &mut impl MemberRecord, command: Command) {
+        match command {
+            Command::Vote(h, number, faults) if faults.is_empty() => {
+                self.deferred = Some(Deferred::Yes(h, number));
+            }
+            Command::Stopped(h, number) => self.deferred = Some(Deferred::Stopped(h, number)),
+            command => {
+                if !record.say(now, command) {
+                    self.part.unsaid();
+                }
+            }
+        }
+    }
+
+    /// Says what was kept, once the followers allow it or one of them says no.
+    pub(super) fn speak(&mut self, now: Micros, record: &mut impl MemberRecord) {
+        self.speak_of_restored(now, record);
+        let Some(deferred) = self.deferred else { return };
+        let (Deferred::Yes(holder, number) | Deferred::Stopped(holder, number)) = deferred;
+        let pending = record.policies().and_then(Policies::pending).map(|p| p.policy.number);
+        if record.holds(now) != Some(holder) || pending != Some(number) {
+            // Under another lease, or of another change, the member's own part says it anew.
+            self.deferred = None;
+            return;
+        }
+        let command = match deferred {
+            Deferred::Yes(..) => self.vote(holder, number),
+            Deferred::Stopped(..) => self.stopped(holder, number),
+        };
+        if let Some(command) = command {
+            self.deferred = None;
+            if !record.say(now, command) {
+                self.part.unsaid();
+            }
+        }
+    }
+
+    /// The session of each follower that has a lease; `None` for one that is not connected.
+    fn leased_sessions(&self) -> impl Iterator<Item = (&str, Option<&Session>)> {
+        let subscribed = |s| -> Option<(FollowerId, &Session)> {
+            let session: &Session = s;
+            session.subscribed.as_ref().map(|(follower, _)| (*follower, session))
+        };
+        let by_follower: BTreeMap<FollowerId, &Session> =
+            self.sessions.values().filter_map(subscribed).collect();
+        self.granted.iter().map(move |(f, granted)| (granted.name.as_str(), by_follower.get(f).copied()))
+    }
+
+    fn vote(&self, holder: Holder, number: u64) -> Option<Command> {
+        let mut all_yes = true;
+        for (name, session) in self.leased_sessions() {
+            match session.and_then(|s| s.vote.as_ref()).filter(|(n, _)| *n == number) {
+                Some((_, faults)) if faults.is_empty() => {}
+                Some((_, faults)) => {
+                    let faults = faults.iter().map(|f| format!("{name}: {f}")).collect();
+                    return Some(Command::Vote(holder, number, faults));
+                }
+                None => all_yes = false,
+            }
+        }
+        all_yes.then(|| Command::Vote(holder, number, Vec::new()))
+    }
+
+    fn stopped(&self, holder: Holder, number: u64) -> Option<Command> {
+        let mut all_stopped = true;
+        for (name, session) in self.leased_sessions() {
+            if let Some((_, why)) = session.and_then(|s| s.cannot.as_ref()).filter(|(n, _)| *n == number) {
+                return Some(Command::Cannot(holder, number, format!("{name}: {why}")));
+            }
+            all_stopped &= session.is_some_and(|s| s.stopped == Some(number));
+        }
+        all_stopped.then_some(Command::Stopped(holder, number))
+    }
+
+    /// A policy that was in force and that the group has lost is proposed again, unless another one is under way.
+    fn speak_of_restored(&mut self, now: Micros, record: &mut impl MemberRecord) {
+        let Some(policy) = self.restore.take() else { return };
+        let Some(policies) = record.policies() else { return };
+        if policies.pending().is_some() || policies.current().number >= policy.number {
+            return;
+        }
+        let waiting = Waiting { policy, by: self.config.me, at: now, limits: RESTORE_LIMITS };
+        record.say(now, Command::Queue(waiting));
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control/member/sessions.rs
@@ -0,0 +1,246 @@
+//! Connections of followers: what they say, and what is answered at once.
+
+use super::{Member, MemberView, SessionId};
+use crate::Micros;
+use crate::control::messages::{
+    FollowerId, FollowerMessage, MOST_NAME, MemberMessage, Rejection, Resume, VERSION,
+};
+use crate::policy::{FAULT, FAULTS, MOST_TEXT, Policy, Revision};
+use std::fmt;
+
+/// A connection without a word for so many of a follower's leases is over.
+const SILENT_LEASES: u64 = 3;
+
+/// A connection of a follower.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Session {
+    /// Who it is, once it has said so.
+    pub(super) subscribed: Option<(FollowerId, String)>,
+    /// The founding that its revision counts in.
+    pub(super) fleet: Option<u64>,
+    /// The last revision that it acts by, as it said.
+    pub(super) revision: Revision,
+    /// The last revision that was sent to it; `None` if it needs a snapshot.
+    pub(super) sent: Option<Revision>,
+    /// The revision of a snapshot that is on its way.
+    pub(super) snapshot: Option<Revision>,
+    /// It was given a lease on this connection.
+    pub(super) leased: bool,
+    /// What it said of a change: its number, and what is wrong with it.
+    pub(super) vote: Option<(u64, Vec<String>)>,
+    /// The change that it admits nothing until the end of.
+    pub(super) stopped: Option<u64>,
+    /// The change that it can't do, and why.
+    pub(super) cannot: Option<(u64, String)>,
+    /// When it last said something.
+    pub(super) heard: Micros,
+    /// It does not take what is written to it: nothing more is sent for now.
+    pub(super) blocked: bool,
+}
+
+/// Why a follower's message is not taken; its connection ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Violation {
+    /// It speaks before it has subscribed.
+    NotSubscribed,
+    /// It subscribes twice.
+    SubscribedTwice,
+    /// A name or text is too long.
+    TooLong,
+    /// It claims a revision that was not sent to it.
+    Revision(Revision),
+    /// It was turned away.
+    Rejected(Rejection),
+}
+
+impl fmt::Display for Violation {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Violation::NotSubscribed => write!(f, "it speaks before it has subscribed"),
+            Violation::SubscribedTwice => write!(f, "it subscribes twice"),
+            Violation::TooLong => write!(f, "a name or text is too long"),
+            Violation::Revision(r) => write!(f, "it claims revision {r}, which was not sent to it"),
+            Violation::Rejected(r) => write!(f, "turned away: {r}"),
+        }
+    }
+}
+
+impl std::error::Error for Violation {}
+
+impl Member {
+    /// A connection came up.
+    pub fn connected(&mut self, now: Micros, session: SessionId) {
+        self.sessions.insert(session, Session { heard: now, ..Session::default() });
+    }
+
+    /// Ends connections that have said nothing for long: a follower renews its lease several times within one.
+    pub fn tick(&mut self, now: Micros) {
+        let limit = SILENT_LEASES * self.config.timing.follower_lease;
+        let silent: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| now >= s.heard + limit).map(|(id, _)| *id).collect();
+        for session in silent {
+            self.disconnected(session);
+            self.closing.push(session);
+            self.tally.silent += 1;
+        }
+    }
+
+    /// When [`Member::tick`] or [`Member::look`] has something to do because of time.
+    pub fn next_due(&self) -> Option<Micros> {
+        let limit = SILENT_LEASES * self.config.timing.follower_lease;
+        let silent = self.sessions.values().map(|s| s.heard + limit).min();
+        let lease = self.deferred.and_then(|_| self.next_lease_end());
+        silent.into_iter().chain(lease).min()
+    }
+
+    /// A connection is over. The lease given on it goes on.
+    pub fn disconnected(&mut self, session: SessionId) {
+        self.sessions.remove(&session);
+        self.snapshot_queue.retain(|s| *s != session);
+    }
+
+    /// A connection takes nothing more for now, or takes more again.
+    pub fn blocked(&mut self, session: SessionId, blocked: bool) {
+        if let Some(s) = self.sessions.get_mut(&session) {
+            s.blocked = blocked;
+        }
+        self.sent_up_to = None;
+    }
+
+    /// The follower's name, for operators.
+    pub fn name(&self, session: SessionId) -> &str {
+        let subscribed = self.sessions.get(&session).and_then(|s| s.subscribed.as_ref());
+        subscribed.map_or("", |(_, name)| name)
+    }
+
+    /// A follower says something. [`Member::look`] has to follow before the loop waits again.
+    pub fn hear(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        message: FollowerMessage,
+        view: Option<MemberView<'_>>,
+    ) -> Result<(), Violation> {
+        if let FollowerMessage::Subscribe { version, group, follower, name, resume, policy } = message {
+            if group.len() > MOST_NAME || name.len() > MOST_NAME {
+                return Err(Violation::TooLong);
+            }
+            self.followers_policy = self.followers_policy.max(policy);
+            let rejection = self.rejects(version, &group, view);
+            if let Some(rejection) = rejection {
+                self.tally.rejected += 1;
+                self.outgoing.push((session, MemberMessage::Rejected(rejection.clone())));
+                return Err(Violation::Rejected(rejection));
+            }
+            return self.subscribe(session, follower, name, resume, view);
+        }
+        let Some(s) = self.sessions.get_mut(&session) else { return Ok(()) };
+        s.heard = now;
+        let Some((follower, name)) = s.subscribed.clone() else { return Err(Violation::NotSubscribed) };
+        match message {
+            FollowerMessage::Subscribe { .. } => {}
+            FollowerMessage::Renew { at, asked } => {
+                return self.renew(now, session, follower, &name, (at, asked), view);
+            }
+            FollowerMessage::Vote(number, mut faults) => {
+                faults.truncate(FAULTS);
+                s.vote = Some((number, faults));
+            }
+            FollowerMessage::Stopped(number) => s.stopped = Some(number),
+            FollowerMessage::Cannot(number, why) if why.len() <= FAULT * FAULTS => {
+                s.cannot = Some((number, why));
+            }
+            FollowerMessage::Restore { number, text, digest } if text.len() <= MOST_TEXT => {
+                self.restore = Some(Policy { number, text, digest });
+            }
+            FollowerMessage::Cannot(..) | FollowerMessage::Restore { .. } => return Err(Violation::TooLong),
+            FollowerMessage::Leave => drop(self.granted.remove(&follower)),
+        }
+        Ok(())
+    }
+
+    fn rejects(&self, version: u32, group: &str, view: Option<MemberView<'_>>) -> Option<Rejection> {
+        if version != VERSION {
+            return Some(Rejection::Version(VERSION));
+        }
+        if group != self.config.group {
+            return Some(Rejection::Group(self.config.group.clone()));
+        }
+        if self.followers() >= self.config.most_followers {
+            return Some(Rejection::Full(self.config.others.clone()));
+        }
+        (view.is_none() || self.leaving).then_some(Rejection::NotReady)
+    }
+
+    fn subscribe(
+        &mut self,
+        session: SessionId,
+        follower: FollowerId,
+        name: String,
+        resume: Option<Resume>,
+        view: Option<MemberView<'_>>,
+    ) -> Result<(), Violation> {
+        // A process has one connection: the one before is over, whether that was seen or not.
+        let same = |s: &Session| s.subscribed.as_ref().is_some_and(|(f, _)| *f == follower);
+        let former = self.sessions.iter().find(|(id, s)| **id != session && same(s)).map(|(id, _)| *id);
+        if let Some(former) = former {
+            self.disconnected(former);
+            self.closing.push(former);
+        }
+        let Some(s) = self.sessions.get_mut(&session) else { return Ok(()) };
+        if s.subscribed.is_some() {
+            return Err(Violation::SubscribedTwice);
+        }
+        s.subscribed = Some((follower, name));
+        let resume = resume.filter(|r| view.is_some_and(|v| v.fleet == r.fleet));
+        if let Some(resume) = resume {
+            s.fleet = Some(resume.fleet);
+            s.sent = Some(resume.revision);
+            self.tally.resumed += 1;
+        }
+        self.tally.subscribed += 1;
+        let welcome = MemberMessage::Welcome { group: self.config.group.clone(), member: self.config.me };
+        self.outgoing.push((session, welcome));
+        self.sent_up_to = None;
+        Ok(())
+    }
+
+    fn renew(
+        &mut self,
+        now: Micros,
+        session: SessionId,
+        follower: FollowerId,
+        name: &str,
+        (at, asked): (Option<Resume>, Micros),
+        view: Option<MemberView<'_>>,
+    ) -> Result<(), Violation> {
+        let Some(s) = self.sessions.get_mut(&session) else { return Ok(()) };
+        if s.blocked {
+            // It does not read: a lease that it does not hear of would only hold up the others.
+            return Ok(());
+        }
+        // What it acts by counts only in the record that it is sent here; while it waits for a snapshot, not at all.
+        if let (Some(at), Some(sent)) = (at.filter(|at| Some(at.fleet) == s.fleet), s.sent) {
+            if at.revision > sent {
+                return Err(Violation::Revision(at.revision));
+            }
+            s.revision = s.revision.max(at.revision);
+            if s.snapshot.is_some_and(|wanted| s.revision >= wanted) {
+                s.snapshot = None;
+                self.sent_up_to = None;
+            }
+        }
+        let session_now = self.sessions.get(&session);
+        let lease = session_now.zip(view).and_then(|(s, view)| self.lease_for(now, s, view));
+        match lease {
+            Some(length) => {
+                self.grant(now, follower, name, length);
+                self.sessions.entry(session).and_modify(|s| s.leased = true);
+            }
+            None => self.tally.denied += 1,
+        }
+        let revision = view.map_or(0, |v| v.policies.revision());
+        self.outgoing.push((session, MemberMessage::Keepalive { asked, lease, revision }));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/control/member/streams.rs
@@ -0,0 +1,77 @@
+//! What each follower is sent next: the changes after the revision that it has, or a snapshot.
+//!
+//! There is no queue for each follower. All are sent from the history that is kept once, each from its own place; one
+//! that does not read falls behind, and gets a snapshot once its place is no longer kept.
+
+use super::sessions::Session;
+use super::{Member, MemberView, SessionId};
+use crate::control::messages::MemberMessage;
+
+impl Member {
+    /// Sends each follower what it has not been sent yet.
+    pub(super) fn send_changes(&mut self, view: MemberView<'_>) {
+        let newest = (view.fleet, view.policies.revision());
+        if self.sent_up_to == Some(newest) {
+            return;
+        }
+        self.sent_up_to = Some(newest);
+        let ready = |s: &Session| s.subscribed.is_some() && !s.blocked;
+        let sessions: Vec<SessionId> =
+            self.sessions.iter().filter(|(_, s)| ready(s)).map(|(id, _)| *id).collect();
+        for session in sessions {
+            if !self.send_changes_to(session, view) && !self.snapshot_queue.contains(&session) {
+                self.snapshot_queue.push_back(session);
+            }
+        }
+        self.send_snapshots(view);
+    }
+
+    /// Whether a follower has been sent all that is new; if not, it needs a snapshot.
+    fn send_changes_to(&mut self, session: SessionId, view: MemberView<'_>) -> bool {
+        let Some(s) = self.sessions.get_mut(&session) else { return true };
+        if s.fleet != Some(view.fleet) {
+            // The record that it followed is lost. What it has said of that one counts no more.
+            (s.fleet, s.sent, s.snapshot, s.revision, s.leased) = (None, None, None, 0, false);
+            (s.vote, s.stopped, s.cannot) = (None, None, None);
+            return false;
+        }
+        let Some(sent) = s.sent else { return false };
+        if sent >= view.policies.revision() {
+            return true;
+        }
+        let Some(changes) = view.policies.changes_since(sent) else {
+            s.sent = None;
+            return false;
+        };
+        for (revision, change) in changes {
+            s.sent = Some(revision);
+            self.tally.changes += 1;
+            self.outgoing.push((session, MemberMessage::Change(revision, change.clone())));
+        }
+        true
+    }
+
+    /// Snapshots that were sent and that their followers do not act by yet.
+    pub fn snapshots_under_way(&self) -> usize {
+        self.sessions.values().filter(|s| s.snapshot.is_some()).count()
+    }
+
+    /// Sends snapshots to those who wait, as many at once as may be under way.
+    fn send_snapshots(&mut self, view: MemberView<'_>) {
+        let further = self.config.most_snapshots.saturating_sub(self.snapshots_under_way());
+        for _ in 0..further {
+            let Some(session) = self.snapshot_queue.pop_front() else { return };
+            let Some(s) = self.sessions.get_mut(&session) else { continue };
+            if s.blocked {
+                continue;
+            }
+            let revision = view.policies.revision();
+            s.fleet = Some(view.fleet);
+            s.revision = 0;
+            (s.sent, s.snapshot, s.leased) = (Some(revision), Some(revision), false);
+            let policies = Box::new(view.policies.snapshot());
+            self.tally.snapshots += 1;
+            self.outgoing.push((session, MemberMessage::Snapshot { fleet: view.fleet, policies }));
+        }
+    }
+}
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Which peer this is.
+    pub fn me(&self) -> Peer {
+        self.terms.me
+    }
+
     /// This life.
     pub fn life(&self) -> Life {
         self.life
@@ -122,6 +127,16 @@
         self.lease.filter(|(_, until)| now < *until).map(|(h, _)| h)
     }
 
+    /// The lease that holds now, and when it is over by this peer's clock.
+    pub fn lease(&self, now: Micros) -> Option<(Holder, Micros)> {
+        self.lease.filter(|(_, until)| now < *until)
+    }
+
+    /// The number of the fleet whose record is known here.
+    pub fn founding(&self) -> Option<u64> {
+        self.group.as_ref().filter(|g| g.begun()).map(|g| g.founding.id)
+    }
+
     /// Whether this peer leads the fleet.
     pub fn leads(&self) -> bool {
         self.group.as_ref().is_some_and(Group::leads)
--- a/crates/fleet/src/policy/apply.rs
+++ b/crates/fleet/src/policy/apply.rs
@@ -9,18 +9,25 @@
             return false;
         }
         self.last = (self.last + 1).max(least);
-        self.taken = Some((self.last, by, at));
+        self.take(self.last, by, at);
         let vote = at.saturating_add(limits[0]);
+        let policy = Policy { number: self.last, ..p };
+        self.begin(policy, by, at, [vote, vote.saturating_add(limits[1])]);
+        true
+    }
+
+    /// Voting on a policy begins.
+    pub(super) fn begin(&mut self, policy: Policy, by: Peer, at: Micros, until: [Micros; 2]) {
+        self.history.record(Change::Proposed(policy.clone()));
         self.pending = Some(Proposal {
-            policy: Policy { number: self.last, ..p },
+            policy,
             by,
             at,
             stage: Stage::Voting,
             votes: BTreeMap::new(),
             stopped: BTreeSet::new(),
-            until: [vote, vote.saturating_add(limits[1])],
+            until,
         });
-        true
     }
 
     /// The change under way, if it is this one and this far.
@@ -32,13 +39,19 @@
         let Some(p) = self.pending.take() else { return false };
         let faults = p.votes.iter().filter(|(_, f)| !f.is_empty());
         let faults = faults.map(|(h, f)| (peer_of(h.life), f.clone())).collect();
-        self.ended.insert(0, Ended { number: p.policy.number, why: why.clone(), faults });
+        let ended = Ended { number: p.policy.number, why: why.clone(), faults };
+        self.history.record(match why {
+            None => Change::InForce(ended.number),
+            Some(_) => Change::GivenUp(ended.clone()),
+        });
+        self.ended.insert(0, ended);
         self.ended.truncate(ENDED);
         if why.is_none() {
             let old = std::mem::replace(&mut self.current, p.policy);
             self.past.insert(0, old);
             self.past.truncate(PAST);
         }
+        self.begin_next();
         true
     }
 
@@ -52,7 +65,10 @@
             Stage::Voting if alive.iter().all(|h| p.votes.contains_key(h)) => {
                 let against = |h: &&Holder| p.votes.get(h).is_some_and(|f| !f.is_empty());
                 match alive.iter().filter(against).count() {
-                    0 => p.stage = Stage::Closing,
+                    0 => {
+                        p.stage = Stage::Closing;
+                        self.history.record(Change::Closing(p.policy.number));
+                    }
                     n => return self.end(Some(format!("{n} of {} voted against it", alive.len()))),
                 }
                 true
@@ -83,6 +99,7 @@
             Command::Propose { text, digest, by, at, limits, least } => {
                 self.propose(Policy { number: 0, text, digest }, by, at, limits, least)
             }
+            Command::Queue(waiting) => self.queue(waiting),
             Command::Back(by, at, limits) => match self.past.first().cloned() {
                 Some(before) => self.propose(before, by, at, limits, 0),
                 None => false,
@@ -128,6 +145,9 @@
     }
 
     fn sweep(&mut self, now: Micros) -> bool {
+        if self.time_from(now) {
+            return false;
+        }
         let why = match &self.pending {
             Some(p) if p.stage == Stage::Voting && p.until[0] <= now => "not all have voted in time",
             Some(p) if p.until[1] <= now => "not all have stopped in time",
--- a/crates/fleet/src/policy/mod.rs
+++ b/crates/fleet/src/policy/mod.rs
@@ -8,12 +8,18 @@
 
 mod apply;
 pub mod part;
+mod queue;
+mod record;
+mod revisions;
 
 pub use part::{Act, Gate, Part};
+pub use queue::{MOST_WAITING, Waiting};
+pub use record::PolicyRecord;
+pub use revisions::{Change, Gap, History, KEPT_CHANGES, KEPT_TEXT, Revision};
 
 use crate::{Holder, Micros, Peer};
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// The longest text of a policy, in bytes.
 pub const MOST_TEXT: usize = 32 << 10;
@@ -65,6 +71,9 @@
     until: [Micros; 2],
 }
 
+/// The time limits of a change that has just come out of the queue: its time runs from the next sweep.
+const NOT_TIMED: [Micros; 2] = [Micros::MAX; 2];
+
 /// How a change ended.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Ended {
@@ -76,6 +85,17 @@
     pub faults: Vec<(Peer, Vec<String>)>,
 }
 
+/// Changes whose taking is remembered: so many may be called within one look at the log.
+const MOST_TAKEN: usize = 16;
+
+/// A change that was taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+struct Taken {
+    number: u64,
+    by: Peer,
+    at: Micros,
+}
+
 /// Moves the policy.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Command {
@@ -94,6 +114,8 @@
         /// The least number it gets: what one knows who was in a fleet that has lost its record.
         least: u64,
     },
+    /// A change is proposed; while another is under way it waits for its turn, as far as the queue's bound allows.
+    Queue(Waiting),
     /// The one before the one in force, proposed anew: through whom, when, and the limits.
     Back(Peer, Micros, [Micros; 2]),
     /// A holder has checked the change of this number; what is wrong with it.
@@ -113,12 +135,17 @@
     /// Those in force before, the latest first.
     past: Vec<Policy>,
     pending: Option<Proposal>,
+    /// Changes that wait for the one under way to end, in order.
+    waiting: VecDeque<Waiting>,
+    /// The time limits of the change that left the queue last.
+    turn_limits: [Micros; 2],
+    history: History,
     /// The latest first.
     ended: Vec<Ended>,
     /// The highest number ever given.
     last: u64,
-    /// The change that was taken last.
-    taken: Option<(u64, Peer, Micros)>,
+    /// The changes that were taken last, the latest first.
+    taken: VecDeque<Taken>,
     /// The number that was in force in a fleet before, whose record is lost: nobody admits by less.
     least: u64,
 }
@@ -155,9 +182,15 @@
         self.pending.as_ref()
     }
 
-    /// The change that was taken last: its number, through whom it came, and when by that one's clock.
-    pub fn last(&self) -> Option<(u64, Peer, Micros)> {
-        self.taken
+    /// The number of a change that was taken lately, by the peer that it came through and that one's clock.
+    pub fn taken(&self, by: Peer, at: Micros) -> Option<u64> {
+        self.taken.iter().find(|t| t.by == by && t.at == at).map(|t| t.number)
+    }
+
+    /// Remembers a change that is taken just now.
+    fn take(&mut self, number: u64, by: Peer, at: Micros) {
+        self.taken.push_front(Taken { number, by, at });
+        self.taken.truncate(MOST_TAKEN);
     }
 
     /// What came of earlier changes, the latest first.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -2,6 +2,7 @@
 
 use crate::ledger::Limits;
 use crate::{Life, Micros, Peer};
+use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fmt;
 
@@ -47,7 +48,8 @@
 /// Bytes ahead of every message: its length, and the length again in another form. Without that, a reader that
 /// has lost its place would wait for the rest of a frame that never was one.
 pub const HEAD: usize = 8;
-const CHECK: u32 = 0x6f74_7463;
+/// The frames between peers.
+const PEERS: Framing = Framing { check: 0x6f74_7463 };
 
 /// Why bytes are no frame.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -69,34 +71,53 @@
 
 impl std::error::Error for Fault {}
 
-/// Writes a message as a frame.
-pub fn frame(message: &Message) -> Vec<u8> {
-    let mut bytes = vec![0; HEAD];
-    let body = postcard::to_stdvec(message).unwrap_or_default();
-    bytes.extend_from_slice(&body);
-    let length = body.len() as u32;
-    bytes[..4].copy_from_slice(&length.to_le_bytes());
-    bytes[4..HEAD].copy_from_slice(&(length ^ CHECK).to_le_bytes());
-    bytes
+/// The frames of one protocol: a frame of another one is garbled here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Framing {
+    /// What a length is told again with.
+    pub check: u32,
 }
 
-/// Reads the first frame of `bytes`: how long it is, and its message; `None` if it is not whole yet.
-pub fn next(bytes: &[u8], most: usize) -> Result<Option<(usize, Message)>, Fault> {
-    let Some(head) = bytes.first_chunk::<HEAD>() else { return Ok(None) };
-    let number = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
-    if number(0) ^ CHECK != number(4) {
-        return Err(Fault::Garbled);
+impl Framing {
+    /// Writes a message as a frame.
+    pub fn frame(self, message: &impl Serialize) -> Vec<u8> {
+        let mut bytes = vec![0; HEAD];
+        let body = postcard::to_stdvec(message).unwrap_or_default();
+        bytes.extend_from_slice(&body);
+        let length = body.len() as u32;
+        bytes[..4].copy_from_slice(&length.to_le_bytes());
+        bytes[4..HEAD].copy_from_slice(&(length ^ self.check).to_le_bytes());
+        bytes
     }
-    let length = number(0) as usize;
-    if length > most {
-        return Err(Fault::TooLong(length));
-    }
-    let Some(body) = bytes.get(HEAD..HEAD + length) else { return Ok(None) };
-    match postcard::take_from_bytes(body) {
-        Ok((message, [])) => Ok(Some((HEAD + length, message))),
-        _ => Err(Fault::Garbled),
+
+    /// Reads the first frame of `bytes`: how long it is, and its message; `None` if it is not whole yet.
+    pub fn next<M: DeserializeOwned>(self, bytes: &[u8], most: usize) -> Result<Option<(usize, M)>, Fault> {
+        let Some(head) = bytes.first_chunk::<HEAD>() else { return Ok(None) };
+        let number = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
+        if number(0) ^ self.check != number(4) {
+            return Err(Fault::Garbled);
+        }
+        let length = number(0) as usize;
+        if length > most {
+            return Err(Fault::TooLong(length));
+        }
+        let Some(body) = bytes.get(HEAD..HEAD + length) else { return Ok(None) };
+        match postcard::take_from_bytes(body) {
+            Ok((message, [])) => Ok(Some((HEAD + length, message))),
+            _ => Err(Fault::Garbled),
+        }
     }
 }
 
+/// Writes a message between peers as a frame.
+pub fn frame(message: &Message) -> Vec<u8> {
+    PEERS.frame(message)
+}
+
+/// Reads the first frame of `bytes` between peers.
+pub fn next(bytes: &[u8], most: usize) -> Result<Option<(usize, Message)>, Fault> {
+    PEERS.next(bytes, most)
+}
+
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/fleet/tests/control/faults.rs
@@ -0,0 +1,136 @@
+//! What is lost: members, leaders, the whole group, a follower's connection.
+
+use super::world::*;
+use fleet::Peer;
+use fleet::policy::Gate;
+
+// A member dies: its followers go to others within their leases' time, and a change goes on without it.
+#[test]
+fn followers_of_a_lost_member_go_to_others() {
+    let mut w = World::new(5, 30, 11);
+    w.formed();
+    let lost = (1..=5).find(|p| Some(*p) != w.leader()).unwrap();
+    let moved: Vec<usize> = (0..30).filter(|i| w.member_of(*i) == Some(lost)).collect();
+    assert!(!moved.is_empty());
+    w.kill_member(lost);
+    w.propose_anywhere("one");
+    let took = w.until(3_000 * MS, "in force at all", |w| w.all_at(1));
+    assert!(took > 0);
+    assert!(moved.iter().all(|i| w.member_of(*i).is_some_and(|p| p != lost)));
+}
+
+// The leader dies in the middle of a change: another one is elected, and the change ends one way at all.
+#[test]
+fn a_leader_that_dies_in_a_change_leaves_it_to_the_next() {
+    for after in [0, 10, 20, 30, 40, 60, 80] {
+        let mut w = World::new(3, 12, 12 + after);
+        w.formed();
+        let leader = w.leader().unwrap();
+        assert!(w.propose(leader, "one"));
+        w.run(after * MS, |_| ());
+        w.kill_member(leader);
+        w.run(3_000 * MS, |_| ());
+        w.start_member(leader);
+        w.until(20_000 * MS, "all admit by the same", |w| w.all_at(1) || w.all_at(0));
+        w.propose_anywhere("two");
+        w.until(3_000 * MS, "the next one is in force", |w| {
+            let numbers: std::collections::BTreeSet<u64> =
+                w.followers.values().map(|f| f.part.number()).collect();
+            numbers.len() == 1 && !numbers.contains(&0) && w.all_admit()
+        });
+    }
+}
+
+// A follower that moves in the middle of a change gets its lease only once it heeds the change: in no order does it
+// admit by the old policy after another admits by the new one (the world looks at each step).
+#[test]
+fn a_follower_that_moves_in_a_change_admits_nothing_old() {
+    for seed in 0..40 {
+        let mut w = World::new(3, 6, 100 + seed);
+        w.formed();
+        let peer: Peer = 1 + (seed % 3) as Peer;
+        w.propose(peer, "one");
+        let steps = w.draw(30);
+        for _ in 0..steps {
+            w.step();
+        }
+        // All connections of one member end; it goes on by itself, and so do the leases that it gave.
+        let leads = w.leader().unwrap();
+        w.members.get_mut(&leads).unwrap().member.leave();
+        w.until(10_000 * MS, "in force at all", |w| w.all_at(1));
+    }
+}
+
+// All members are started anew, one by one: the record stays, and all followers go on.
+#[test]
+fn members_are_started_anew_one_by_one() {
+    let mut w = World::new(3, 15, 13);
+    w.formed();
+    w.propose_anywhere("one");
+    w.until(2_000 * MS, "in force", |w| w.all_at(1));
+    for peer in 1..=3 {
+        w.members.get_mut(&peer).unwrap().member.leave();
+        w.run(w.timing.follower_lease + w.timing.margin, |_| ());
+        w.kill_member(peer);
+        w.run(500 * MS, |_| ());
+        w.start_member(peer);
+        w.until(10_000 * MS, "it votes and all admit", move |w| {
+            w.members[&peer].fleet.holds(w.now).is_some() && w.all_at(1)
+        });
+    }
+    w.propose_anywhere("two");
+    w.until(3_000 * MS, "the next is in force", |w| w.all_at(2));
+}
+
+// All members are lost at once, and the record with them. Followers know the number that was in force: they admit by
+// nothing older, and bring the policy back themselves.
+#[test]
+fn a_group_that_has_lost_its_record_gets_the_policy_back_from_followers() {
+    let mut w = World::new(3, 10, 14);
+    w.formed();
+    w.propose_anywhere("one");
+    w.until(2_000 * MS, "in force", |w| w.all_at(1));
+    (1..=3).for_each(|p| w.kill_member(p));
+    w.run(2_000 * MS, |_| ());
+    assert!(w.followers.values().all(|f| f.gate(w.now) == Gate::Refuse), "no lease, no admission");
+    (1..=3).for_each(|p| w.start_member(p));
+    w.until(30_000 * MS, "the policy is back", |w| {
+        w.all_admit() && w.followers.values().all(|f| f.part.number() >= 1)
+    });
+    let policies = w.members[&1].fleet.agreed().unwrap().policy();
+    assert_eq!(policies.current().text, "one");
+}
+
+// Members that are cut off from a majority give no leases; their followers go to others.
+#[test]
+fn a_member_without_a_majority_loses_its_followers() {
+    let mut w = World::new(3, 12, 15);
+    w.formed();
+    let lost: Peer = (1..=3).find(|p| Some(*p) != w.leader()).unwrap();
+    for other in (1..=3).filter(|p| *p != lost) {
+        w.cut.insert((lost, other));
+        w.cut.insert((other, lost));
+    }
+    w.propose_anywhere("one");
+    w.until(10_000 * MS, "all follow others", |w| {
+        w.all_at(1) && (0..12).all(|i| w.member_of(i).is_some_and(|p| p != lost))
+    });
+}
+
+// Regions are tens of milliseconds apart: times derived from the round trip hold a leader through it, and a change
+// still takes less than three seconds with a member lost.
+#[test]
+fn links_between_regions_take_their_time() {
+    let mut w = World::new(5, 20, 16);
+    let round_trip = 150 * MS;
+    w.timing = fleet::control::Timing::from_round_trip(round_trip);
+    w.delay = round_trip / 2;
+    (1..=5).for_each(|p| w.start_member(p));
+    (0..20).for_each(|f| w.start_follower(f));
+    w.formed();
+    let led = w.leader();
+    w.run(10_000 * MS, |_| ());
+    assert_eq!(w.leader(), led, "nobody doubts a leader that is there");
+    w.propose_anywhere("one");
+    w.until(2_500 * MS, "in force at all", |w| w.all_at(1));
+}
--- /dev/null
+++ b/crates/fleet/tests/control/storm.rs
@@ -0,0 +1,112 @@
+//! All kinds of faults at once, drawn from seeds: the world looks at each step that nobody admits by an older policy
+//! than any before, and that revisions follow on each other. In the end all are at the same one.
+
+use super::world::*;
+use fleet::Peer;
+
+fn strike(w: &mut World) {
+    let member = 1 + w.draw(u64::from(w.count)) as Peer;
+    let follower = w.draw(w.followers.len() as u64) as usize;
+    let until = w.now + (200 + w.draw(2_500)) * MS;
+    match w.draw(9) {
+        0 => {
+            w.kill_member(member);
+        }
+        1 => {
+            w.paused_members.insert(member, until);
+        }
+        2 => {
+            let other = 1 + w.draw(u64::from(w.count)) as Peer;
+            w.cut.insert((member, other));
+        }
+        3 => {
+            w.paused_followers.insert(follower, until);
+        }
+        4 => {
+            w.silent.insert(follower);
+        }
+        5 => w.start_follower(follower),
+        6 => {
+            if let Some(node) = w.members.get_mut(&member) {
+                node.member.leave();
+            }
+        }
+        7 => {
+            if let Some(f) = w.followers.get_mut(&follower) {
+                f.deaf = !f.deaf;
+            }
+        }
+        _ => {
+            w.cut.clear();
+            w.silent.clear();
+        }
+    }
+}
+
+fn mend_members(w: &mut World) {
+    // A majority stays: a group that loses it loses its record, which other tests are about.
+    for peer in 1..=w.count {
+        if !w.members.contains_key(&peer) && w.draw(3) == 0 {
+            w.start_member(peer);
+        }
+    }
+}
+
+fn storm(count: u8, followers: usize, seed: u64) -> [u64; 3] {
+    let mut w = World::new(count, followers, seed);
+    w.formed();
+    for round in 0..40 {
+        let down = usize::from(w.count) - w.members.len();
+        if down == 0 || w.draw(2) == 0 {
+            strike(&mut w);
+        }
+        // Never more than one member gone at once.
+        if usize::from(w.count) - w.members.len() > 1 {
+            (1..=w.count).for_each(|p| {
+                if !w.members.contains_key(&p) {
+                    w.start_member(p);
+                }
+            });
+        }
+        let peers: Vec<Peer> = w.members.keys().copied().collect();
+        let at = peers[w.draw(peers.len() as u64) as usize];
+        w.propose(at, &format!("round {round}"));
+        let span = (50 + w.draw(800)) * MS;
+        w.run(span, |_| ());
+        mend_members(&mut w);
+    }
+    w.cut.clear();
+    w.silent.clear();
+    (1..=w.count).for_each(|p| {
+        // A member that was told to end does so.
+        w.kill_member(p);
+        w.run(100 * MS, |_| ());
+        w.start_member(p);
+        w.run(6_000 * MS, |_| ());
+    });
+    w.followers.values_mut().for_each(|f| f.deaf = false);
+    w.until(60_000 * MS, "all admit alike in the end", |w| {
+        let newest = w.followers.values().map(|f| f.part.number()).max().unwrap_or(0);
+        let idle =
+            w.members.values().all(|n| n.fleet.agreed().is_some_and(|a| a.policy().pending().is_none()));
+        idle && w.all_at(newest)
+    });
+    w.gates
+}
+
+#[test]
+fn no_two_policies_hold_at_once_under_faults() {
+    let mut admitted = 0;
+    for seed in 0..24 {
+        let gates = storm(3, 6, 1_000 + seed);
+        admitted += gates[0];
+    }
+    assert!(admitted > 100_000, "the storms leave room for requests: {admitted}");
+}
+
+#[test]
+fn no_two_policies_hold_at_once_in_a_larger_group() {
+    for seed in 0..6 {
+        storm(5, 16, 2_000 + seed);
+    }
+}
--- a/tests/policy/clients.rs
+++ b/crates/standins/src/asks.rs
@@ -1,27 +1,36 @@
 //! Clients that remember what they asked and what they got, and an operator's line.
 
-use super::fleet::PATIENCE;
-use standins::scripted::{Client, Got};
+use crate::scripted::{Client, Got};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, SystemTime};
 
+/// No test waits longer than this unless something hangs.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+
 /// One request of a client, and what it got; nothing as long as it waits.
 #[derive(Debug, Clone)]
 pub struct Ask {
+    /// Its id.
     pub rid: u64,
+    /// Which dispatcher was asked.
     pub at: usize,
+    /// When.
     pub asked: SystemTime,
+    /// What it got.
     pub got: Option<Answer>,
 }
 
-/// What a client got, as far as stories look at it.
+/// What a client got, as far as tests look at it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Answer {
+    /// Rows.
     Rows,
+    /// Refused, with this text.
     Refused(String),
+    /// Something else.
     Other(String),
 }
 
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -3,6 +3,8 @@
 //! - [`scripted`]: peers that say what a test has them say, step by step, and the program between them.
 //! - [`engine`]: a motor that works by itself: it answers after a while, heeds KILL and remembers all it got.
 //! - [`fragile`]: a motor with a capacity, which starts cold and falls over.
+//! - [`asks`]: clients that remember what they asked and got.
+//! - [`delay`]: a link with a constant delay.
 //! - [`link`]: a way between two processes that can be cut, silent, slow, late, and healed.
 //! - [`feed`]: a coordinator that pushes changes of the list.
 //!
@@ -10,6 +12,8 @@
 //! codecs is not made twice. Whatever they send goes out in one write on a socket without delay: an answer
 //! in pieces would wait for the peer's delayed acknowledgement, and every measured time would be wrong.
 
+pub mod asks;
+pub mod delay;
 pub mod engine;
 pub mod feed;
 pub mod fragile;
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -6,11 +6,12 @@
 use crate::api::Settings;
 use crate::membership::check::Catalog;
 use crate::net::Node;
+use crate::net::control::ControlMember;
 use crate::net::signals::Signals;
 use crate::settings::Names;
 use crate::settings::config::{Config, ConfigError};
 use crate::settings::hcl::Fault;
-use crate::settings::options::{LogFormat, Options};
+use crate::settings::options::{LogFormat, Options, Role};
 use clap::{Args, Parser, Subcommand};
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
@@ -132,6 +133,10 @@
         })?;
         let load: fn() -> Result<Config, ConfigError> = || Config::load(|name| std::env::var(name).ok());
         let config = load().map_err(|e| e.to_string())?;
+        if let Some(control) = options.control.as_ref().filter(|c| c.role == Role::Member) {
+            let mut member = ControlMember::new(config, control, signals?).map_err(|e| e.to_string())?;
+            return member.run().map_err(|e| e.to_string());
+        }
         let mut node = Node::new(config, options, signals?, load).map_err(|e| e.to_string())?;
         node.run().map_err(|e| e.to_string())
     };
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -22,7 +22,7 @@
                 return unknown();
             }
             Ok(Call::Policy(_)) | Err(Fault::Missing("POLICY") | Fault::Extra("POLICY"))
-                if self.hands.as_ref().is_none_or(|h| h.rules.is_none()) =>
+                if self.rules.is_none() =>
             {
                 return Some(ops::refusal(&Fault::Unknown("POLICY".into())));
             }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -62,9 +62,6 @@
                 Some(Asked::Kill(id)) => self.kill(key, id, now),
                 Some(Asked::Request(mut request, job)) => {
                     request.budget = request.budget.saturating_sub(self.behind);
-                    if let Some(hands) = &self.hands {
-                        hands.cap(&mut request);
-                    }
                     let id = request.id;
                     if s.overruns() {
                         return self.overrun(key, now);
@@ -74,6 +71,7 @@
                         continue;
                     }
                     s.open = Some(id);
+                    self.cap(&mut request);
                     self.jobs.insert(id, (key, job));
                     self.arrived.push_back((key, request));
                 }
--- /dev/null
+++ b/src/net/control/calls.rs
@@ -0,0 +1,96 @@
+//! What operators ask of a member.
+
+use super::member::ControlMember;
+use crate::api::Micros;
+use crate::codec::operator::{self as ops, Call, Fault};
+use crate::net::policy_calls::CallContext;
+use crate::net::poll::Key;
+use fleet::policy::PolicyRecord;
+use std::fmt::Write as _;
+
+impl ControlMember {
+    /// Carries out a call: its answer, or none as long as it waits to be agreed.
+    pub(super) fn call(&mut self, caller: Key, now: Micros, line: Result<Call, Fault>) -> Option<String> {
+        match line {
+            Err(fault) => Some(ops::refusal(&fault)),
+            Ok(Call::Health) => {
+                Some(if self.stopping.is_some() { "+OK stopping" } else { "+OK ready" }.into())
+            }
+            Ok(Call::Dump) => Some(format!("+OK figures\n{}.", self.figures(now))),
+            Ok(Call::Policy(ask)) => {
+                let command = match self.context() {
+                    Some(context) => context.command(now, &ask),
+                    None => Err("-ERR this member does not know the group's record".into()),
+                };
+                match command {
+                    Err(answer) => Some(answer),
+                    Ok((command, what)) => {
+                        let said = self.fleet.say(now, command);
+                        if said {
+                            self.policy.calls.wait(caller, what, now);
+                        }
+                        (!said).then(|| "-ERR no lease: this member is cut off from the group".into())
+                    }
+                }
+            }
+            Ok(_) => Some("-ERR a member of a control group serves no clients: POLICY, HEALTH, DUMP".into()),
+        }
+    }
+
+    fn context(&self) -> Option<CallContext<'_>> {
+        Some(CallContext {
+            policies: self.fleet.policies()?,
+            terms: &self.policy.terms,
+            base: &self.policy.base,
+            names: &self.policy.names,
+            me: self.fleet.me(),
+            number: self.member.part().number(),
+            queue_from: Some(self.member.known_policy()),
+        })
+    }
+
+    /// Answers the calls that have come to be agreed, and those whose time is up.
+    pub(super) fn answer_calls(&mut self, now: Micros) {
+        if self.policy.calls.is_empty() {
+            return;
+        }
+        let Some(policies) = self.fleet.policies() else { return };
+        let answers = self.policy.calls.answers(now, policies, self.fleet.me());
+        for (caller, text) in answers {
+            if let Some(operators) = &mut self.operators {
+                operators.answer(caller, &text, &self.poll);
+            }
+        }
+    }
+
+    /// The member's figures, in Prometheus' text format.
+    fn figures(&self, now: Micros) -> String {
+        let tally = self.member.tally;
+        let [bytes_in, bytes_out] = self.server.bytes();
+        let rows = [
+            ("followers", self.member.followers() as u64),
+            ("follower_leases", self.member.leases(now) as u64),
+            ("leads", u64::from(self.fleet.leads())),
+            ("lease_held", u64::from(self.fleet.holds(now).is_some())),
+            ("revision", self.fleet.policies().map_or(0, |p| p.revision())),
+            ("changes_waiting", self.fleet.policies().map_or(0, |p| p.waiting().count() as u64)),
+            ("subscriptions_total", tally.subscribed),
+            ("subscriptions_rejected_total", tally.rejected),
+            ("subscriptions_resumed_total", tally.resumed),
+            ("snapshots_total", tally.snapshots),
+            ("changes_total", tally.changes),
+            ("leases_total", tally.leases),
+            ("leases_denied_total", tally.denied),
+            ("connections_silent_total", tally.silent),
+            ("connections_refused_total", self.server.tally.refused),
+            ("bad_frames_total", self.server.tally.bad_frames),
+            ("follower_bytes_in_total", bytes_in),
+            ("follower_bytes_out_total", bytes_out),
+            ("member_bytes_out_total", self.peers.tally.written),
+        ];
+        rows.iter().fold(String::new(), |mut text, (name, value)| {
+            let _ = writeln!(text, "control_{name} {value}");
+            text
+        })
+    }
+}
--- /dev/null
+++ b/src/net/control/stream.rs
@@ -0,0 +1,137 @@
+//! One connection of the control group: frames in, frames out, never blocking.
+
+use crate::net::poll::{Key, Poll};
+use fleet::control::messages::FRAMING;
+use fleet::wire::{Fault, HEAD};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, TcpStream};
+
+/// Bytes read in one go.
+const PIECE: usize = 16 << 10;
+/// A buffer that is empty keeps this much memory at most: thousands of connections rest most of the time.
+const KEPT: usize = 4 << 10;
+
+/// Why a connection is over.
+#[derive(Debug)]
+pub(super) enum Ended {
+    /// The other side closed it, or the system did.
+    Closed,
+    /// What came is no frame.
+    Fault(Fault),
+}
+
+/// A connection.
+pub(super) struct FrameStream {
+    pub(super) stream: TcpStream,
+    key: Key,
+    incoming: Vec<u8>,
+    outgoing: Vec<u8>,
+    written: usize,
+    watched: bool,
+    /// The longest message that is taken.
+    most: usize,
+    /// Bytes in and out so far.
+    pub(super) bytes: [u64; 2],
+}
+
+impl FrameStream {
+    /// Of a socket under watch; `connecting` if it is watched for writing until it is up.
+    pub(super) fn new(stream: TcpStream, key: Key, most: usize, connecting: bool) -> FrameStream {
+        FrameStream {
+            stream,
+            key,
+            incoming: Vec::new(),
+            outgoing: Vec::new(),
+            written: 0,
+            watched: connecting,
+            most,
+            bytes: [0; 2],
+        }
+    }
+
+    pub(super) fn key(&self) -> Key {
+        self.key
+    }
+
+    /// Reads what is there: the messages that became whole. The end comes after what was read before it.
+    pub(super) fn read<M: DeserializeOwned>(&mut self) -> (Vec<M>, Option<Ended>) {
+        let mut piece = [0; PIECE];
+        let ended = match self.stream.read(&mut piece) {
+            Ok(0) => Some(Ended::Closed),
+            Ok(n) => {
+                self.incoming.extend_from_slice(&piece[..n]);
+                self.bytes[0] += n as u64;
+                None
+            }
+            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => None,
+            Err(_) => Some(Ended::Closed),
+        };
+        let mut messages = Vec::new();
+        let mut used = 0;
+        let fault = loop {
+            match FRAMING.next(&self.incoming[used..], self.most) {
+                Ok(Some((length, message))) => {
+                    used += length;
+                    messages.push(message);
+                }
+                Ok(None) => break None,
+                Err(fault) => break Some(Ended::Fault(fault)),
+            }
+        };
+        self.incoming.drain(..used);
+        if self.incoming.is_empty() && self.incoming.capacity() > KEPT {
+            self.incoming = Vec::new();
+        }
+        (messages, fault.or(ended))
+    }
+
+    /// Adds a message to what is written next.
+    pub(super) fn push(&mut self, message: &impl Serialize) {
+        self.outgoing.extend_from_slice(&FRAMING.frame(message));
+    }
+
+    /// Bytes that wait to be written.
+    pub(super) fn waiting(&self) -> usize {
+        self.outgoing.len() - self.written
+    }
+
+    /// Whether a frame has begun that is not whole yet.
+    pub(super) fn in_part(&self) -> bool {
+        !self.incoming.is_empty() && self.incoming.len() < HEAD + self.most
+    }
+
+    /// Writes what the socket takes. An error is the connection's end.
+    pub(super) fn flush(&mut self, poll: &Poll) -> io::Result<()> {
+        while self.written < self.outgoing.len() {
+            match self.stream.write(&self.outgoing[self.written..]) {
+                Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+                Ok(n) => {
+                    self.written += n;
+                    self.bytes[1] += n as u64;
+                }
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => break,
+                Err(e) => return Err(e),
+            }
+        }
+        if self.waiting() == 0 {
+            self.written = 0;
+            self.outgoing.clear();
+            self.outgoing.shrink_to(KEPT);
+        }
+        let waits = self.waiting() > 0;
+        if waits != self.watched {
+            self.watched = waits;
+            poll.writable(self.key, &self.stream, waits)?;
+        }
+        Ok(())
+    }
+
+    /// Closes it.
+    pub(super) fn close(self, poll: &Poll) {
+        poll.remove(&self.stream);
+        let _ = self.stream.shutdown(Shutdown::Both);
+    }
+}
--- a/src/net/hands/mod.rs
+++ b/src/net/hands/mod.rs
@@ -9,7 +9,6 @@
 use super::peers::Peers;
 use super::poll::{Key, Poll};
 use super::room::Room;
-use super::rules::Rules;
 use super::upkeep::Upkeep;
 use crate::api::{Effect, Micros, Settings};
 use crate::settings::{Names, options};
@@ -33,8 +32,6 @@
     cores: Vec<f64>,
     /// Machines that are taken out for work.
     pub(super) upkeep: Upkeep,
-    /// What all admit requests by, where our settings say that it is agreed on.
-    pub(super) rules: Option<Rules>,
 }
 
 /// What the settings know of the classes: names and whether they may repeat, by index.
@@ -49,8 +46,6 @@
     pub cores: Vec<f64>,
     /// How long a machine warms up.
     pub ramp: Micros,
-    /// All of them.
-    pub base: Settings,
 }
 
 impl Classes {
@@ -64,12 +59,16 @@
             attempts: settings.max_attempts as usize,
             cores: settings.kinds.iter().map(|k| k.cores).collect(),
             ramp: settings.cold.ramp,
-            base: settings.clone(),
         }
     }
 }
 
 impl Hands {
+    /// Which of the peers this is.
+    pub(super) fn me(&self) -> Peer {
+        self.takeover.fleet.me()
+    }
+
     /// Listens for peers.
     pub fn start(
         o: &options::Peers,
@@ -114,10 +113,9 @@
             out_limit: micros(o.out_limit),
             ramp: classes.ramp,
         };
-        let rules = o.policy.map(|p| Rules::new(p, me, bounds.backoff_ms, classes.base.clone()));
         let (upkeep, Classes { names, repeats, cores, .. }) =
             (Upkeep::new(budget, 2 * micros(o.lease), now), classes);
-        Ok(Hands { takeover, peers, classes: names, repeats, cores, upkeep, rules })
+        Ok(Hands { takeover, peers, classes: names, repeats, cores, upkeep })
     }
 
     /// Cores of a machine of a kind; those of the smallest where its kind is not known.
--- a/src/net/hands/moves.rs
+++ b/src/net/hands/moves.rs
@@ -70,7 +70,7 @@
             repeated: true,
         };
         self.jobs.insert(record.rid, (NOBODY, Job { kind, statement: statement.into(), token: None }));
-        let under = hands.rules.as_ref().filter(|r| r.part.number() != record.policy);
+        let under = self.rules.as_ref().filter(|r| r.part.number() != record.policy);
         let under = under.and_then(|r| r.under(record.policy));
         match self.dispatch.adopt(now, &request, record.tried.len(), under) {
             Ok(orders) => orders,
@@ -121,9 +121,9 @@
             answered = t.answered,
             let_go = t.let_go,
             overlaps = t.overlaps,
-            policy = hands.rules.as_ref().map_or(0, |r| r.part.number()),
-            held_for_policy = hands.rules.as_ref().map_or(0, |r| r.tally[0]),
-            refused_without = hands.rules.as_ref().map_or(0, |r| r.tally[1]),
+            policy = self.policy_number(),
+            held_for_policy = self.rules.as_ref().map_or(0, |r| r.tally[0]),
+            refused_without = self.rules.as_ref().map_or(0, |r| r.tally[1]),
             dials = w.dials,
             bad_frames = w.bad_frames,
             dropped = w.dropped,
--- a/src/net/hands/requests.rs
+++ b/src/net/hands/requests.rs
@@ -10,7 +10,7 @@
 use fleet::ledger::Record;
 
 impl Hands {
-    fn attempt(&self, now: Micros, r: &Request, job: &Job) -> Try {
+    fn attempt(&self, now: Micros, r: &Request, job: &Job, policy: u64) -> Try {
         let index = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
         Try {
             ask: r.ask,
@@ -28,7 +28,7 @@
                 statement: r.ask.filter(|_| job.token.is_none()).map(|_| job.statement.to_string()),
                 deadline: now + r.budget,
                 tried: Vec::new(),
-                policy: self.rules.as_ref().map_or(0, |r| r.part.number()),
+                policy,
             },
         }
     }
@@ -51,8 +51,9 @@
 impl Node {
     /// What becomes of a request that is admitted: whether the decisions get it now.
     pub(in crate::net) fn on_hands(&mut self, now: Micros, request: &Request, job: &Job) -> Gate {
+        let policy = self.policy_number();
         let Some(hands) = &mut self.hands else { return Gate::Go };
-        let attempt = hands.attempt(now, request, job);
+        let attempt = hands.attempt(now, request, job, policy);
         hands.takeover.arrives(now, attempt)
     }
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 mod calls;
 mod clients;
 mod connection;
+pub mod control;
 mod descriptors;
 mod dial;
 mod executors;
@@ -18,7 +19,7 @@
 mod peers;
 mod policy;
 mod policy_calls;
-mod poll;
+pub mod poll;
 mod room;
 mod rules;
 mod session;
@@ -38,6 +39,7 @@
 use crate::settings::config::{Config, ConfigError};
 use crate::storm::Storm;
 use buffers::Pool;
+use control::ControlLink;
 use descriptors::Descriptors;
 use executors::{Executors, Job, Rows};
 use feed::Feed;
@@ -47,6 +49,7 @@
 use operator::Operators;
 use poll::{Key, Poll};
 use room::Room;
+use rules::Rules;
 use session::Sessions;
 use setup::context;
 use shutdown::Shutdown;
@@ -73,6 +76,10 @@
     storm: Option<Storm>,
     /// Work in hand on the record of a fleet, where our settings name peers.
     hands: Option<Hands>,
+    /// The member of a control group that is followed, where our settings name one.
+    control: Option<ControlLink>,
+    /// What all admit requests by, where our settings say that it is agreed on.
+    rules: Option<Rules>,
     jobs: BTreeMap<u64, (Key, Job)>,
     /// Requests read in this turn that have not begun, in order, each with its client.
     arrived: VecDeque<(Key, Request)>,
--- a/src/net/policy.rs
+++ b/src/net/policy.rs
@@ -1,18 +1,16 @@
 //! What all dispatchers of the fleet admit requests by, where our settings say so: requests pass by here before all
-//! else, and wait here while a change takes hold.
+//! else, and wait here while a change takes hold. It is learned from a fleet of peers or from a control group.
 
 use super::Node;
 use super::executors::{Job, Rows};
-use super::hands::Hands;
 use super::rules::Held;
 use crate::api::Micros;
 use crate::dispatch::{Order, Request};
 use crate::settings::options::WithoutLease;
 use crate::takeover::{Gate, Reply};
-use fleet::agreed::{self, Agreed};
-use fleet::policy::{Act, Gate as Door};
+use fleet::policy::{Act, Gate as Door, Policies, PolicyRecord};
 
-impl Hands {
+impl Node {
     /// A request whose client would wait longer than the policy allows is given up when that says.
     pub(super) fn cap(&self, request: &mut Request) {
         let settings = self.rules.as_ref().and_then(|r| r.under(r.part.number()));
@@ -20,15 +18,30 @@
             request.budget = request.budget.min(class.deadline);
         }
     }
-}
 
-impl Node {
+    /// Where the policy is learned from: the members of a control group, or the log of a fleet of peers.
+    fn policy_record(&self) -> Option<&dyn PolicyRecord> {
+        let control = self.control.as_ref().map(|c| &c.follower as &dyn PolicyRecord);
+        control.or_else(|| self.hands.as_ref().map(|h| &h.takeover.fleet as &dyn PolicyRecord))
+    }
+
+    /// What is agreed on the policy, as far as it is known here.
+    pub(super) fn policies(&self) -> Option<&Policies> {
+        self.policy_record()?.policies()
+    }
+
+    /// The number of the policy that is acted by; 0 where none is agreed on.
+    pub(super) fn policy_number(&self) -> u64 {
+        self.rules.as_ref().map_or(0, |r| r.part.number())
+    }
+
     /// What a request that arrives meets, by a look at the clock of this very moment; `None` where no policy is agreed
     /// on at all.
     pub(super) fn door(&mut self) -> Option<Door> {
-        let rules = self.hands.as_ref()?.rules.as_ref()?;
+        self.rules.as_ref()?;
         let now = self.clock.now();
-        Some(rules.door(self.hands.as_ref()?.takeover.fleet.holds(now)))
+        let holder = self.policy_record()?.holds(now);
+        Some(self.rules.as_ref()?.door(holder))
     }
 
     /// What becomes of a request that arrives: whether the decisions get it now.
@@ -51,7 +64,7 @@
     }
 
     fn no_policy(&mut self) -> Reply {
-        let rules = self.hands.as_mut().and_then(|h| h.rules.as_mut());
+        let rules = self.rules.as_mut();
         Reply::Refused(rules.map_or(0, |r| {
             r.tally[1] += 1;
             r.backoff_ms
@@ -59,7 +72,7 @@
     }
 
     fn hold_for_policy(&mut self, rid: u64, request: Option<Request>) {
-        let Some(rules) = self.hands.as_mut().and_then(|h| h.rules.as_mut()) else { return };
+        let Some(rules) = &mut self.rules else { return };
         // Those whose clients have left go: as many wait as are open, and no more.
         if rules.held.len() > self.jobs.len() + 1_024 {
             rules.held.retain(|h| self.jobs.contains_key(&h.rid));
@@ -91,23 +104,27 @@
 
     /// Looks at what the fleet holds alike, says what is to be said of it, and lets requests go that waited.
     pub(super) fn keep_policy(&mut self, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
-        let Some(rules) = &mut hands.rules else { return };
-        let restless = !rules.waiting.is_empty() || !rules.part.abreast();
-        if !std::mem::take(&mut hands.takeover.ruled) && !restless {
+        let Some(rules) = &mut self.rules else { return };
+        let (changed, record): (bool, &mut dyn PolicyRecord) = match (&mut self.control, &mut self.hands) {
+            (Some(control), _) => (control.follower.take_changed(), &mut control.follower),
+            (None, Some(h)) => (std::mem::take(&mut h.takeover.ruled), &mut h.takeover.fleet),
+            (None, None) => return,
+        };
+        let restless = !rules.calls.is_empty() || !rules.part.abreast();
+        if !changed && !restless {
             return;
         }
-        let fleet = &mut hands.takeover.fleet;
-        let holder = fleet.holds(now);
-        let acts = rules.look(now, holder, fleet.agreed().map(Agreed::policy), &self.names);
-        fleet.policy = rules.part.number();
+        let holder = record.holds(now);
+        let acts = rules.look(now, holder, record.policies(), &self.names);
+        record.heeded(rules.part.number());
         let mut change = None;
+        let mut unsaid = false;
         for act in acts {
             match act {
                 Act::Say(command) => {
-                    if !fleet.agree(now, agreed::Command::Policy(command)) {
+                    if !record.say(now, command) {
                         rules.part.unsaid();
-                        hands.takeover.ruled = true;
+                        unsaid = true;
                     }
                 }
                 Act::Voted(number, faults) => {
@@ -140,6 +157,9 @@
                 };
             }
         }
+        if let Some(hands) = self.hands.as_mut().filter(|_| unsaid) {
+            hands.takeover.ruled = true;
+        }
         if let Some(settings) = change
             && let Err(e) = self.dispatch.take_on(settings)
         {
@@ -155,7 +175,7 @@
         if door == Some(Door::Hold) {
             return;
         }
-        let held = self.hands.as_mut().and_then(|h| h.rules.as_mut()).map(|r| std::mem::take(&mut r.held));
+        let held = self.rules.as_mut().map(|r| std::mem::take(&mut r.held));
         for Held { rid, request } in held.unwrap_or_default() {
             let Some((_, job)) = self.jobs.get(&rid) else { continue };
             let job = job.clone();
--- a/src/net/policy_calls.rs
+++ b/src/net/policy_calls.rs
@@ -2,12 +2,14 @@
 
 use super::Node;
 use super::poll::Key;
-use crate::api::Micros;
+use crate::api::{Micros, Settings};
 use crate::codec::operator::policy::Ask;
 use crate::policies::{Policy, applied, digest};
+use crate::settings::Names;
 use crate::settings::hcl::{Fault, shown};
-use fleet::agreed::{self, Agreed};
-use fleet::policy::{Command, MOST_TEXT, Policies, Stage};
+use crate::settings::options::PolicyTerms;
+use fleet::Peer;
+use fleet::policy::{Command, MOST_TEXT, Policies, Policy as Agreed, PolicyRecord, Stage, Waiting};
 use std::fmt::Write as _;
 use std::io::Read as _;
 
@@ -17,20 +19,42 @@
 const SHOWN: usize = 4;
 
 /// What an operator's call waits for.
-enum For {
-    /// The change proposed here at this time is under way.
+pub(super) enum For {
+    /// The change proposed here at this time is under way; another one excludes it.
     Proposed(Micros),
+    /// The change proposed here at this time is under way or waits for its turn.
+    Queued(Micros),
     /// The change of this number is over.
     Over(u64),
 }
 
 /// An operator's call that waits to be agreed.
-pub(super) struct Waiting {
+struct WaitingCall {
     caller: Key,
     what: For,
     until: Micros,
 }
 
+/// What a call is judged by.
+pub(super) struct CallContext<'a> {
+    pub(super) policies: &'a Policies,
+    pub(super) terms: &'a PolicyTerms,
+    /// What a policy is applied to, and the names in it.
+    pub(super) base: &'a Settings,
+    pub(super) names: &'a Names,
+    pub(super) me: Peer,
+    /// The number of the policy that is acted by here.
+    pub(super) number: u64,
+    /// A change that comes while another is under way waits, with at least this number.
+    pub(super) queue_from: Option<u64>,
+}
+
+/// The calls that wait to be agreed.
+#[derive(Default)]
+pub(super) struct PolicyCalls {
+    waiting: Vec<WaitingCall>,
+}
+
 /// A policy's text from its file, if it is one.
 fn read(path: &str) -> Result<String, String> {
     let told = |e: std::io::Error| format!("{}: {e}", shown(path));
@@ -49,50 +73,22 @@
     Ok(text)
 }
 
-impl Node {
-    fn policies(&self) -> Option<&Policies> {
-        self.hands.as_ref()?.takeover.fleet.agreed().map(Agreed::policy)
-    }
-
-    /// Carries out a call on the policy: its answer, or none as long as it waits to be agreed.
-    pub(super) fn policy_call(&mut self, caller: Key, now: Micros, ask: &Ask) -> Option<String> {
-        match self.policy_command(now, ask) {
-            Err(answer) => Some(answer),
-            Ok((command, what)) => {
-                let Some(hands) = &mut self.hands else { return Some("-ERR no fleet".into()) };
-                if !hands.takeover.fleet.agree(now, agreed::Command::Policy(command)) {
-                    return Some("-ERR no lease: this dispatcher is cut off from the fleet".into());
-                }
-                hands.rules.as_mut()?.waiting.push(Waiting { caller, what, until: now + AGREED });
-                None
-            }
-        }
-    }
-
+impl CallContext<'_> {
     /// What is to be agreed for a call and what it waits for; else its answer.
-    fn policy_command(&self, now: Micros, ask: &Ask) -> Result<(Command, For), String> {
-        let rules = self.hands.as_ref().and_then(|h| h.rules.as_ref()).ok_or("-ERR no fleet")?;
-        let policies = self.policies().ok_or("-ERR this dispatcher takes no part in a fleet now")?;
-        let limits = [rules.terms.vote_limit, rules.terms.close_limit].map(|d| d.as_micros() as Micros);
-        let by = rules.me();
+    pub(super) fn command(&self, now: Micros, ask: &Ask) -> Result<(Command, For), String> {
+        let policies = self.policies;
+        let limits = [self.terms.vote_limit, self.terms.close_limit].map(|d| d.as_micros() as Micros);
         match ask {
-            Ask::Status => Err(status(policies, rules.part.number(), now)),
+            Ask::Status => Err(status(policies, self.number, now)),
             Ask::Propose(path) => {
-                let text = read(path).map_err(|e| format!("-ERR {e}"))?;
-                // What is wrong with it here is told at once, and the fleet is not asked.
-                let faults = |all: Vec<Fault>| all.iter().map(Fault::to_string).collect::<Vec<_>>();
-                let checked = Policy::parse(&shown(path), &text).map_err(faults);
-                checked
-                    .and_then(|p| applied(&p, &rules.base, &self.names))
-                    .map_err(|all| format!("-ERR {}", all.join("; ")))?;
-                policies.accepts(&text).map_err(|e| format!("-ERR {e}"))?;
-                let digest = digest(&text);
-                Ok((Command::Propose { text, digest, by, at: now, limits, least: 0 }, For::Proposed(now)))
+                let command = self.proposal(now, path, limits)?;
+                let queued = self.queue_from.is_some();
+                Ok((command, if queued { For::Queued(now) } else { For::Proposed(now) }))
             }
             Ask::Back => {
                 policies.accepts("").map_err(|e| format!("-ERR {e}"))?;
                 policies.before().ok_or("-ERR no policy was in force before this one")?;
-                Ok((Command::Back(by, now, limits), For::Proposed(now)))
+                Ok((Command::Back(self.me, now, limits), For::Proposed(now)))
             }
             Ask::Abort => {
                 let number =
@@ -102,52 +98,132 @@
         }
     }
 
-    /// Answers the calls that have come to be agreed, and those whose time is up.
-    pub(super) fn answer_policy_calls(&mut self, now: Micros) {
-        let Some(policies) = self.policies() else { return };
-        let pending = policies.pending().map(|p| (p.policy.number, p.by, p.at));
-        let ended: Vec<(u64, Option<String>)> = policies.ended().map(|e| (e.number, e.why.clone())).collect();
-        let (last, current) = (policies.last(), policies.current().number);
-        let Some(rules) = self.hands.as_mut().and_then(|h| h.rules.as_mut()) else { return };
-        let me = rules.me();
-        let answer = |w: &Waiting| match w.what {
-            For::Proposed(at) => match pending {
-                Some((number, by, when)) if by == me && when == at => Some(format!("+OK proposed {number}")),
-                // It may have come to its end between two looks.
-                _ if policies_had(last, me, at) => Some(format!("+OK proposed {}", last.map_or(0, |l| l.0))),
-                Some((number, ..)) => Some(format!("-ERR policy {number} is under way already")),
-                None => None,
-            },
-            For::Over(number) if current == number => {
-                Some(format!("-ERR policy {number} is in force already"))
+    /// The proposal of a file. What is wrong with it here is told at once, and the fleet is not asked.
+    fn proposal(&self, at: Micros, path: &str, limits: [Micros; 2]) -> Result<Command, String> {
+        let text = read(path).map_err(|e| format!("-ERR {e}"))?;
+        let faults = |all: Vec<Fault>| all.iter().map(Fault::to_string).collect::<Vec<_>>();
+        let checked = Policy::parse(&shown(path), &text).map_err(faults);
+        checked
+            .and_then(|p| applied(&p, self.base, self.names))
+            .map_err(|all| format!("-ERR {}", all.join("; ")))?;
+        let (digest, by) = (digest(&text), self.me);
+        match self.queue_from {
+            None => {
+                self.policies.accepts(&text).map_err(|e| format!("-ERR {e}"))?;
+                Ok(Command::Propose { text, digest, by, at, limits, least: 0 })
             }
-            For::Over(number) => ended
-                .iter()
-                .find(|(n, _)| *n == number)
-                .map(|(_, why)| format!("+OK given up: {}", why.as_deref().unwrap_or(""))),
-        };
+            Some(number) => {
+                self.policies.queues(&text).map_err(|e| format!("-ERR {e}"))?;
+                let policy = Agreed { number, text, digest };
+                Ok(Command::Queue(Waiting { policy, by, at, limits }))
+            }
+        }
+    }
+}
+
+impl PolicyCalls {
+    /// Whether none waits.
+    pub(super) fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+
+    /// Keeps a call until it is agreed.
+    pub(super) fn wait(&mut self, caller: Key, what: For, now: Micros) {
+        self.waiting.push(WaitingCall { caller, what, until: now + AGREED });
+    }
+
+    /// The answers of the calls that have come to be agreed, and of those whose time is up.
+    pub(super) fn answers(&mut self, now: Micros, policies: &Policies, me: Peer) -> Vec<(Key, String)> {
         let mut answers = Vec::new();
-        rules.waiting.retain(|w| {
+        self.waiting.retain(|w| {
             let late = || "-ERR not agreed in time; POLICY STATUS tells what came of it".to_string();
-            let said = answer(w).or_else(|| (w.until <= now).then(late));
+            let said = outcome(&w.what, policies, me).or_else(|| (w.until <= now).then(late));
             answers.extend(said.clone().map(|s| (w.caller, s)));
             said.is_none()
         });
-        for (caller, text) in answers {
+        answers
+    }
+}
+
+/// What came of what a call waits for, if anything did.
+fn outcome(what: &For, policies: &Policies, me: Peer) -> Option<String> {
+    match *what {
+        For::Proposed(at) => match (policies.taken(me, at), policies.pending()) {
+            (Some(number), _) => Some(format!("+OK proposed {number}")),
+            (None, Some(p)) => Some(format!("-ERR policy {} is under way already", p.policy.number)),
+            (None, None) => None,
+        },
+        For::Queued(at) => policies.taken(me, at).map(|number| queued(number, policies)),
+        For::Over(number) if policies.current().number == number => {
+            Some(format!("-ERR policy {number} is in force already"))
+        }
+        For::Over(number) => policies
+            .ended()
+            .find(|e| e.number == number)
+            .map(|e| format!("+OK given up: {}", e.why.as_deref().unwrap_or(""))),
+    }
+}
+
+/// A change that was taken, and how many have their turn before it.
+fn queued(number: u64, policies: &Policies) -> String {
+    let waits = policies.waiting().any(|w| w.policy.number == number);
+    let before = policies.waiting().filter(|w| w.policy.number < number).count() + 1;
+    if waits { format!("+OK proposed {number}, behind {before}") } else { format!("+OK proposed {number}") }
+}
+
+impl Node {
+    /// Carries out a call on the policy: its answer, or none as long as it waits to be agreed.
+    pub(super) fn policy_call(&mut self, caller: Key, now: Micros, ask: &Ask) -> Option<String> {
+        if self.control.is_some() && *ask != Ask::Status {
+            return Some("-ERR this dispatcher follows a control group: ask one of its members".into());
+        }
+        match self.policy_command(now, ask) {
+            Err(answer) => Some(answer),
+            Ok((command, what)) => {
+                let Some(hands) = &mut self.hands else { return Some("-ERR no fleet".into()) };
+                if !hands.takeover.fleet.say(now, command) {
+                    return Some("-ERR no lease: this dispatcher is cut off from the fleet".into());
+                }
+                self.rules.as_mut()?.calls.wait(caller, what, now);
+                None
+            }
+        }
+    }
+
+    fn policy_command(&self, now: Micros, ask: &Ask) -> Result<(Command, For), String> {
+        let rules = self.rules.as_ref().ok_or("-ERR no fleet")?;
+        let policies = self.policies().ok_or("-ERR this dispatcher takes no part in a fleet now")?;
+        let context = CallContext {
+            policies,
+            terms: &rules.terms,
+            base: &rules.base,
+            names: &self.names,
+            me: rules.me(),
+            number: rules.part.number(),
+            queue_from: None,
+        };
+        context.command(now, ask)
+    }
+
+    /// Answers the calls that have come to be agreed, and those whose time is up.
+    pub(super) fn answer_policy_calls(&mut self, now: Micros) {
+        let Some(policies) = self.policies().filter(|_| self.has_policy_calls()).cloned() else { return };
+        let Some(rules) = &mut self.rules else { return };
+        let me = rules.me();
+        for (caller, text) in rules.calls.answers(now, &policies, me) {
             if let Some(o) = &mut self.operators {
                 o.answer(caller, &text, &self.poll);
             }
         }
     }
-}
 
-/// Whether the last change that was taken is the one that was proposed here at this time.
-fn policies_had(last: Option<(u64, fleet::Peer, Micros)>, me: fleet::Peer, at: Micros) -> bool {
-    last.is_some_and(|(_, by, when)| by == me && when == at)
+    fn has_policy_calls(&self) -> bool {
+        self.rules.as_ref().is_some_and(|r| !r.calls.is_empty())
+    }
 }
 
 /// The answer to `POLICY STATUS`.
-fn status(p: &Policies, here: u64, now: Micros) -> String {
+pub(super) fn status(p: &Policies, here: u64, now: Micros) -> String {
     let mut text = format!("+OK policy {} in force", p.current().number);
     if here != p.current().number {
         let _ = write!(text, ", {here} here");
--- a/src/net/rules.rs
+++ b/src/net/rules.rs
@@ -1,6 +1,6 @@
 //! One dispatcher's share in the policy that its fleet holds alike: what it acts by, and what waits for a change.
 
-use super::policy_calls::Waiting;
+use super::policy_calls::PolicyCalls;
 use crate::api::Micros;
 use crate::api::Settings;
 use crate::dispatch::Request;
@@ -36,7 +36,8 @@
     pub(super) held: VecDeque<Held>,
     /// Acts by what the last two policies known here both allow, as it has no lease.
     pub(super) fallen_back: bool,
-    pub(super) waiting: Vec<Waiting>,
+    /// Operators' calls that wait to be agreed.
+    pub(super) calls: PolicyCalls,
     /// Requests that waited, and that were refused for want of a lease or of a policy.
     pub(super) tally: [u64; 2],
 }
@@ -53,7 +54,7 @@
             base,
             held: VecDeque::new(),
             fallen_back: false,
-            waiting: Vec::new(),
+            calls: PolicyCalls::default(),
             tally: [0; 2],
         }
     }
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -1,6 +1,7 @@
 //! How a dispatcher is set up.
 
 use super::buffers::Pool;
+use super::control::ControlLink;
 use super::descriptors::Descriptors;
 use super::executors::Executors;
 use super::feed::Feed;
@@ -9,6 +10,7 @@
 use super::lists::Lists;
 use super::operator::Operators;
 use super::poll::Poll;
+use super::rules::Rules;
 use super::session::Sessions;
 use super::shutdown::Shutdown;
 use super::signals::Signals;
@@ -53,6 +55,12 @@
         });
         let limits = Shutdown::of(settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0));
         let classes = options.peers.as_ref().map(|_| Classes::of(&settings, &names));
+        let policy_terms = match (&options.control, &options.peers) {
+            (Some(control), _) => Some((control.policy, control.timing.follower_lease / 1_000)),
+            (None, Some(peers)) => peers.policy.map(|p| (p, peers.lease.as_millis() as u64)),
+            (None, None) => None,
+        };
+        let base = policy_terms.map(|_| settings.clone());
         let mut dispatch =
             Dispatch::new(settings, transport.most_held, seed).map_err(context("configuration"))?;
         let poll = Poll::new().map_err(context("poller"))?;
@@ -84,6 +92,10 @@
             }
             _ => None,
         };
+        let control = options.control.as_ref().map(|c| ControlLink::new(c, &config.name, seed ^ now, now));
+        let me = hands.as_ref().map_or(0, Hands::me);
+        let rules =
+            policy_terms.zip(base).map(|((terms, backoff_ms), base)| Rules::new(terms, me, backoff_ms, base));
         let mut node = Node {
             poll,
             names,
@@ -94,6 +106,8 @@
             lists: None,
             storm,
             hands,
+            control,
+            rules,
             jobs: BTreeMap::new(),
             arrived: VecDeque::new(),
             listener: Some((listener_key, listener)),
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -109,8 +109,7 @@
                 self.figures.sighup_applied.inc();
                 tracing::info!(%coordinator, "SIGHUP: configuration read again");
                 // Where the fleet holds one policy, a file at one dispatcher changes nothing of it.
-                let rules = self.hands.as_ref().and_then(|h| h.rules.as_ref());
-                if let Some(rules) = rules.filter(|r| r.base != settings) {
+                if let Some(rules) = self.rules.as_ref().filter(|r| r.base != settings) {
                     let number = rules.part.number();
                     tracing::warn!(number, "SIGHUP: the file's settings differ; the fleet's policy holds");
                 }
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -22,6 +22,7 @@
             // What came while this process did not look came at any time since it last did.
             self.behind = (woke - now).saturating_sub(wait) + worked;
             self.keep_hands(woke);
+            self.keep_control(woke);
             let (clients, others): (Vec<_>, Vec<_>) = events.iter().partition(|e| self.comes_first(e.key));
             for event in clients.into_iter().chain(others) {
                 self.ready(event.key, event.readable, event.writable, woke);
@@ -36,6 +37,7 @@
             worked = busy;
         }
         self.leave_fleet(self.clock.last());
+        self.leave_control(self.clock.last());
         self.count();
         tracing::info!("stopped");
         Ok(())
@@ -63,7 +65,8 @@
     fn next_due(&self) -> Micros {
         let lists = self.lists.as_ref().filter(|l| l.pending()).map(|_| self.clock.last());
         let rooms = self.rooms().map(Room::next_due);
-        let due = [self.dispatch.next_due(), self.accept_at, lists].into_iter().chain(rooms);
+        let control = self.control.as_ref().map(ControlLink::next_due);
+        let due = [self.dispatch.next_due(), self.accept_at, lists, control].into_iter().chain(rooms);
         // While stopping, a look every now and then is near enough to each of its limits.
         let own = if self.stopping.is_some() { self.clock.last() + STOP_LOOK } else { self.clients_at };
         due.flatten().fold(own, Micros::min)
@@ -103,6 +106,8 @@
                 h.peers.ready(key, now, &self.poll);
             }
             self.move_hands(now);
+        } else if self.control.as_ref().is_some_and(|c| c.owns(key)) {
+            self.control_ready(now);
         } else if self.executors.owns(key) {
             self.executors.ready(key, readable, writable, now, &self.poll);
             self.settle(now, Vec::new());
@@ -141,6 +146,7 @@
         }
         self.keep_hands(now);
         self.keep_plan(now);
+        self.keep_control(now);
         self.keep_policy(now);
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
--- /dev/null
+++ b/src/settings/options/control.rs
@@ -0,0 +1,182 @@
+//! A control group: a few members that agree on what all dispatchers admit requests by, and dispatchers that follow.
+
+use super::MS;
+use super::policy::{self, PolicyTerms};
+use crate::settings::hcl::{self, Fault, Table};
+use fleet::control::Timing;
+use fleet::control::messages::MOST_NAME;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// What a process is in its group.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Role {
+    /// It takes part in the log, serves followers and no clients.
+    Member,
+    /// It is a dispatcher that follows a member.
+    Follower,
+}
+
+/// One member of the group, as all know it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ControlMember {
+    /// Its name.
+    pub name: String,
+    /// Where other members reach it.
+    pub address: SocketAddr,
+    /// Where followers reach it.
+    pub followers: SocketAddr,
+    /// Where it stands; followers of the same region prefer it.
+    pub region: Option<String>,
+}
+
+/// A control group.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Control {
+    /// What this process is.
+    pub role: Role,
+    /// The group's name.
+    pub group: String,
+    /// Which of the members this is.
+    pub me: Option<String>,
+    /// Where a follower stands.
+    pub region: Option<String>,
+    /// Where a member listens for other members.
+    pub listen: Option<SocketAddr>,
+    /// Where a member listens for followers.
+    pub followers: Option<SocketAddr>,
+    /// All members, by name: the same at all members and followers.
+    pub members: Vec<ControlMember>,
+    /// The group's times.
+    pub timing: Timing,
+    /// Followers of one member at most.
+    pub most_followers: usize,
+    /// Snapshots that a member has under way at most.
+    pub most_snapshots: usize,
+    /// How changes are agreed on.
+    pub policy: PolicyTerms,
+}
+
+const KEYS: [&str; 10] = [
+    "role",
+    "group",
+    "me",
+    "region",
+    "listen",
+    "followers",
+    "round_trip",
+    "lease",
+    "max_followers",
+    "max_snapshots",
+];
+/// Members of a group: a majority of three outlives one, of seven three.
+const MEMBERS: std::ops::RangeInclusive<usize> = 3..=7;
+
+/// Reads the block.
+pub(super) fn read(t: &Table<'_>, faults: &mut Vec<Fault>) -> Control {
+    t.only(&KEYS, &["member", "policy"], faults);
+    let roles = [("member", Role::Member), ("follower", Role::Follower)];
+    let role = t.need("role", faults, hcl::one_of(&roles)).unwrap_or(Role::Follower);
+    let timing = timing(t, faults);
+    let mut control = Control {
+        role,
+        group: t.get("group", faults, hcl::string).unwrap_or_else(|| "control".into()),
+        me: t.get("me", faults, hcl::string),
+        region: t.get("region", faults, hcl::string),
+        listen: t.get("listen", faults, hcl::parsed("10.0.0.1:7200")),
+        followers: t.get("followers", faults, hcl::parsed("10.0.0.1:7201")),
+        members: members(t, faults),
+        timing,
+        most_followers: t.get("max_followers", faults, hcl::whole(1..=10_000)).unwrap_or(1_000) as usize,
+        most_snapshots: t.get("max_snapshots", faults, hcl::whole(1..=1_000)).unwrap_or(16) as usize,
+        policy: policy(t, timing, faults),
+    };
+    if control.group.len() > MOST_NAME {
+        faults.push(t.fault("group", format!("longer than {MOST_NAME} bytes")));
+    }
+    check_role(&mut control, t, faults);
+    control
+}
+
+/// The group's times: derived from the links' round trip, or with a lease that is long enough for it.
+fn timing(t: &Table<'_>, faults: &mut Vec<Fault>) -> Timing {
+    let mut round_trip = MS(5);
+    t.set("round_trip", &mut round_trip, faults, hcl::duration(MS(1)..=MS(2_000)));
+    let micros = |d: Duration| d.as_micros() as u64;
+    let derived = Timing::from_round_trip(micros(round_trip));
+    let Some(lease) = t.get("lease", faults, hcl::duration(MS(200)..=MS(60_000))) else { return derived };
+    let least = Timing::least_lease(micros(round_trip));
+    if micros(lease) < least {
+        let what = format!(
+            "lease is too short for round_trip {}ms: at least {}ms, or it would end while a leader is being elected",
+            round_trip.as_millis(),
+            least / 1_000
+        );
+        faults.push(t.fault("lease", what));
+        return derived;
+    }
+    Timing::with_lease(micros(round_trip), micros(lease))
+}
+
+/// How changes are agreed on; whoever is lost is waited for as long as its lease lasts, which the limits allow for.
+fn policy(t: &Table<'_>, timing: Timing, faults: &mut Vec<Fault>) -> PolicyTerms {
+    let Some(block) = t.block("policy", faults) else {
+        let least = Duration::from_micros(3 * timing.lease);
+        return PolicyTerms {
+            vote_limit: least,
+            close_limit: least,
+            without_lease: policy::WithoutLease::Refuse,
+        };
+    };
+    policy::read(&block, faults)
+}
+
+fn members(t: &Table<'_>, faults: &mut Vec<Fault>) -> Vec<ControlMember> {
+    let mut members: Vec<ControlMember> = Vec::new();
+    for (names, b) in t.blocks("member", 1, faults) {
+        b.only(&["address", "followers", "region"], &[], faults);
+        let name = names[0].to_string();
+        if members.iter().any(|m| m.name == name) {
+            faults.push(b.fault("", "a second member of this name"));
+        }
+        let address = b.need("address", faults, hcl::parsed("10.0.0.1:7200"));
+        let followers = b.need("followers", faults, hcl::parsed("10.0.0.1:7201"));
+        let region = b.get("region", faults, hcl::string);
+        let (Some(address), Some(followers)) = (address, followers) else { continue };
+        let taken = |m: &ControlMember| m.address == address || m.followers == followers;
+        if members.iter().any(taken) {
+            faults.push(b.fault("address", "another member has this address"));
+        }
+        members.push(ControlMember { name, address, followers, region });
+    }
+    // Places come from the names, so that they are alike everywhere, whatever the order in the files.
+    members.sort_by(|a, b| a.name.cmp(&b.name));
+    if !MEMBERS.contains(&members.len()) {
+        faults.push(t.fault("", format!("{} member blocks; 3 to 7 are allowed", members.len())));
+    }
+    members
+}
+
+fn check_role(control: &mut Control, t: &Table<'_>, faults: &mut Vec<Fault>) {
+    let named = control.me.as_ref().is_some_and(|me| control.members.iter().any(|m| m.name == *me));
+    match control.role {
+        Role::Member => {
+            if !named {
+                faults.push(t.fault("me", "no member block has this name"));
+            }
+            if control.listen.is_none() {
+                faults.push(t.fault("listen", "missing: a member listens for other members"));
+            }
+            if control.followers.is_none() {
+                faults.push(t.fault("followers", "missing: a member listens for followers"));
+            }
+        }
+        Role::Follower => {
+            for key in ["me", "listen", "followers"] {
+                if t.has(key) {
+                    faults.push(t.fault(key, "is a member's: a follower listens for nobody"));
+                }
+            }
+        }
+    }
+}
--- a/src/settings/options/mod.rs
+++ b/src/settings/options/mod.rs
@@ -5,7 +5,9 @@
 //! - [`lists`]: motor lists from files, and [`terms`], what may be in them and what holds them back.
 //! - [`storms`]: retry storms.
 //! - [`peers`]: the other dispatchers, and [`policy`], what all of them admit requests by.
+//! - [`control`]: a few members that agree on that for all dispatchers, which follow.
 
+pub mod control;
 pub mod lists;
 pub mod peers;
 pub mod policy;
@@ -14,6 +16,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use control::{Control, Role};
 pub use lists::{Empty, Lists, Safeguard, Source, accept_path};
 pub use peers::Peers;
 pub use policy::{PolicyTerms, WithoutLease};
@@ -45,6 +48,8 @@
     pub storms: Option<Storms>,
     /// Other dispatchers; none where every dispatcher is alone.
     pub peers: Option<Peers>,
+    /// A control group; none where each dispatcher goes by its own settings or by its peers'.
+    pub control: Option<Control>,
 }
 
 const MS: fn(u64) -> Duration = Duration::from_millis;
@@ -62,7 +67,7 @@
         let text = Text::new(name, text);
         let body = text.parse().map_err(|e| vec![e])?;
         let (root, mut faults) = (Table::root(&text, &body), Vec::new());
-        root.only(&[], &["log", "motor_lists", "retry_storms", "peers"], &mut faults);
+        root.only(&[], &["log", "motor_lists", "retry_storms", "peers", "control"], &mut faults);
         let mut options = Options::default();
         if let Some(log) = root.block("log", &mut faults) {
             log.only(&["format"], &[], &mut faults);
@@ -72,6 +77,11 @@
         options.lists = root.block("motor_lists", &mut faults).map(|t| lists::read(&t, &mut faults));
         options.storms = root.block("retry_storms", &mut faults).map(|t| storms::read(&t, &mut faults));
         options.peers = root.block("peers", &mut faults).map(|t| peers::read(&t, &mut faults));
+        options.control = root.block("control", &mut faults).map(|t| control::read(&t, &mut faults));
+        let both = options.control.is_some() && options.peers.as_ref().is_some_and(|p| p.policy.is_some());
+        if both {
+            faults.push(root.fault("control", "peers.policy says who agrees on the policy already"));
+        }
         if faults.is_empty() { Ok(options) } else { Err(faults) }
     }
 }
--- a/tests/policy/fleet.rs
+++ b/tests/policy/fleet.rs
@@ -1,6 +1,6 @@
 //! Three dispatchers with a link from each to each other, two old motores and two new ones, and clients.
 
-use super::clients::{Ask, ask, call, table};
+use standins::asks::{Ask, PATIENCE, ask, call, table};
 use standins::engine::{Engine, Pull};
 use standins::feed::Feed;
 use standins::link::{Link, Weather};
@@ -12,8 +12,6 @@
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant, SystemTime};
 
-/// No story takes this long unless something hangs.
-pub const PATIENCE: Duration = Duration::from_secs(30);
 /// One zone, two kinds of motor; the class may go to both.
 pub const SETTINGS: &str = r#"{"areas":["a"],"balancers":3,"kinds":["old","new"],"domain":{"kindCores":[8,8],"memoryByKindMb":[16384,16384],"parallelism":[1]},"permissions":{"cancel":true,"maxAttempts":3,"probes":true,"retryAfter":true,"maxRetryAfter":1.0,"dialTimeout":0.25},"report":{"how":"on_probe"},"requestClasses":[{"name":"read","promise":5.0,"hardLimit":20.0,"effect":"read_like","boundTo":["old","new"]}],"rules":{"stopSendingWithin":0.5,"coldFrom":0.0,"rampTime":1,"fall":1,"fallMultiple":3}}"#;
 /// Changes have all the time that a slow machine needs.
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -1,10 +1,9 @@
 //! One policy for a whole fleet, changed everywhere or nowhere: three real dispatchers and faults between them.
 
-mod clients;
 mod fleet;
 
-use clients::*;
 use fleet::*;
+use standins::asks::*;
 use standins::link::Weather;
 use std::io::Write;
 use std::net::TcpStream;
