Measure lists, connections and a group of 1,600 followers; let the latest change go next

Seen: with seven members 20 ms apart and 1,600 followers, a change in a burst of 100 took 9.1 s (0.28 s alone), as each waited for all before it (policy::queue, begin_next). Ruled out: the members' processor time (0.2 of a core at most) and the links. A policy is whole, so that the latest that waits says all that matters: it is next, those before it are superseded once it is in force, and have their turn if it is given up.

--- a/crates/fleet/src/control/member/mod.rs
+++ b/crates/fleet/src/control/member/mod.rs
@@ -85,6 +85,8 @@
     followers_policy: u64,
     restore: Option<Policy>,
     leaving: bool,
+    /// When all connections are looked at next.
+    look_at: Micros,
     /// Messages to followers.
     pub outgoing: Vec<(SessionId, MemberMessage)>,
     /// Sessions whose connection is to end once what was sent to them is written.
@@ -107,6 +109,7 @@
             followers_policy: 0,
             restore: None,
             leaving: false,
+            look_at: 0,
             outgoing: Vec::new(),
             closing: Vec::new(),
             tally: MemberTally::default(),
@@ -142,7 +145,9 @@
         record: &mut impl MemberRecord,
         check: &mut dyn FnMut(&Policy) -> Vec<String>,
     ) -> Vec<Act> {
-        self.forget_leases(now);
+        if self.deferred.is_some() {
+            self.forget_leases(now);
+        }
         let holder = record.holds(now);
         let acts = self.part.look(now, self.config.me, holder, record.policies(), check);
         let mut told = Vec::new();
--- a/crates/fleet/src/control/member/sessions.rs
+++ b/crates/fleet/src/control/member/sessions.rs
@@ -73,8 +73,14 @@
         self.sessions.insert(session, Session { heard: now, ..Session::default() });
     }
 
-    /// Ends connections that have said nothing for long: a follower renews its lease several times within one.
+    /// Ends connections that have said nothing for long: a follower renews its lease several times within one. Looks
+    /// at all of them once in a follower's lease.
     pub fn tick(&mut self, now: Micros) {
+        if now < self.look_at {
+            return;
+        }
+        self.look_at = now + self.config.timing.follower_lease;
+        self.forget_leases(now);
         let limit = SILENT_LEASES * self.config.timing.follower_lease;
         let silent: Vec<SessionId> =
             self.sessions.iter().filter(|(_, s)| now >= s.heard + limit).map(|(id, _)| *id).collect();
@@ -86,11 +92,9 @@
     }
 
     /// When [`Member::tick`] or [`Member::look`] has something to do because of time.
-    pub fn next_due(&self) -> Option<Micros> {
-        let limit = SILENT_LEASES * self.config.timing.follower_lease;
-        let silent = self.sessions.values().map(|s| s.heard + limit).min();
+    pub fn next_due(&self) -> Micros {
         let lease = self.deferred.and_then(|_| self.next_lease_end());
-        silent.into_iter().chain(lease).min()
+        lease.map_or(self.look_at, |end| end.min(self.look_at))
     }
 
     /// A connection is over. The lease given on it goes on.
--- a/crates/fleet/src/policy/apply.rs
+++ b/crates/fleet/src/policy/apply.rs
@@ -50,6 +50,7 @@
             let old = std::mem::replace(&mut self.current, p.policy);
             self.past.insert(0, old);
             self.past.truncate(PAST);
+            self.drop_superseded();
         }
         self.begin_next();
         true
--- a/crates/fleet/src/policy/queue.rs
+++ b/crates/fleet/src/policy/queue.rs
@@ -1,6 +1,10 @@
-//! Changes that wait while another one is under way: taken up one after the other, in the order of the log.
+//! Changes that wait while another one is under way.
+//!
+//! A policy is whole: the latest that waits says all that matters, whatever those before it say. So it has its turn
+//! next, and once it is in force those before it are superseded; if it is given up, the one before it has its turn.
+//! However many come in a burst, each is in force or superseded within the time of two changes.
 
-use super::{NOT_TIMED, Policies, Policy};
+use super::{ENDED, Ended, NOT_TIMED, Policies, Policy};
 use crate::{Micros, Peer};
 use serde::{Deserialize, Serialize};
 
@@ -59,13 +63,26 @@
         true
     }
 
-    /// The first that waits has its turn.
+    /// The latest that waits has its turn.
     pub(super) fn begin_next(&mut self) {
-        let Some(next) = self.waiting.pop_front() else { return };
+        let Some(next) = self.waiting.pop_back() else { return };
         self.turn_limits = next.limits;
         self.begin(next.policy, next.by, next.at, NOT_TIMED);
     }
 
+    /// Those that wait and are older than the policy in force never take hold.
+    pub(super) fn drop_superseded(&mut self) {
+        let number = self.current.number;
+        let older = self.waiting.iter().take_while(|w| w.policy.number < number).count();
+        for waiting in self.waiting.drain(..older) {
+            let why = Some(format!("superseded by {number}"));
+            self.ended.insert(0, Ended { number: waiting.policy.number, why, faults: Vec::new() });
+        }
+        // The newest number first, whatever ended when.
+        self.ended.sort_by_key(|e| std::cmp::Reverse(e.number));
+        self.ended.truncate(ENDED);
+    }
+
     /// The time of a change that came out of the queue runs from now on; whether it did not yet.
     pub(super) fn time_from(&mut self, now: Micros) -> bool {
         let [vote_limit, close_limit] = self.turn_limits;
--- a/crates/lab/src/fleet/cost.rs
+++ b/crates/lab/src/fleet/cost.rs
@@ -3,7 +3,6 @@
 use super::clients::{Ended, Load, Traffic};
 use super::world::{Shape, World};
 use super::{Failure, part};
-use standins::engine::Pull;
 use std::path::Path;
 use std::thread;
 use std::time::Duration;
@@ -21,11 +20,6 @@
     pub requests: usize,
 }
 
-/// Motor time for requests whose cost is measured.
-pub fn quick(_: &Pull) -> Duration {
-    Duration::from_millis(1)
-}
-
 /// Requests one after the other from each of six clients, for a span once the fleet is warm.
 pub fn cost(program: &Path, folder: &Path, shape: &Shape<'_>, span: Duration) -> Result<Cost, Failure> {
     let world = World::start(program, folder, shape)?;
--- a/crates/lab/src/fleet/mod.rs
+++ b/crates/lab/src/fleet/mod.rs
@@ -10,8 +10,10 @@
 pub(crate) mod world;
 
 use crate::chart;
+use standins::engine::Pull;
 use std::error::Error;
 use std::path::Path;
+use std::time::Duration;
 
 /// What a measurement ends with if it can't be made; it passes between threads.
 pub type Failure = Box<dyn Error + Send + Sync>;
@@ -19,6 +21,14 @@
 /// One zone, one kind; reads that may repeat, loads that must not run twice.
 pub const SETTINGS: &str = r#"{"areas":["a"],"balancers":3,"kinds":["k"],"domain":{"kindCores":[8],"memoryByKindMb":[16384],"parallelism":[1,1],"grantCap":0.4,"memoryHeeded":true,"takesPriority":true},"permissions":{"cancel":true,"maxAttempts":4,"mayDuplicate":false,"probes":true,"retryAfter":true,"maxRetryAfter":1.0,"dialTimeout":0.25},"report":{"how":"on_probe"},"requestClasses":[{"name":"read","promise":3.0,"hardLimit":6.0,"effect":"read_like"},{"name":"load","promise":4.0,"hardLimit":6.0,"effect":"non_idempotent"}],"rules":{"stopSendingWithin":0.5,"coldFrom":0.3,"rampTime":10,"fall":2,"fallMultiple":3},"zone":"a"}"#;
 
+/// No start takes this long unless something hangs.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Motor time for requests whose cost is measured.
+pub fn quick(_: &Pull) -> Duration {
+    Duration::from_millis(1)
+}
+
 /// A quantile of sorted values; 0 of none.
 pub fn part(sorted: &[f64], q: f64) -> f64 {
     let at = ((sorted.len() as f64 * q).ceil() as usize).clamp(1, sorted.len().max(1)) - 1;
--- a/crates/lab/src/fleet/world.rs
+++ b/crates/lab/src/fleet/world.rs
@@ -1,7 +1,6 @@
 //! A fleet: dispatchers, motores, and a link between every two that talk.
 
-use super::Failure;
-use super::reach::PATIENCE;
+use super::{Failure, PATIENCE};
 use crate::daemon::{Daemon, Event};
 use standins::engine::{Engine, Pull};
 use standins::feed::Feed;
@@ -91,7 +90,7 @@
             beside: |_| String::new(),
             remember: REMEMBERS,
             log: None,
-            work: super::cost::quick,
+            work: super::quick,
         }
     }
 }
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -8,6 +8,7 @@
 mod motor_lists;
 mod policy;
 mod retry_storms;
+mod scale;
 mod takeover;
 mod traffic;
 
@@ -88,6 +89,27 @@
         #[arg(long)]
         slice: bool,
     },
+    /// What lists, connections and a control group of 1,600 dispatchers cost, and how changes fare under faults
+    Scale {
+        /// A short run for CI: nothing is kept
+        #[arg(long)]
+        slice: bool,
+        /// Only this part: list, connections, control, changes, regions, faults, voters
+        #[arg(long)]
+        part: Option<scale::Part>,
+    },
+    /// Compare the figures of a page with the kept tables that they are made of, or write them anew
+    Capacity {
+        /// The page
+        #[arg(long, default_value = "docs/CAPACITY.md")]
+        page: PathBuf,
+        /// Write the figures
+        #[arg(long)]
+        write: bool,
+    },
+    /// Many followers of a control group in one process, without traffic; told what to do over standard input
+    #[command(hide = true)]
+    Hollow(scale::HollowArgs),
     /// An outage of all motores under many clients, with the storm module and without it
     RetryStorms {
         /// Clients
@@ -121,6 +143,13 @@
             let results = cli.results.join("policy");
             policy::prove(&cli.program, &results, runs, lanes, seed, slice).map_err(plain)
         }
+        Command::Scale { slice, part } => {
+            scale::prove(&cli.program, &cli.results.join("scale"), slice, part).map_err(plain)
+        }
+        Command::Capacity { page, write } => {
+            scale::check_page(&cli.results.join("scale"), &page, write).map_err(plain)
+        }
+        Command::Hollow(arguments) => scale::hollow(&arguments).map(|()| true).map_err(plain),
         Command::RetryStorms { clients, outage } => {
             retry_storms::prove(&cli.program, &cli.results.join("retry-storms"), clients, outage)
         }
--- a/crates/lab/src/policy/mod.rs
+++ b/crates/lab/src/policy/mod.rs
@@ -15,8 +15,9 @@
 mod trouble;
 
 use crate::fleet::Failure;
-use crate::fleet::cost::{Cost, cost, quick};
+use crate::fleet::cost::{Cost, cost};
 use crate::fleet::lanes::beside;
+use crate::fleet::quick;
 use crate::fleet::world::Shape;
 use harm::harm;
 use lane::{Spans, shape};
--- /dev/null
+++ b/crates/lab/src/scale/list.rs
@@ -0,0 +1,118 @@
+//! What the size of the executors' list costs a real dispatcher, and its decisions by themselves.
+
+use super::process::usage;
+use super::table::Table;
+use crate::fleet::{Failure, SETTINGS};
+use ottercroft::Gateway;
+use ottercroft::api::{Arrival, Entry, Event, ListKind};
+use ottercroft::settings::config::Config;
+use standins::feed::Feed;
+use standins::scripted::{Launch, target};
+use std::net::SocketAddr;
+use std::path::Path;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const COLUMNS: [&str; 8] = [
+    "executors",
+    "memory",
+    "start_s",
+    "event_bytes",
+    "event_cpu_s",
+    "arrival_us",
+    "tick_us",
+    "whole_list_us",
+];
+/// Requests open while an arrival is timed.
+const OPEN: u64 = 200;
+
+/// Measures lists of these sizes.
+pub fn measure(program: &Path, folder: &Path, sizes: &[usize]) -> Result<Table, Failure> {
+    let mut table = Table::new(&COLUMNS);
+    for &size in sizes {
+        let [memory, start_s, event_bytes, event_cpu_s] = dispatcher(program, folder, size)?;
+        let [arrival, tick, whole] = decisions(size)?;
+        table.row(&[size as f64, memory, start_s, event_bytes, event_cpu_s, arrival, tick, whole]);
+        println!("list: {size} executors, arrival {arrival:.1} us");
+    }
+    Ok(table)
+}
+
+fn entry(n: usize) -> String {
+    let at: SocketAddr = ([127, 8, (n / 250) as u8, (n % 250 + 1) as u8], 9).into();
+    target(&format!("s-{n:08x}"), at, "up")
+}
+
+/// A real dispatcher with a list of this size, which then hears of a hundred events of one executor each.
+fn dispatcher(program: &Path, folder: &Path, size: usize) -> Result<[f64; 4], Failure> {
+    std::fs::create_dir_all(folder)?;
+    let feed = Feed::at("127.0.0.1:0", 1)?;
+    let mut launch = Launch::new(program, folder);
+    (launch.settings, launch.log) = (SETTINGS.into(), Some("info".into()));
+    let known: Vec<String> = (0..size).map(entry).collect();
+    let begun = Instant::now();
+    let process = launch.serving(&launch.config_of(feed.address, &known));
+    let start_s = begun.elapsed().as_secs_f64();
+    thread::sleep(Duration::from_secs(2));
+    let (pid, before) = (process.child.id(), usage(process.child.id()));
+    thread::sleep(Duration::from_secs(2));
+    let rest = usage(pid);
+    let event = entry(0);
+    for n in 0..100 {
+        feed.tell(false, &[entry(n % size)]);
+        thread::sleep(Duration::from_millis(10));
+    }
+    thread::sleep(Duration::from_secs(1));
+    let after = usage(pid);
+    // A rest as long as the events took is taken off.
+    let idle = rest.cpu_s - before.cpu_s;
+    let each = (after.cpu_s - rest.cpu_s - idle).max(0.0) / 100.0;
+    Ok([after.memory, start_s, event.len() as f64, each])
+}
+
+/// The decisions alone: microseconds for an arrival, a tick, and a whole list.
+fn decisions(size: usize) -> Result<[f64; 3], Failure> {
+    let config = format!(
+        r#"{{"name":"t","listen":"127.0.0.1:0","seed":"1f","coordinator":"127.0.0.1:9","known":{{"index":0,"updates":[]}},"settings":{SETTINGS}}}"#
+    );
+    let config = Config::parse(&config).map_err(|e| e.to_string())?;
+    let (settings, _) = config.settings.settings().map_err(|e| e.to_string())?;
+    let mut gateway = Gateway::new(settings, 42).map_err(|e| e.to_string())?;
+    let (mut now, mut actions) = (1_000_000, Vec::new());
+    let entries: Vec<Entry> =
+        (1..=size as u32).map(|engine| Entry { engine, rating: 1.0, ..Entry::default() }).collect();
+    let begun = Instant::now();
+    gateway.handle(now, Event::List { kind: ListKind::Restored, entries }, &mut actions);
+    let whole = begun.elapsed().as_secs_f64() * 1e6;
+    let arrival = |query| Arrival {
+        query,
+        class: 0,
+        tenant: None,
+        key: None,
+        grace: 6_000_000,
+        estimate_s: Some(0.2),
+        memory_mb: Some(100.0),
+        group: query % 50,
+        repeated: false,
+    };
+    let mut times = Vec::new();
+    for query in 0..OPEN {
+        now += 1_000;
+        let begun = Instant::now();
+        gateway.handle(now, Event::Arrival(arrival(query)), &mut actions);
+        times.push(begun.elapsed().as_secs_f64() * 1e6);
+    }
+    let mut ticks = Vec::new();
+    for _ in 0..20 {
+        now += 50_000;
+        let begun = Instant::now();
+        gateway.handle(now, Event::Timer { token: 0 }, &mut actions);
+        ticks.push(begun.elapsed().as_secs_f64() * 1e6);
+        actions.clear();
+    }
+    let middle = |mut all: Vec<f64>| {
+        all.sort_by(f64::total_cmp);
+        all[all.len() / 2]
+    };
+    Ok([middle(times), middle(ticks), whole])
+}
--- a/src/net/control/link.rs
+++ b/src/net/control/link.rs
@@ -47,6 +47,11 @@
         [self.past_bytes[0] + now[0], self.past_bytes[1] + now[1]]
     }
 
+    /// The key of its socket, while it has one.
+    pub fn key(&self) -> Option<Key> {
+        self.connection.as_ref().map(FrameStream::key)
+    }
+
     /// Whether a key is its socket.
     pub fn owns(&self, key: Key) -> bool {
         self.connection.as_ref().is_some_and(|c| c.key() == key)
--- a/src/net/control/member.rs
+++ b/src/net/control/member.rs
@@ -154,7 +154,7 @@
 
     fn next_due(&self, now: Micros) -> Micros {
         let operators = self.operators.as_ref().and_then(Room::next_due);
-        let due = [self.member.next_due(), self.server.next_due(), self.peers.next_due(), operators];
+        let due = [Some(self.member.next_due()), self.server.next_due(), self.peers.next_due(), operators];
         due.into_iter().flatten().fold(self.fleet.next_due().min(now + LOOK), Micros::min)
     }
 
--- a/src/net/control/server.rs
+++ b/src/net/control/server.rs
@@ -6,7 +6,7 @@
 use crate::net::poll::{Key, Poll};
 use fleet::control::SessionId;
 use fleet::control::messages::{FollowerMessage, MOST_FOLLOWER_FRAME, MemberMessage};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 
@@ -49,11 +49,20 @@
     part_since: Option<Micros>,
 }
 
+impl Served {
+    /// When its time is up, if it runs.
+    fn due(&self) -> Option<Micros> {
+        self.ending.into_iter().chain(self.part_since.map(|t| t + PART)).min()
+    }
+}
+
 /// The listener for followers, and their connections.
 pub(super) struct FollowerServer {
     listener: TcpListener,
     key: Key,
     served: BTreeMap<Key, Served>,
+    /// Those whose time runs: they end, or a message is here in part.
+    timed: BTreeSet<Key>,
     most: usize,
     pub(super) tally: ServerTally,
 }
@@ -63,7 +72,14 @@
     pub(super) fn bind(at: SocketAddr, most: usize, poll: &Poll) -> io::Result<FollowerServer> {
         let listener = listen::bind(at)?;
         let key = poll.add(&listener, false)?;
-        Ok(FollowerServer { listener, key, served: BTreeMap::new(), most, tally: ServerTally::default() })
+        Ok(FollowerServer {
+            listener,
+            key,
+            served: BTreeMap::new(),
+            timed: BTreeSet::new(),
+            most,
+            tally: ServerTally::default(),
+        })
     }
 
     pub(super) fn address(&self) -> io::Result<SocketAddr> {
@@ -90,6 +106,9 @@
         let (messages, ended) = served.frames.read::<FollowerMessage>();
         served.part_since = served.frames.in_part().then(|| served.part_since.unwrap_or(now));
         let ending = served.ending.is_some();
+        if served.part_since.is_some() {
+            self.timed.insert(key);
+        }
         let mut heard: Vec<Heard> =
             messages.into_iter().filter(|_| !ending).map(|m| Heard::Said(session, m)).collect();
         match ended {
@@ -161,21 +180,22 @@
         let key = session as Key;
         if let Some(served) = self.served.get_mut(&key) {
             served.ending = Some(by);
+            self.timed.insert(key);
         }
         self.write(key, poll)
     }
 
     /// When a connection is to be looked at.
     pub(super) fn next_due(&self) -> Option<Micros> {
-        let due = |s: &Served| s.ending.into_iter().chain(s.part_since.map(|t| t + PART)).min();
-        self.served.values().filter_map(due).min()
+        self.timed.iter().filter_map(|key| self.served.get(key)).filter_map(Served::due).min()
     }
 
     /// Closes connections whose time is up.
     pub(super) fn tick(&mut self, now: Micros, poll: &Poll) -> Vec<Heard> {
-        let over =
-            |s: &Served| s.ending.is_some_and(|t| t <= now) || s.part_since.is_some_and(|t| t + PART <= now);
-        let keys: Vec<Key> = self.served.iter().filter(|(_, s)| over(s)).map(|(k, _)| *k).collect();
+        let served = &self.served;
+        self.timed.retain(|key| served.get(key).is_some_and(|s| s.due().is_some()));
+        let over = |key: &&Key| served.get(key).and_then(Served::due).is_some_and(|due| due <= now);
+        let keys: Vec<Key> = self.timed.iter().filter(over).copied().collect();
         keys.into_iter().map(|key| self.close(key, poll)).collect()
     }
 
--- a/src/net/lists.rs
+++ b/src/net/lists/mod.rs
@@ -1,21 +1,19 @@
 //! Motor lists beside the loop: words of their thread and of the feed go to [`Members`], what comes of them is
-//! logged and handed on as entries, a bounded number a turn.
+//! logged and handed on as entries, a bounded number a turn. `words` has what each word and its outcome do.
+
+mod words;
 
 use super::poll::{Key, Poll};
 use crate::api::Micros;
 use crate::codec::coordinator::Target;
 use crate::membership::check::Catalog;
-use crate::membership::members::Change;
 use crate::membership::watcher::{Followed, Handed, Rules, Watcher, Word};
 use crate::membership::{Act, Members, Sources, keep};
-use crate::settings::hcl::Fault;
 use crate::settings::options::{self, Empty, Source, accept_path};
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::sync::Arc;
 
-/// Faults of one list that are logged; `ottercroft lists check` shows them all.
-const LOGGED_FAULTS: usize = 20;
 /// Entries handed on in one turn.
 pub const SLICE: usize = 256;
 
@@ -159,104 +157,6 @@
         let n = most.min(self.pending.len());
         self.pending.drain(..n).collect()
     }
-
-    fn heard(&mut self, now: Micros, Handed { source, word, looked }: Handed) {
-        let name = &*source;
-        match word {
-            Word::List(list) => {
-                let acts = self.members.list(now, name, list);
-                if acts.iter().any(|a| matches!(a, Act::Taken { .. })) {
-                    let waited_us = now.saturating_sub(looked);
-                    tracing::debug!(source = name, waited_us, "motor list came from its thread");
-                }
-                self.enact(now, acts);
-            }
-            Word::Faulty { bytes, faults, all } => {
-                self.tally.refused += 1;
-                let in_force = self.members.digest(name).map(|d| d.short());
-                tracing::error!(
-                    source = name,
-                    faults = all,
-                    bytes = bytes.short(),
-                    in_force,
-                    "motor list refused; what was in force stays"
-                );
-                faults.iter().take(LOGGED_FAULTS).for_each(|f| self.fault(name, f));
-            }
-            Word::Unusable(reason) => {
-                self.tally.unreadable += 1;
-                tracing::error!(source = name, reason, "motor list can't be read; what was in force stays");
-            }
-            Word::Accepted(accepted) => {
-                let acts = self.members.accept(now, name, accepted);
-                self.enact(now, acts);
-            }
-            Word::NotKept(error) => {
-                tracing::error!(source = name, error, "motor list: no last good copy kept")
-            }
-            Word::Unwatched(error) => tracing::warn!(error, "motor lists: no notifications; polling goes on"),
-        }
-    }
-
-    fn fault(&self, source: &str, f: &Fault) {
-        let file = format_args!("{}:{}:{}", f.file, f.line, f.column);
-        tracing::error!(source, %file, field = crate::settings::hcl::shown(&f.field), what = f.what, "motor list fault");
-    }
-
-    fn enact(&mut self, now: Micros, acts: Vec<Act>) {
-        for act in acts {
-            match act {
-                Act::Change(targets) => self.pending.extend(targets),
-                Act::Keep(source, list) => self.watcher.keep(source, list),
-                Act::Taken {
-                    source,
-                    digest,
-                    generation,
-                    motores,
-                    change: Change { added, left, changed },
-                } => {
-                    self.tally.taken += 1;
-                    let source = &*source;
-                    tracing::info!(
-                        source, %digest, generation, motores, added, left, changed, "motor list in force"
-                    );
-                }
-                Act::Held { source, digest, losses, since, again } => {
-                    self.tally.held += u64::from(!again);
-                    let list = self.accepts.get(&source).map_or("", String::as_str);
-                    let loss =
-                        |l: &crate::membership::members::Loss| format!("{} {:.0}%", l.room, l.share * 100.0);
-                    let takes: Vec<String> = losses.iter().map(loss).collect();
-                    tracing::error!(
-                        source = &*source,
-                        %digest,
-                        takes_away = takes.join(", "),
-                        for_s = now.saturating_sub(since) / 1_000_000,
-                        "motor list held back; if it is meant: ottercroft lists accept {} {list}",
-                        digest.short()
-                    );
-                }
-                Act::Withdrawn(source, digest) => {
-                    tracing::info!(source = &*source, %digest, "motor list no longer held back: the files changed");
-                }
-                Act::Refused(source, digest, why) => {
-                    self.tally.refused += 1;
-                    tracing::error!(source = &*source, %digest, why, "motor list refused; what was in force stays");
-                }
-                Act::Shadowed { uid, source, by } => {
-                    tracing::warn!(
-                        motor = &*uid,
-                        source = &*source,
-                        by = &*by,
-                        "motor left out: its address is another's"
-                    );
-                }
-                Act::Gone { uid, after, cut } => {
-                    tracing::info!(motor = &*uid, after_ms = after / 1_000, cut, "motor drained and gone");
-                }
-            }
-        }
-    }
 }
 
 /// Names a list to the command that accepts it.
--- a/src/net/policy_calls.rs
+++ b/src/net/policy_calls.rs
@@ -164,11 +164,10 @@
     }
 }
 
-/// A change that was taken, and how many have their turn before it.
+/// A change that was taken: whether it is put to the vote or waits.
 fn queued(number: u64, policies: &Policies) -> String {
     let waits = policies.waiting().any(|w| w.policy.number == number);
-    let before = policies.waiting().filter(|w| w.policy.number < number).count() + 1;
-    if waits { format!("+OK proposed {number}, behind {before}") } else { format!("+OK proposed {number}") }
+    if waits { format!("+OK proposed {number}, waiting") } else { format!("+OK proposed {number}") }
 }
 
 impl Node {
--- a/src/settings/options/tests.rs
+++ b/src/settings/options/tests.rs
@@ -51,3 +51,58 @@
         assert!(all.iter().any(|a| a.starts_with(t)), "{t}\nin {all:#?}");
     }
 }
+
+const CONTROL: &str = include_str!("../../../deploy/control.hcl");
+
+fn faults(text: &str) -> String {
+    Options::parse("o", text).unwrap_err().iter().map(|f| f.to_string() + "\n").collect()
+}
+
+// The files that operators begin with have to be in order, and a group's places come from its names.
+#[test]
+fn the_control_files_that_we_give_are_in_order() {
+    let control = Options::parse("o", CONTROL).unwrap().control.unwrap();
+    let names: Vec<&str> = control.members.iter().map(|m| m.name.as_str()).collect();
+    assert_eq!((names, control.role), (vec!["este-1", "norte-1", "sur-1"], Role::Member));
+    assert_eq!(control.timing.tick, 40_000, "half of the stated round trip");
+    assert_eq!((control.timing.lease, control.timing.follower_lease), (1_000_000, 500_000));
+    for text in [
+        include_str!("../../../examples/control/m1.hcl"),
+        include_str!("../../../examples/control/m2.hcl"),
+        include_str!("../../../examples/control/m3.hcl"),
+        include_str!("../../../examples/control/follower.hcl"),
+    ] {
+        assert_eq!(Options::parse("o", text).unwrap().control.unwrap().group, "example");
+    }
+    assert_eq!(Options::parse("o", "").unwrap().control, None, "off unless the block is there");
+}
+
+// A lease too short for the links would end at each election; the fault names both keys, as either may be the wrong one.
+#[test]
+fn a_lease_too_short_for_the_links_names_both_keys() {
+    let short = CONTROL.replace("round_trip = \"80ms\"", "round_trip = \"150ms\"\n  lease = \"1s\"");
+    let told = faults(&short);
+    assert!(
+        told.contains("control.lease: lease is too short for round_trip 150ms: at least 1875ms"),
+        "{told}"
+    );
+    let long = CONTROL.replace("round_trip = \"80ms\"", "round_trip = \"150ms\"\n  lease = \"2s\"");
+    let control = Options::parse("o", &long).unwrap().control.unwrap();
+    assert_eq!((control.timing.tick, control.timing.lease), (75_000, 2_000_000));
+}
+
+// A group that could not work, or a follower that thinks it is a member, is told before anything starts.
+#[test]
+fn a_control_group_that_could_not_work_is_refused_with_the_reason() {
+    let wrong = |from: &str, to: &str| faults(&CONTROL.replace(from, to));
+    assert!(wrong("me        = \"sur-1\"", "me = \"x\"").contains("no member block has this name"));
+    assert!(wrong("10.1.0.1:7200", "10.0.0.1:7200").contains("another member has this address"));
+    assert!(wrong("\"member\"", "\"leader\"").contains("control.role"));
+    assert!(wrong("\"member\"", "\"follower\"").contains("control.me: is a member's"));
+    let two = "control {\n role = \"follower\"\n member \"a\" {\n address = \"10.0.0.1:1\"\n followers = \"10.0.0.1:2\"\n }\n}\n";
+    assert!(faults(two).contains("1 member blocks; 3 to 7 are allowed"));
+    let peers = PEERS.replacen('{', "{\n  policy {}", 1);
+    let both = faults(&format!("{peers}{CONTROL}"));
+    assert!(both.contains("control: peers.policy says who agrees"), "{both}");
+    assert!(Options::parse("o", &format!("{PEERS}{CONTROL}")).is_ok(), "a cell beside a group is allowed");
+}
