--- a/crates/fleet/src/agreed.rs
+++ b/crates/fleet/src/agreed.rs
@@ -1,7 +1,7 @@
 //! All that the fleet agrees on: leases, and beside each other the record of work in hand and every machine.
 //!
 //! It is moved by the batches of the log, in their order and each once, alike at all peers. A new kind of state is a
-//! [`Machine`] with a line in [`Command`], in [`Part`] and in [`Agreed`].
+//! [`Machine`] with a line in [`Command`], in [`StateKind`] and in [`Agreed`].
 
 use crate::leases::{Holder, Leases};
 use crate::ledger::{self, Ledger, Limits};
@@ -10,15 +10,15 @@
 use crate::plan::{self, Plan};
 use crate::policy::{self, Policies};
 use crate::schema::{self, Schema};
-use crate::{Life, Micros};
+use crate::{Incarnation, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What moves the fleet's state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
-    /// A life asks for a lease: the next term of it. When it asked, by its own clock: its lease counts from then.
-    Register(Life, Micros),
+    /// An incarnation asks for a lease: the next term of it. When it asked, by its own clock: its lease counts from then.
+    Register(Incarnation, Micros),
     /// The lease goes on, from when that was asked for by its holder's clock.
     Renew(Holder, Micros),
     /// The lease ended without a renewal, as seen by one who has seen so many of them.
@@ -41,7 +41,7 @@
 
 /// A part of the state that has changed as a whole; who cares looks at it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Part {
+pub enum StateKind {
     /// Machines that are taken out for work.
     Plan,
     /// What all admit requests by.
@@ -64,15 +64,15 @@
     /// Work in hand.
     Work(ledger::Effect),
     /// A part has changed.
-    Changed(Part),
+    Changed(StateKind),
 }
 
 /// The whole.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Agreed {
     leases: Leases,
-    /// The last batch of each life that was applied; batches that come again are skipped.
-    batches: BTreeMap<Life, u64>,
+    /// The last batch of each incarnation that was applied; batches that come again are skipped.
+    batches: BTreeMap<Incarnation, u64>,
     work: Ledger,
     plan: Plan,
     policy: Policies,
@@ -138,13 +138,19 @@
             || self.slots != slots
     }
 
-    /// The last batch of a life that was applied.
-    pub fn batch(&self, life: Life) -> u64 {
-        self.batches.get(&life).copied().unwrap_or(0)
+    /// The last batch of an incarnation that was applied.
+    pub fn batch(&self, incarnation: Incarnation) -> u64 {
+        self.batches.get(&incarnation).copied().unwrap_or(0)
     }
 
-    /// Takes a numbered batch of one life: in order and once. False if it was skipped.
-    pub fn apply(&mut self, from: Life, number: u64, commands: Vec<Command>, out: &mut Vec<Effect>) -> bool {
+    /// Takes a numbered batch of one incarnation: in order and once. False if it was skipped.
+    pub fn apply(
+        &mut self,
+        from: Incarnation,
+        number: u64,
+        commands: Vec<Command>,
+        out: &mut Vec<Effect>,
+    ) -> bool {
         if number != self.batch(from) + 1 {
             return false;
         }
@@ -155,8 +161,8 @@
 
     fn command(&mut self, command: Command, out: &mut Vec<Effect>) {
         match command {
-            Command::Register(life, asked) => {
-                let holder = self.leases.register(life);
+            Command::Register(incarnation, asked) => {
+                let holder = self.leases.register(incarnation);
                 out.push(Effect::Registered(holder, asked));
                 self.changed_leases(out);
             }
@@ -168,18 +174,18 @@
             Command::Sweep(now) => {
                 self.work.sweep(now, &mut |e| out.push(Effect::Work(e)));
                 let parts = [
-                    (Part::Plan, self.plan.sweep(now)),
-                    (Part::Policy, self.policy.sweep(now)),
-                    (Part::Schema, self.schema.sweep(now)),
-                    (Part::Slots, self.slots.sweep(now)),
+                    (StateKind::Plan, self.plan.sweep(now)),
+                    (StateKind::Policy, self.policy.sweep(now)),
+                    (StateKind::Schema, self.schema.sweep(now)),
+                    (StateKind::Slots, self.slots.sweep(now)),
                 ];
                 tell(parts, out);
             }
             Command::Work(c) => self.work.apply(c, self.leases.alive(), &mut |e| out.push(Effect::Work(e))),
-            Command::Plan(c) => tell([(Part::Plan, self.plan.apply(c, self.leases.alive()))], out),
-            Command::Policy(c) => tell([(Part::Policy, self.policy.apply(c, self.leases.alive()))], out),
-            Command::Schema(c) => tell([(Part::Schema, self.schema.apply(c, self.leases.alive()))], out),
-            Command::Slots(c) => tell([(Part::Slots, self.slots.apply(c, self.leases.alive()))], out),
+            Command::Plan(c) => tell([(StateKind::Plan, self.plan.apply(c, self.leases.alive()))], out),
+            Command::Policy(c) => tell([(StateKind::Policy, self.policy.apply(c, self.leases.alive()))], out),
+            Command::Schema(c) => tell([(StateKind::Schema, self.schema.apply(c, self.leases.alive()))], out),
+            Command::Slots(c) => tell([(StateKind::Slots, self.slots.apply(c, self.leases.alive()))], out),
         }
     }
 
@@ -193,15 +199,15 @@
     }
 
     fn changed_leases(&mut self, out: &mut Vec<Effect>) {
-        for life in self.leases.forget() {
-            self.batches.remove(&life);
+        for incarnation in self.leases.forget() {
+            self.batches.remove(&incarnation);
         }
         let alive = self.leases.alive();
         let parts = [
-            (Part::Plan, self.plan.leases(alive)),
-            (Part::Policy, self.policy.leases(alive)),
-            (Part::Schema, self.schema.leases(alive)),
-            (Part::Slots, self.slots.leases(alive)),
+            (StateKind::Plan, self.plan.leases(alive)),
+            (StateKind::Policy, self.policy.leases(alive)),
+            (StateKind::Schema, self.schema.leases(alive)),
+            (StateKind::Slots, self.slots.leases(alive)),
         ];
         tell(parts, out);
     }
@@ -221,6 +227,6 @@
 }
 
 /// Tells which parts have changed.
-fn tell<const N: usize>(parts: [(Part, bool); N], out: &mut Vec<Effect>) {
+fn tell<const N: usize>(parts: [(StateKind, bool); N], out: &mut Vec<Effect>) {
     out.extend(parts.into_iter().filter(|(_, changed)| *changed).map(|(part, _)| Effect::Changed(part)));
 }
--- a/crates/fleet/src/control/follower/mod.rs
+++ b/crates/fleet/src/control/follower/mod.rs
@@ -200,7 +200,7 @@
 
 impl PolicyRecord for Follower {
     fn holds(&self, now: Micros) -> Option<Holder> {
-        let holder = Holder { life: self.id.0, term: self.term };
+        let holder = Holder { incarnation: self.id.0, term: self.term };
         self.lease_until.filter(|until| now < *until).map(|_| holder)
     }
 
--- a/crates/fleet/src/fleet/digest.rs
+++ b/crates/fleet/src/fleet/digest.rs
@@ -1,9 +1,9 @@
-//! What the log did, as news.
+//! What the log did, as events.
 
 use super::*;
 
 impl Fleet {
-    /// Turns what the log did into news, and sends its messages.
+    /// Turns what the log did into events, and sends its messages.
     pub(super) fn digest(&mut self, now: Micros) {
         let Some(group) = &mut self.group else { return };
         let fleet = group.founding.id;
@@ -13,7 +13,7 @@
         let leader = group.leader().map(peer_of);
         if leader != self.leader {
             self.leader = leader;
-            self.news.push_back(News::Leader(leader));
+            self.events.push_back(FleetEvent::Leader(leader));
         }
         let (effects, restored) = (std::mem::take(&mut group.effects), std::mem::take(&mut group.restored));
         if restored {
@@ -23,16 +23,16 @@
     }
 
     pub(super) fn effect(&mut self, now: Micros, effect: Effect) {
-        let own = |h: Holder| h.life == self.life;
+        let own = |h: Holder| h.incarnation == self.incarnation;
         match effect {
             Effect::Registered(h, asked) => {
                 self.renewed.insert(h, now);
                 if own(h) {
-                    let until = asked + self.terms.lease;
+                    let until = asked + self.config.lease;
                     if until > now && self.lease.is_none() {
                         self.lease = Some((h, until));
                         self.renew_at = now;
-                        self.news.push_back(News::Held(h));
+                        self.events.push_back(FleetEvent::Held(h));
                     }
                 }
             }
@@ -41,7 +41,7 @@
                 if let Some((mine, until)) = &mut self.lease
                     && *mine == h
                 {
-                    *until = (*until).max(asked + self.terms.lease);
+                    *until = (*until).max(asked + self.config.lease);
                 }
             }
             Effect::Ended(h) => {
@@ -51,9 +51,9 @@
                     self.register_at = now;
                     self.lose(h);
                 }
-                self.news.push_back(News::Ended(h));
+                self.events.push_back(FleetEvent::Ended(h));
             }
-            Effect::Changed(part) => self.news.push_back(News::Changed(part)),
+            Effect::Changed(part) => self.events.push_back(FleetEvent::Changed(part)),
             Effect::Work(e) => self.work(e),
         }
     }
@@ -61,17 +61,17 @@
     /// What became of work in hand.
     fn work(&mut self, effect: ledger::Effect) {
         use ledger::Effect;
-        let own = |h: Holder| h.life == self.life;
+        let own = |h: Holder| h.incarnation == self.incarnation;
         match effect {
             Effect::Opened(h, ask) if own(h) => {
                 if self.lease.is_some_and(|(mine, _)| mine == h) {
                     self.mine.insert(ask);
-                    self.news.push_back(News::Opened(ask));
+                    self.events.push_back(FleetEvent::Opened(ask));
                 }
             }
-            Effect::Taken(h, ask) if own(h) => self.news.push_back(News::Taken(ask)),
+            Effect::Taken(h, ask) if own(h) => self.events.push_back(FleetEvent::Taken(ask)),
             Effect::Full(h, ask) | Effect::Fenced(h, ask) if own(h) => {
-                self.news.push_back(News::Unrecorded(ask));
+                self.events.push_back(FleetEvent::Unrecorded(ask));
             }
             Effect::Opened(..) | Effect::Taken(..) | Effect::Full(..) | Effect::Fenced(..) => {}
             Effect::Claimed { ask, from, by } => {
@@ -79,11 +79,11 @@
                 if mine {
                     self.mine.insert(ask);
                 }
-                self.news.push_back(News::Claimed { ask, from, by, mine });
+                self.events.push_back(FleetEvent::Claimed { ask, from, by, mine });
             }
             Effect::Closed(ask, end) => {
                 self.mine.remove(&ask);
-                self.news.push_back(News::Closed(ask, end));
+                self.events.push_back(FleetEvent::Closed(ask, end));
             }
         }
     }
@@ -91,7 +91,7 @@
     /// The record came whole: what it says of this peer stands instead of what was missed.
     pub(super) fn restored(&mut self, now: Micros) {
         let Some(agreed) = self.group.as_ref().map(Group::agreed) else { return };
-        self.news.extend([News::Changed(Part::Plan), News::Changed(Part::Policy)]);
+        self.events.extend([FleetEvent::Changed(StateKind::Plan), FleetEvent::Changed(StateKind::Policy)]);
         let alive = agreed.alive().clone();
         self.renewed = alive.iter().map(|h| (*h, now)).collect();
         let Some((holder, _)) = self.lease else { return };
@@ -102,10 +102,10 @@
         }
         let owned: BTreeSet<u64> = agreed.work().owned(holder).collect();
         for ask in self.mine.difference(&owned) {
-            self.news.push_back(News::Closed(*ask, End::Gone));
+            self.events.push_back(FleetEvent::Closed(*ask, End::Gone));
         }
         for &ask in owned.difference(&self.mine) {
-            self.news.push_back(News::Claimed { ask, from: holder, by: holder, mine: true });
+            self.events.push_back(FleetEvent::Claimed { ask, from: holder, by: holder, mine: true });
         }
         self.mine = owned;
     }
--- a/crates/fleet/src/fleet/joining.rs
+++ b/crates/fleet/src/fleet/joining.rs
@@ -6,9 +6,9 @@
     /// A message of a peer.
     pub fn hear(&mut self, now: Micros, from: Peer, message: Message) {
         match message {
-            Message::Hello { life, fleet, formed, policy, .. } => {
+            Message::Hello { incarnation, fleet, formed, policy, .. } => {
                 let id = fleet.as_ref().map(|f| f.id);
-                self.greeted(now, from, Heard { life, fleet: id, policy, at: now }, fleet, formed);
+                self.greeted(now, from, Heard { incarnation, fleet: id, policy, at: now }, fleet, formed);
             }
             Message::Log(fleet, bytes) => {
                 if self.group.is_none()
@@ -20,8 +20,8 @@
                     group.step(&bytes);
                 }
             }
-            Message::Fetch(ask) => self.news.push_back(News::Fetch(from, ask)),
-            Message::Result(ask, pages) => self.news.push_back(News::Result(ask, pages)),
+            Message::Fetch(ask) => self.events.push_back(FleetEvent::Fetch(from, ask)),
+            Message::Result(ask, pages) => self.events.push_back(FleetEvent::Result(ask, pages)),
         }
         self.digest(now);
     }
@@ -34,29 +34,29 @@
         fleet: Option<Founding>,
         formed: bool,
     ) {
-        let life = heard.life;
-        if peer_of(life) != from || !self.terms.peers.contains(&from) {
+        let incarnation = heard.incarnation;
+        if peer_of(incarnation) != from || !self.config.peers.contains(&from) {
             return;
         }
         let id = fleet.as_ref().map(|f| f.id);
         self.heard.insert(from, heard);
         let own = self.group.as_ref().map(|g| g.founding.id);
         if own.is_some() && (id.is_none() || id == own) {
-            self.asking.insert(from, life);
+            self.asking.insert(from, incarnation);
         }
         let Some(fleet) = fleet else { return };
         let unformed = self.group.as_ref().is_some_and(|g| !g.formed());
         // One that waits to be taken in by a fleet that is no more follows a founding that names it. Else who founds
-        // names its life, it gives up later and comes back as another, and the next founding names a life that is
+        // names its incarnation, it gives up later and comes back as another, and the next founding names an incarnation that is
         // no more either, for good.
         let waits = self.group.as_ref().is_some_and(|g| !g.begun());
-        let named = waits && id != own && fleet.voters.contains(&self.life);
+        let named = waits && id != own && fleet.voters.contains(&self.incarnation);
         if named || unformed && formed && id != own {
             // Two were founded at once; the other came to be.
             self.give_up();
         }
         if self.group.is_none() {
-            match fleet.voters.contains(&self.life) {
+            match fleet.voters.contains(&self.incarnation) {
                 true => self.take_part(now, fleet),
                 false => self.other = Some(fleet),
             }
@@ -64,49 +64,49 @@
     }
 
     pub(super) fn others(&self) -> impl Iterator<Item = Peer> + '_ {
-        self.terms.peers.iter().copied().filter(|p| *p != self.terms.me)
+        self.config.peers.iter().copied().filter(|p| *p != self.config.me)
     }
 
     pub(super) fn fresh(&self, now: Micros) -> impl Iterator<Item = (Peer, Heard)> + '_ {
-        let oldest = now.saturating_sub(FRESH * HELLO * self.terms.tick);
+        let oldest = now.saturating_sub(FRESH * HELLO * self.config.tick);
         self.heard.iter().filter(move |(_, h)| h.at >= oldest).map(|(p, h)| (*p, *h))
     }
 
     pub(super) fn majority(&self) -> usize {
-        self.terms.peers.len() / 2 + 1
+        self.config.peers.len() / 2 + 1
     }
 
     /// Founds a fleet if a majority has none and this is the first of them. Any two majorities share a peer,
     /// and a peer takes part in one founding.
     pub(super) fn found(&mut self, now: Micros) {
-        if now < self.begun + 2 * HELLO * self.terms.tick {
+        if now < self.begun + 2 * HELLO * self.config.tick {
             return;
         }
         let fresh: BTreeMap<Peer, Heard> = self.fresh(now).collect();
-        let first = fresh.keys().all(|p| *p > self.terms.me);
+        let first = fresh.keys().all(|p| *p > self.config.me);
         let free = fresh.values().all(|h| h.fleet.is_none());
         if !first || !free || fresh.len() + 1 < self.majority() {
             return;
         }
         let voter = |p: &Peer| match fresh.get(p) {
-            Some(h) => h.life,
-            None if *p == self.terms.me => self.life,
-            None => life(*p, 0),
+            Some(h) => h.incarnation,
+            None if *p == self.config.me => self.incarnation,
+            None => incarnation(*p, 0),
         };
-        let voters = self.terms.peers.iter().map(voter).collect();
+        let voters = self.config.peers.iter().map(voter).collect();
         let policy = fresh.values().map(|h| h.policy).fold(self.policy, u64::max);
         let founding =
-            Founding { id: self.rng.next_u64(), voters, limits: self.terms.limits, at: now, policy };
+            Founding { id: self.rng.next_u64(), voters, limits: self.config.limits, at: now, policy };
         self.take_part(now, founding);
         self.hello_at = now;
     }
 
     pub(super) fn take_part(&mut self, now: Micros, founding: Founding) {
         let id = founding.id;
-        if let Ok(group) = Group::new(founding, self.life, self.terms.tick, now) {
+        if let Ok(group) = Group::new(founding, self.incarnation, self.config.tick, now) {
             (self.group, self.other) = (Some(group), None);
             (self.leaderless, self.hello_at) = (Some(now), now);
-            self.news.push_back(News::Joined(id));
+            self.events.push_back(FleetEvent::Joined(id));
         }
     }
 
@@ -119,12 +119,12 @@
         self.renewed.clear();
         self.queue.clear();
         self.asking.clear();
-        // Who takes part again does so as another life: its votes stay with the old fleet. One that was never taken
+        // Who takes part again does so as another incarnation: its votes stay with the old fleet. One that was never taken
         // in has given none.
         if group.begun() {
-            self.life = life(self.terms.me, (self.life & (u64::MAX >> 8)) + 1);
+            self.incarnation = incarnation(self.config.me, (self.incarnation & (u64::MAX >> 8)) + 1);
         }
-        self.news.push_back(News::GivenUp(group.founding.id));
+        self.events.push_back(FleetEvent::GivenUp(group.founding.id));
     }
 
     pub(super) fn give_up_if_lost(&mut self, now: Micros) {
@@ -133,8 +133,8 @@
             (Some(_), _) => self.leaderless = None,
             (None, None) => self.leaderless = Some(now),
             // Taken in by a fleet that is no longer there, or founded one that never came to be.
-            (None, Some(since)) if !group.formed() && now > since + self.terms.give_up / 2 => self.give_up(),
-            (None, Some(since)) if now > since + self.terms.give_up => {
+            (None, Some(since)) if !group.formed() && now > since + self.config.give_up / 2 => self.give_up(),
+            (None, Some(since)) if now > since + self.config.give_up => {
                 // They have none, or another, which was founded while this peer was cut off.
                 let own = Some(group.founding.id);
                 let anew = self.fresh(now).filter(|(_, h)| h.fleet != own).count();
--- a/crates/fleet/src/fleet/lease.rs
+++ b/crates/fleet/src/fleet/lease.rs
@@ -9,7 +9,7 @@
 impl Fleet {
     pub(super) fn lose(&mut self, holder: Holder) {
         self.mine.clear();
-        self.news.push_back(News::Lost(holder));
+        self.events.push_back(FleetEvent::Lost(holder));
     }
 
     /// A lease that ran out is over here first: nothing that it stood for is done after.
@@ -29,7 +29,7 @@
 
     pub(super) fn keep_lease(&mut self, now: Micros) {
         let Some(group) = &self.group else { return };
-        let every = self.terms.lease / RENEWALS;
+        let every = self.config.lease / RENEWALS;
         match self.lease {
             Some((holder, _)) if self.renew_at <= now => {
                 self.renew_at = now + every;
@@ -37,9 +37,9 @@
                 self.flush_by(now);
             }
             None if self.register_at <= now && group.leader().is_some() && group.votes() => {
-                self.register_at = now + self.terms.lease;
+                self.register_at = now + self.config.lease;
                 // Its length counts from here, whenever it is seen.
-                self.queue.push(Command::Register(self.life, now));
+                self.queue.push(Command::Register(self.incarnation, now));
                 self.flush_by(now);
             }
             _ => {}
@@ -50,13 +50,13 @@
     pub(super) fn lead(&mut self, now: Micros) {
         let Some(group) = self.group.as_ref().filter(|g| g.leads()) else { return };
         let agreed = group.agreed();
-        let others = agreed.alive().iter().filter(|h| h.life != self.life);
+        let others = agreed.alive().iter().filter(|h| h.incarnation != self.incarnation);
         let alive: Vec<(Holder, u64)> = others.filter_map(|h| Some((*h, agreed.renewals(*h)?))).collect();
         // What waits for time to pass is looked at more often while a policy is under way.
         let (timed, hurry) = (agreed.keeps_time(), agreed.policy().pending().is_some());
         for (holder, renewals) in alive {
             let seen = self.renewed.entry(holder).or_insert(now);
-            if now > *seen + self.terms.lease + self.terms.margin {
+            if now > *seen + self.config.lease + self.config.margin {
                 *seen = now;
                 self.queue.push(Command::Expire(holder, renewals));
                 self.flush_by(now);
--- a/crates/fleet/src/fleet/mod.rs
+++ b/crates/fleet/src/fleet/mod.rs
@@ -10,19 +10,19 @@
 mod requests;
 mod types;
 
-pub use types::{News, Terms};
+pub use types::{FleetConfig, FleetEvent};
 
-use crate::agreed::{Agreed, Command, Effect, Part};
+use crate::agreed::{Agreed, Command, Effect, StateKind};
 use crate::ledger::{self, End, Ledger, Record};
 use crate::wire::{Founding, Message};
-use crate::{Holder, Life, Micros, Peer, life, peer_of};
+use crate::{Holder, Incarnation, Micros, Peer, incarnation, peer_of};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 #[derive(Debug, Clone, Copy)]
 struct Heard {
-    life: Life,
+    incarnation: Incarnation,
     fleet: Option<u64>,
     policy: u64,
     at: Micros,
@@ -39,15 +39,15 @@
 
 /// One dispatcher's part in its fleet.
 pub struct Fleet {
-    terms: Terms,
-    life: Life,
+    config: FleetConfig,
+    incarnation: Incarnation,
     rng: Pcg64Mcg,
     group: Option<Group>,
     /// A fleet that others take part in, to be joined once its leader speaks.
     other: Option<Founding>,
     heard: BTreeMap<Peer, Heard>,
     /// Lives that asked to be taken in.
-    asking: BTreeMap<Peer, Life>,
+    asking: BTreeMap<Peer, Incarnation>,
     begun: Micros,
     hello_at: Micros,
     lease: Option<(Holder, Micros)>,
@@ -67,17 +67,17 @@
     /// Messages to peers.
     pub messages: Vec<(Peer, Message)>,
     /// What happened.
-    pub news: VecDeque<News>,
+    pub events: VecDeque<FleetEvent>,
 }
 
 impl Fleet {
-    /// A life that begins now and knows nobody; `seed` makes the number of a fleet that it founds.
-    pub fn new(terms: Terms, seed: u64, now: Micros) -> Fleet {
-        let life = life(terms.me, now);
+    /// An incarnation that begins now and knows nobody; `seed` makes the number of a fleet that it founds.
+    pub fn new(config: FleetConfig, seed: u64, now: Micros) -> Fleet {
+        let incarnation = incarnation(config.me, now);
         Fleet {
-            life,
-            // Another life draws other numbers: a fleet that it founds is not the one that it founded before.
-            rng: Pcg64Mcg::seed_from_u64(seed ^ life.rotate_left(17)),
+            incarnation,
+            // Another incarnation draws other numbers: a fleet that it founds is not the one that it founded before.
+            rng: Pcg64Mcg::seed_from_u64(seed ^ incarnation.rotate_left(17)),
             group: None,
             other: None,
             heard: BTreeMap::new(),
@@ -97,19 +97,19 @@
             last: now,
             policy: 0,
             messages: Vec::new(),
-            news: VecDeque::new(),
-            terms,
+            events: VecDeque::new(),
+            config,
         }
     }
 
     /// Which peer this is.
     pub fn me(&self) -> Peer {
-        self.terms.me
+        self.config.me
     }
 
-    /// This life.
-    pub fn life(&self) -> Life {
-        self.life
+    /// This incarnation.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
     }
 
     /// The record of work in hand as far as it is known here.
@@ -145,7 +145,7 @@
     /// Whether a request that is not on record was never on record as long as that matters: the fleet is older
     /// than anything that a client could still ask again.
     pub fn vouches(&self, now: Micros) -> bool {
-        self.group.as_ref().is_some_and(|g| now >= g.founding.at + self.terms.limits.remember)
+        self.group.as_ref().is_some_and(|g| now >= g.founding.at + self.config.limits.remember)
     }
 
     /// Whether it owns a request, and may act on it now.
@@ -157,7 +157,13 @@
     pub fn hello(&self) -> Message {
         let fleet = self.group.as_ref().filter(|g| g.begun()).map(|g| g.founding.clone());
         let formed = self.group.as_ref().is_some_and(Group::formed);
-        Message::Hello { from: self.terms.me, life: self.life, fleet, formed, policy: self.policy }
+        Message::Hello {
+            from: self.config.me,
+            incarnation: self.incarnation,
+            fleet,
+            formed,
+            policy: self.policy,
+        }
     }
 
     /// When [`Fleet::tick`] has something to do next.
@@ -174,13 +180,13 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: Micros) {
         // One that stood still has not heard the others meanwhile, which says nothing of them.
-        if now > self.last + self.terms.lease / 2 {
+        if now > self.last + self.config.lease / 2 {
             self.renewed.values_mut().for_each(|t| *t = now);
         }
         self.last = now;
         self.check_lease(now);
         if self.hello_at <= now {
-            self.hello_at = now + HELLO * self.terms.tick;
+            self.hello_at = now + HELLO * self.config.tick;
             let hello = self.hello();
             let others: Vec<Peer> = self.others().collect();
             self.messages.extend(others.into_iter().map(|p| (p, hello.clone())));
@@ -190,8 +196,8 @@
             Some(group) => {
                 group.tick(now);
                 if group.leads() {
-                    let asking: Vec<Life> = self.asking.values().copied().collect();
-                    asking.into_iter().for_each(|life| group.seat(life));
+                    let asking: Vec<Incarnation> = self.asking.values().copied().collect();
+                    asking.into_iter().for_each(|incarnation| group.seat(incarnation));
                 }
             }
         }
@@ -208,7 +214,7 @@
     pub fn flush(&mut self, now: Micros) {
         let Some(group) = self.group.as_mut().filter(|g| g.has_room()) else {
             // What is under way has to be seen first, which takes a leader: a look each tick is enough.
-            self.flush_at = Some(now + self.terms.tick);
+            self.flush_at = Some(now + self.config.tick);
             return;
         };
         self.flush_at = None;
--- a/crates/fleet/src/fleet/requests.rs
+++ b/crates/fleet/src/fleet/requests.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 impl Fleet {
-    /// Puts a request on record. With `first`, it is told at once and [`News::Opened`] says that it is agreed.
+    /// Puts a request on record. With `first`, it is told at once and [`FleetEvent::Opened`] says that it is agreed.
     /// False if it can't be: there is no lease.
     pub fn open(&mut self, now: Micros, ask: u64, record: Record, first: bool) -> bool {
         let Some(holder) = self.holds(now) else { return false };
@@ -11,7 +11,7 @@
             return false;
         }
         self.queue.push(Command::Work(ledger::Command::Open(holder, ask, record)));
-        self.flush_by(if first { now } else { now + self.terms.batch });
+        self.flush_by(if first { now } else { now + self.config.batch });
         true
     }
 
@@ -26,7 +26,7 @@
             Some(record) => record.tried.push(executor),
             None => {
                 self.queue.push(Command::Work(ledger::Command::Tried(holder, ask, executor)));
-                self.flush_by(now + self.terms.batch);
+                self.flush_by(now + self.config.batch);
             }
         }
     }
@@ -44,7 +44,7 @@
             return;
         }
         self.queue.push(Command::Work(ledger::Command::Close(holder, ask, end)));
-        self.flush_by(now + self.terms.batch);
+        self.flush_by(now + self.config.batch);
     }
 
     /// Moves a part of the fleet's state. False if nothing can be agreed now.
@@ -66,7 +66,7 @@
     /// Asks the owner of a request for its result.
     pub fn fetch(&mut self, ask: u64) {
         if let Some((_, owner)) = self.ledger().and_then(|l| l.open(ask)) {
-            self.messages.push((peer_of(owner.life), Message::Fetch(ask)));
+            self.messages.push((peer_of(owner.incarnation), Message::Fetch(ask)));
         }
     }
 
--- a/crates/fleet/src/fleet/types.rs
+++ b/crates/fleet/src/fleet/types.rs
@@ -1,12 +1,12 @@
 //! What a fleet is told, and what it tells.
 
-use crate::agreed::Part;
+use crate::agreed::StateKind;
 use crate::ledger::{End, Limits};
 use crate::{Holder, Micros, Peer};
 
 /// What a fleet is told at its start; the times are alike at all peers.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Terms {
+pub struct FleetConfig {
     /// Which peer this is.
     pub me: Peer,
     /// All peers, this one included.
@@ -27,7 +27,7 @@
 
 /// What a fleet tells.
 #[derive(Debug, Clone, PartialEq)]
-pub enum News {
+pub enum FleetEvent {
     /// This peer has a lease.
     Held(Holder),
     /// The lease is over: all that this peer owned is no longer its own.
@@ -62,7 +62,7 @@
     /// Another leads now.
     Leader(Option<Peer>),
     /// A part of the fleet's state has changed as a whole.
-    Changed(Part),
+    Changed(StateKind),
     /// The fleet has lost its majority, and with it its record; it is founded anew.
     GivenUp(u64),
 }
--- a/crates/fleet/src/group/mod.rs
+++ b/crates/fleet/src/group/mod.rs
@@ -1,8 +1,8 @@
 //! The replicated log of a fleet, by the `raft` crate, with the state that its entries make.
 //!
-//! No peer has a disk that lasts, so that none may come back under the id it had: every life of a process takes
+//! No peer has a disk that lasts, so that none may come back under the id it had: every incarnation of a process takes
 //! part under an id of its own. One that starts anew is taken in as a learner, and once it has caught up it
-//! takes the place of its peer's former life in one joint change.
+//! takes the place of its peer's former incarnation in one joint change.
 
 mod pump;
 mod seat;
@@ -10,7 +10,7 @@
 use crate::agreed::{Agreed, Command, Effect};
 use crate::log::Log;
 use crate::wire::Founding;
-use crate::{Life, Micros, peer_of};
+use crate::{Incarnation, Micros, peer_of};
 use protobuf::Message as _;
 use raft::eraftpb::{
     ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message, MessageType,
@@ -39,7 +39,7 @@
 pub struct Group {
     /// The founding of its fleet.
     pub founding: Founding,
-    me: Life,
+    me: Incarnation,
     node: RawNode<Log>,
     log: Log,
     agreed: Agreed,
@@ -55,9 +55,9 @@
     grown: usize,
     size: usize,
     /// Lives that a snapshot was sent to, and when: the library sends nothing more until it hears of it.
-    snapshots: Vec<(Life, Micros)>,
-    /// Messages to other lives.
-    pub messages: Vec<(Life, Vec<u8>)>,
+    snapshots: Vec<(Incarnation, Micros)>,
+    /// Messages to other incarnations.
+    pub messages: Vec<(Incarnation, Vec<u8>)>,
     /// What the log's entries did, in order.
     pub effects: Vec<Effect>,
     /// The state was replaced by a snapshot: effects were missed.
@@ -67,7 +67,7 @@
 }
 
 /// What stands in the log.
-type Batch = (Life, u64, Vec<Command>);
+type Batch = (Incarnation, u64, Vec<Command>);
 
 fn founding_snapshot(founding: &Founding) -> Snapshot {
     let mut snapshot = Snapshot::default();
@@ -79,8 +79,8 @@
 }
 
 impl Group {
-    /// The part of a life that the founding names, or of one that joins later and knows nothing yet.
-    pub fn new(founding: Founding, me: Life, period: Micros, now: Micros) -> raft::Result<Group> {
+    /// The part of an incarnation that the founding names, or of one that joins later and knows nothing yet.
+    pub fn new(founding: Founding, me: Incarnation, period: Micros, now: Micros) -> raft::Result<Group> {
         let founder = founding.voters.contains(&me);
         let log = if founder { Log::from_snapshot(founding_snapshot(&founding))? } else { Log::default() };
         let applied = u64::from(founder);
@@ -132,7 +132,7 @@
     }
 
     /// Who leads, as far as known.
-    pub fn leader(&self) -> Option<Life> {
+    pub fn leader(&self) -> Option<Incarnation> {
         Some(self.node.raft.leader_id).filter(|id| *id != raft::INVALID_ID)
     }
 
@@ -146,7 +146,7 @@
         self.applied > 1
     }
 
-    /// Whether this life has a vote.
+    /// Whether this incarnation has a vote.
     pub fn votes(&self) -> bool {
         self.log.members().voters.contains(&self.me)
     }
@@ -209,8 +209,9 @@
         let late = now.saturating_sub(SNAPSHOT * self.period);
         let (over, sent) = std::mem::take(&mut self.snapshots).into_iter().partition(|(_, at)| *at <= late);
         self.snapshots = sent;
-        let over: Vec<(Life, Micros)> = over;
-        over.into_iter().for_each(|(life, _)| self.node.report_snapshot(life, SnapshotStatus::Failure));
+        let over: Vec<(Incarnation, Micros)> = over;
+        over.into_iter()
+            .for_each(|(incarnation, _)| self.node.report_snapshot(incarnation, SnapshotStatus::Failure));
         let again = now.saturating_sub(AGAIN * self.period);
         if self.leader().is_some() && self.pending.front().is_some_and(|(_, _, at)| *at <= again) {
             for (_, entry, at) in &mut self.pending {
--- a/crates/fleet/src/group/pump.rs
+++ b/crates/fleet/src/group/pump.rs
@@ -64,12 +64,12 @@
             match e.get_entry_type() {
                 EntryType::EntryNormal if e.data.is_empty() => {}
                 EntryType::EntryNormal => {
-                    let Ok((life, number, commands)) = postcard::from_bytes::<Batch>(&e.data) else {
+                    let Ok((incarnation, number, commands)) = postcard::from_bytes::<Batch>(&e.data) else {
                         self.refused += 1;
                         continue;
                     };
-                    self.agreed.apply(life, number, commands, &mut self.effects);
-                    if life == self.me {
+                    self.agreed.apply(incarnation, number, commands, &mut self.effects);
+                    if incarnation == self.me {
                         self.seen();
                     }
                 }
--- a/crates/fleet/src/leases.rs
+++ b/crates/fleet/src/leases.rs
@@ -1,14 +1,14 @@
-//! Who may act: the leases of the fleet's lives, as its log has them.
+//! Who may act: the leases of the fleet's incarnations, as its log has them.
 
-use crate::{Life, peer_of};
+use crate::{Incarnation, peer_of};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
-/// A peer's right to act: one life of it and a term, which grows each time that it lost its lease.
+/// A peer's right to act: one incarnation of it and a term, which grows each time that it lost its lease.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Holder {
     /// The process.
-    pub life: Life,
+    pub incarnation: Incarnation,
     /// Counts its leases, from 1.
     pub term: u32,
 }
@@ -21,11 +21,11 @@
     renewals: u64,
 }
 
-/// All leases, those of lives that are over included: terms never start anew for one that returns.
+/// All leases, those of incarnations that are over included: terms never start anew for one that returns.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Leases {
-    lives: BTreeMap<Life, Lease>,
-    /// Who has one; follows from the lives.
+    incarnations: BTreeMap<Incarnation, Lease>,
+    /// Who has one; follows from the incarnations.
     #[serde(skip)]
     alive: BTreeSet<Holder>,
 }
@@ -48,18 +48,19 @@
 
     /// How often a lease was renewed; `None` once it is over.
     pub fn renewals(&self, h: Holder) -> Option<u64> {
-        self.lives.get(&h.life).filter(|_| self.holds(h)).map(|l| l.renewals)
+        self.incarnations.get(&h.incarnation).filter(|_| self.holds(h)).map(|l| l.renewals)
     }
 
-    /// Gives a life a lease; one that it has already goes on.
-    pub fn register(&mut self, life: Life) -> Holder {
-        let lease = self.lives.entry(life).or_insert(Lease { term: 0, alive: false, renewals: 0 });
+    /// Gives an incarnation a lease; one that it has already goes on.
+    pub fn register(&mut self, incarnation: Incarnation) -> Holder {
+        let lease =
+            self.incarnations.entry(incarnation).or_insert(Lease { term: 0, alive: false, renewals: 0 });
         match lease.alive {
             // Asked for twice: who holds it counts from the later.
             true => lease.renewals += 1,
             false => *lease = Lease { term: lease.term + 1, alive: true, renewals: 0 },
         }
-        let holder = Holder { life, term: lease.term };
+        let holder = Holder { incarnation, term: lease.term };
         self.alive.insert(holder);
         holder
     }
@@ -67,7 +68,7 @@
     /// Whether the lease was there to be renewed.
     pub fn renew(&mut self, h: Holder) -> bool {
         let held = self.holds(h);
-        if let Some(lease) = self.lives.get_mut(&h.life).filter(|_| held) {
+        if let Some(lease) = self.incarnations.get_mut(&h.incarnation).filter(|_| held) {
             lease.renewals += 1;
         }
         held
@@ -80,21 +81,22 @@
         if seen.is_none() || renewals.is_some_and(|n| seen != Some(n)) {
             return false;
         }
-        if let Some(lease) = self.lives.get_mut(&h.life) {
+        if let Some(lease) = self.incarnations.get_mut(&h.incarnation) {
             lease.alive = false;
         }
         self.alive.remove(&h)
     }
 
-    /// Forgets lives that a later one of their peer has followed, the oldest first; a peer's last is never
+    /// Forgets incarnations that a later one of their peer has followed, the oldest first; a peer's last is never
     /// forgotten. Who went.
-    pub fn forget(&mut self) -> Vec<Life> {
+    pub fn forget(&mut self) -> Vec<Incarnation> {
         let mut gone = Vec::new();
-        while self.lives.len() > MOST_LIVES {
-            let lives: Vec<Life> = self.lives.keys().copied().collect();
-            let followed = |w: &&[Life]| peer_of(w[0]) == peer_of(w[1]) && !self.lives[&w[0]].alive;
-            let Some(old) = lives.windows(2).find(followed).map(|w| w[0]) else { break };
-            self.lives.remove(&old);
+        while self.incarnations.len() > MOST_LIVES {
+            let incarnations: Vec<Incarnation> = self.incarnations.keys().copied().collect();
+            let followed =
+                |w: &&[Incarnation]| peer_of(w[0]) == peer_of(w[1]) && !self.incarnations[&w[0]].alive;
+            let Some(old) = incarnations.windows(2).find(followed).map(|w| w[0]) else { break };
+            self.incarnations.remove(&old);
             gone.push(old);
         }
         gone
@@ -102,8 +104,8 @@
 
     /// Works out again what follows from the rest.
     pub(crate) fn restore(&mut self) {
-        let alive = self.lives.iter().filter(|(_, l)| l.alive);
-        self.alive = alive.map(|(&life, l)| Holder { life, term: l.term }).collect();
+        let alive = self.incarnations.iter().filter(|(_, l)| l.alive);
+        self.alive = alive.map(|(&incarnation, l)| Holder { incarnation, term: l.term }).collect();
     }
 }
 
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -8,7 +8,7 @@
 
 pub use types::{Command, Effect, End, Limits, Record};
 
-use crate::{Holder, Life, Micros};
+use crate::{Holder, Incarnation, Micros};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -160,7 +160,7 @@
                 self.close(ask, End::Unknown, out);
                 continue;
             }
-            let heir = heirs.iter().max_by_key(|heir| mixed(ask, heir.life)).copied();
+            let heir = heirs.iter().max_by_key(|heir| mixed(ask, heir.incarnation)).copied();
             match (heir, self.entries.get_mut(&ask)) {
                 (Some(by), Some(e)) => {
                     e.state = State::Open(by);
@@ -184,8 +184,8 @@
 }
 
 /// Spreads requests over heirs, alike everywhere: splitmix64's finish.
-fn mixed(ask: u64, life: Life) -> u64 {
-    let mut x = ask ^ life.rotate_left(32);
+fn mixed(ask: u64, incarnation: Incarnation) -> u64 {
+    let mut x = ask ^ incarnation.rotate_left(32);
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     x ^ (x >> 31)
--- a/crates/fleet/src/lend/borrower.rs
+++ b/crates/fleet/src/lend/borrower.rs
@@ -53,10 +53,10 @@
         let last = self.asked.back().map_or(0, |(_, at, _)| *at);
         // What one says before it knows what became of the last word would give back the same slots again.
         let waits = self.asked.back().is_some_and(|(n, ..)| *n > taken);
-        let news = !waits && (self.said != Some((want, most)) || given > 0);
+        let changed = !waits && (self.said != Some((want, most)) || given > 0);
         let due = now >= last.saturating_add(self.term / 4);
         let soon = now >= last.saturating_add(self.gap);
-        if self.asked.len() > UNDER_WAY || !(self.said.is_none() || due || news && soon) {
+        if self.asked.len() > UNDER_WAY || !(self.said.is_none() || due || changed && soon) {
             return None;
         }
         let back = if waits { 0 } else { given };
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -5,7 +5,7 @@
 //! a state machine over a replicated log (Raft, by the `raft` crate); a peer's right to act on what it owns is
 //! a lease, renewed through the same log, and a peer whose lease ended loses all that it owned to others in one
 //! entry of that log, so that two successors never both claim. All of it is sans-I/O: bytes and times in, bytes
-//! and news out; the same inputs with the same seed give the same outputs.
+//! and events out; the same inputs with the same seed give the same outputs.
 //!
 //! - [`agreed`]: the whole state: commands in, effects out; [`leases`]: who may act.
 //! - [`machine`]: what each kind of agreed state has to be; none knows another.
@@ -18,7 +18,7 @@
 //! - [`log`]: the log in memory, with snapshots of the state.
 //! - [`wire`]: the frames between peers.
 //! - [`control`]: dispatchers that follow a few members of the log without voting.
-//! - [`fleet`]: the whole for one dispatcher: leases, batches, news.
+//! - [`fleet`]: the whole for one dispatcher: leases, batches, events.
 
 pub mod agreed;
 pub mod control;
@@ -34,8 +34,8 @@
 pub mod schema;
 pub mod wire;
 
-pub use agreed::{Agreed, Part};
-pub use fleet::{Fleet, News, Terms};
+pub use agreed::{Agreed, StateKind};
+pub use fleet::{Fleet, FleetConfig, FleetEvent};
 pub use leases::Holder;
 pub use ledger::{End, Ledger, Record};
 pub use machine::Machine;
@@ -46,18 +46,18 @@
 /// A peer: its place in the configuration, from 1.
 pub type Peer = u8;
 
-/// One life of one peer's process, and its id in the log: the peer in the top byte, its start in the rest.
-pub type Life = u64;
+/// One incarnation of one peer's process, and its id in the log: the peer in the top byte, its start in the rest.
+pub type Incarnation = u64;
 
 const START_BITS: u32 = 56;
 
-/// The life of a peer that began at `start`, a number that grows from life to life. 0 is no life but the place
+/// The incarnation of a peer that began at `start`, a number that grows from incarnation to incarnation. 0 is no incarnation but the place
 /// of one that was not heard of yet.
-pub fn life(peer: Peer, start: u64) -> Life {
+pub fn incarnation(peer: Peer, start: u64) -> Incarnation {
     u64::from(peer) << START_BITS | (start & ((1 << START_BITS) - 1))
 }
 
-/// Whose life it is.
-pub fn peer_of(life: Life) -> Peer {
-    (life >> START_BITS) as Peer
+/// Whose incarnation it is.
+pub fn peer_of(incarnation: Incarnation) -> Peer {
+    (incarnation >> START_BITS) as Peer
 }
--- a/crates/fleet/src/policy/apply.rs
+++ b/crates/fleet/src/policy/apply.rs
@@ -38,7 +38,7 @@
     fn end(&mut self, why: Option<String>) -> bool {
         let Some(p) = self.pending.take() else { return false };
         let faults = p.votes.iter().filter(|(_, f)| !f.is_empty());
-        let faults = faults.map(|(h, f)| (peer_of(h.life), f.clone())).collect();
+        let faults = faults.map(|(h, f)| (peer_of(h.incarnation), f.clone())).collect();
         let ended = Ended { number: p.policy.number, why: why.clone(), faults };
         self.history.record(match why {
             None => Change::InForce(ended.number),
@@ -119,7 +119,7 @@
             Command::Cannot(h, number, why) => match self.under_way(number, Stage::Closing) {
                 Some(p) if alive.contains(&h) => {
                     let why = bounded(vec![why]);
-                    let told = format!("peer {} can't: {}", peer_of(h.life), why.concat());
+                    let told = format!("peer {} can't: {}", peer_of(h.incarnation), why.concat());
                     p.votes.insert(h, why);
                     self.end(Some(told))
                 }
--- a/crates/fleet/src/schema/motors.rs
+++ b/crates/fleet/src/schema/motors.rs
@@ -78,9 +78,9 @@
         self.all.is_empty()
     }
 
-    /// Whether what an executor's answers say is news: it contradicts what was told of it, or a process later than
+    /// Whether what an executor's answers say is new: it contradicts what was told of it, or a process later than
     /// the disputed one says what was told. A process that says now this and now that stays disputed.
-    pub fn news(&self, id: &str, version: Version, started: Micros) -> bool {
+    pub fn is_new(&self, id: &str, version: Version, started: Micros) -> bool {
         self.all.get(id).is_some_and(|m| {
             let newer = m.against.is_none_or(|(_, at)| started > at);
             started >= m.started && newer && (version != m.told || m.against.is_some())
@@ -114,11 +114,11 @@
 
     /// Its own answers say which version the process that began at `started` holds.
     pub(super) fn say(&mut self, id: &str, version: Version, started: Micros) -> bool {
-        let news = self.news(id, version, started);
-        if let Some(m) = self.all.get_mut(id).filter(|_| news) {
+        let new = self.is_new(id, version, started);
+        if let Some(m) = self.all.get_mut(id).filter(|_| new) {
             m.against = (version != m.told).then_some((version, started));
         }
-        news
+        new
     }
 
     /// An operator's word on the process that a dispute is about.
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -1,7 +1,7 @@
 //! The frames between peers: a length and its check, then a message.
 
 use crate::ledger::Limits;
-use crate::{Life, Micros, Peer};
+use crate::{Incarnation, Micros, Peer};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -11,8 +11,8 @@
 pub struct Founding {
     /// Its number, drawn by the founder.
     pub id: u64,
-    /// One life for each peer of the configuration; start 0 holds the place of one that was not heard of.
-    pub voters: Vec<Life>,
+    /// One incarnation for each peer of the configuration; start 0 holds the place of one that was not heard of.
+    pub voters: Vec<Incarnation>,
     /// What bounds the record.
     pub limits: Limits,
     /// When it was founded, by the founder's Unix clock.
@@ -28,8 +28,8 @@
     Hello {
         /// Who speaks.
         from: Peer,
-        /// Which life of it.
-        life: Life,
+        /// Which incarnation of it.
+        incarnation: Incarnation,
         /// The fleet it takes part in.
         fleet: Option<Founding>,
         /// Whether that fleet's log was ever written to, as far as the speaker knows.
--- a/crates/fleet/src/wire/tests.rs
+++ b/crates/fleet/src/wire/tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 fn hello() -> Message {
-    Message::Hello { from: 2, life: 77, fleet: None, formed: false, policy: 0 }
+    Message::Hello { from: 2, incarnation: 77, fleet: None, formed: false, policy: 0 }
 }
 
 #[test]
--- a/crates/fleet/tests/control/world.rs
+++ b/crates/fleet/tests/control/world.rs
@@ -10,7 +10,7 @@
 use fleet::ledger::Limits;
 use fleet::policy::{self, Act, Gate, Part, Policy, PolicyRecord, Waiting};
 use fleet::wire::{frame, next};
-use fleet::{Fleet, Micros, Peer, Terms};
+use fleet::{Fleet, FleetConfig, Micros, Peer};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -180,7 +180,7 @@
     /// Starts a member, anew or for the first time.
     pub fn start_member(&mut self, peer: Peer) {
         let timing = self.timing;
-        let terms = Terms {
+        let fleet_config = FleetConfig {
             me: peer,
             peers: (1..=self.count).collect(),
             lease: timing.lease,
@@ -190,7 +190,7 @@
             give_up: 10 * timing.lease,
             limits: Limits { records: 0, remember: 0 },
         };
-        let fleet = Fleet::new(terms, self.rng.next_u64(), self.now);
+        let fleet = Fleet::new(fleet_config, self.rng.next_u64(), self.now);
         let member = Member::new(MemberConfig {
             group: GROUP.into(),
             me: peer,
@@ -353,7 +353,7 @@
         node.member.look(now, &mut node.fleet, &mut |_| Vec::new());
         node.fleet.flush(now);
         let messages = std::mem::take(&mut node.fleet.messages);
-        node.fleet.news.clear();
+        node.fleet.events.clear();
         let outgoing = std::mem::take(&mut node.member.outgoing);
         let closing = std::mem::take(&mut node.member.closing);
         self.snapshots_seen = self.snapshots_seen.max(node.member.snapshots_under_way());
--- a/crates/fleet/tests/fleet/faults.rs
+++ b/crates/fleet/tests/fleet/faults.rs
@@ -3,7 +3,7 @@
 use crate::world::*;
 use fleet::ledger::End;
 use fleet::wire::Message;
-use fleet::{News, Peer};
+use fleet::{FleetEvent, Peer};
 
 // Two dispatchers that get the same request at the same moment: one owns it, the other is told.
 #[test]
@@ -12,8 +12,8 @@
     w.formed();
     assert!(open(&mut w, 1, 7, false) && open(&mut w, 2, 7, false));
     w.run(200 * MS, |w| w.one_owner([7].into_iter()));
-    let opened = (1..=3).filter(|p| w.told(*p, |n| *n == News::Opened(7))).count();
-    let taken = (1..=3).filter(|p| w.told(*p, |n| *n == News::Taken(7))).count();
+    let opened = (1..=3).filter(|p| w.told(*p, |n| *n == FleetEvent::Opened(7))).count();
+    let taken = (1..=3).filter(|p| w.told(*p, |n| *n == FleetEvent::Taken(7))).count();
     assert_eq!((opened, taken), (1, 1));
 }
 
@@ -27,17 +27,17 @@
         w.run(200 * MS, |_| ());
         w.fleets.remove(&dead);
         let killed = w.now;
-        while !w.news.iter().any(|(_, n)| matches!(n, News::Claimed { .. })) {
+        while !w.events.iter().any(|(_, n)| matches!(n, FleetEvent::Claimed { .. })) {
             w.run(10 * MS, |w| w.one_owner([1, 2].into_iter()));
             assert!(w.now < killed + 2_000 * MS, "taken over within two seconds");
         }
         w.run(500 * MS, |w| w.one_owner([1, 2].into_iter()));
-        let mine = |n: &News| matches!(n, News::Claimed { ask: 1, mine: true, .. });
+        let mine = |n: &FleetEvent| matches!(n, FleetEvent::Claimed { ask: 1, mine: true, .. });
         assert_eq!((1..=3).filter(|p| w.told(*p, mine)).count(), 1);
         for f in w.fleets.values() {
             assert_eq!(f.ledger().unwrap().ended(2), Some(&End::Unknown));
         }
-        // It starts anew, as another life, and takes part again with a vote.
+        // It starts anew, as another incarnation, and takes part again with a vote.
         w.restart(dead);
         w.run(4_000 * MS, |_| ());
         let now = w.now;
@@ -57,8 +57,8 @@
     let term = w.fleets[&2].holds(w.now).unwrap().term;
     w.cut = [(1, 2), (3, 2), (2, 1), (2, 3)].into();
     w.run(3_000 * MS, |w| w.one_owner([1].into_iter()));
-    let lost = w.news.iter().position(|(p, n)| *p == 2 && matches!(n, News::Lost(_))).unwrap();
-    let claimed = w.news.iter().position(|(_, n)| matches!(n, News::Claimed { ask: 1, .. })).unwrap();
+    let lost = w.events.iter().position(|(p, n)| *p == 2 && matches!(n, FleetEvent::Lost(_))).unwrap();
+    let claimed = w.events.iter().position(|(_, n)| matches!(n, FleetEvent::Claimed { ask: 1, .. })).unwrap();
     assert!(lost < claimed, "the owner knows first");
     assert!(!open(&mut w, 2, 9, false), "without a lease nothing is put on record");
     w.cut.clear();
@@ -74,7 +74,7 @@
     w.restart(1);
     w.restart(2);
     w.run(20_000 * MS, |_| ());
-    assert!(w.told(3, |n| matches!(n, News::GivenUp(_))));
+    assert!(w.told(3, |n| matches!(n, FleetEvent::GivenUp(_))));
     let now = w.now;
     assert!(w.fleets.values().all(|f| f.holds(now).is_some()));
     assert!(w.fleets.values().all(|f| !f.vouches(now)), "what it never knew it does not vouch for");
@@ -98,7 +98,7 @@
     w.cut.clear();
     w.run(15_000 * MS, |_| ());
     let now = w.now;
-    assert!(w.told(2, |n| matches!(n, News::GivenUp(_))));
+    assert!(w.told(2, |n| matches!(n, FleetEvent::GivenUp(_))));
     assert!(w.fleets.values().all(|f| f.holds(now).is_some()));
 }
 
@@ -138,7 +138,7 @@
                     let holder = w.fleets[&p].holds(w.now);
                     // Nobody acts by a lease that another has seen to be over.
                     for q in (1..=3).filter(|q| *q != p) {
-                        let over = |h| w.news.iter().any(|(by, n)| *by == q && *n == News::Ended(h));
+                        let over = |h| w.events.iter().any(|(by, n)| *by == q && *n == FleetEvent::Ended(h));
                         assert!(
                             !holder.is_some_and(|h| over(h) && !agreed(q).contains(&h)),
                             "{p} by {holder:?}"
--- a/crates/fleet/tests/fleet/policy.rs
+++ b/crates/fleet/tests/fleet/policy.rs
@@ -3,7 +3,7 @@
 use crate::world::*;
 use fleet::agreed::Command;
 use fleet::policy::{self, Act, Gate, Policies};
-use fleet::{Fleet, Micros, News, Peer};
+use fleet::{Fleet, FleetEvent, Micros, Peer};
 use std::collections::BTreeSet;
 use std::hash::Hasher;
 
@@ -150,8 +150,8 @@
     let mut w = World::new(3, 12);
     w.formed();
     let id = |w: &World| {
-        w.news.iter().rev().find_map(|(p, n)| match n {
-            News::Joined(id) if *p == 1 => Some(*id),
+        w.events.iter().rev().find_map(|(p, n)| match n {
+            FleetEvent::Joined(id) if *p == 1 => Some(*id),
             _ => None,
         })
     };
@@ -160,7 +160,7 @@
     w.run(400 * MS, |_| ());
     w.paused.insert(3, w.now + 20_000 * MS);
     for p in [1, 2] {
-        w.fleets.insert(p, Fleet::new(terms(p, 3), u64::from(p), w.now));
+        w.fleets.insert(p, Fleet::new(fleet_config(p, 3), u64::from(p), w.now));
         w.parts.insert(p, Default::default());
     }
     w.admitted = 0;
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -4,7 +4,7 @@
 use fleet::ledger::{Limits, Record};
 use fleet::policy::{Act, Gate, Part, Policy};
 use fleet::wire::{frame, next};
-use fleet::{Fleet, Micros, News, Peer, Terms};
+use fleet::{Fleet, FleetConfig, FleetEvent, Micros, Peer};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -13,8 +13,8 @@
 pub const MS: Micros = 1_000;
 pub const LEASE: Micros = 1_000 * MS;
 
-pub fn terms(me: Peer, n: u8) -> Terms {
-    Terms {
+pub fn fleet_config(me: Peer, n: u8) -> FleetConfig {
+    FleetConfig {
         me,
         peers: (1..=n).collect(),
         lease: LEASE,
@@ -53,7 +53,7 @@
     pub cut: BTreeSet<(Peer, Peer)>,
     /// Messages under way, by when they come.
     pub wires: VecDeque<(Micros, Peer, Peer, Vec<u8>)>,
-    pub news: Vec<(Peer, News)>,
+    pub events: Vec<(Peer, FleetEvent)>,
     /// All that ever was told, for comparing runs.
     pub trace: DefaultHasher,
     /// Each one's part in changes of policy; its own file faults what it names here.
@@ -71,7 +71,7 @@
     pub fn new(n: u8, seed: u64) -> World {
         let now = 1_000_000 * MS;
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let fleets = (1..=n).map(|p| (p, Fleet::new(terms(p, n), rng.next_u64(), now))).collect();
+        let fleets = (1..=n).map(|p| (p, Fleet::new(fleet_config(p, n), rng.next_u64(), now))).collect();
         World {
             n,
             now,
@@ -80,7 +80,7 @@
             paused: BTreeMap::new(),
             cut: BTreeSet::new(),
             wires: VecDeque::new(),
-            news: Vec::new(),
+            events: Vec::new(),
             trace: DefaultHasher::new(),
             parts: (1..=n).map(|p| (p, Part::default())).collect(),
             faulty: BTreeSet::new(),
@@ -117,7 +117,7 @@
             f.tick(now);
             f.flush(now);
             let messages = std::mem::take(&mut f.messages);
-            let news = std::mem::take(&mut f.news);
+            let events = std::mem::take(&mut f.events);
             for (to, message) in messages {
                 let lost = self.cut.contains(&(p, to)) || self.draw(200) == 0;
                 let late = 1 + self.draw(4);
@@ -125,9 +125,9 @@
                     self.wires.push_back((now + late * MS, p, to, frame(&message)));
                 }
             }
-            for n in news {
+            for n in events {
                 format!("{now} {p} {n:?}").hash(&mut self.trace);
-                self.news.push((p, n));
+                self.events.push((p, n));
             }
             self.look(p);
             self.arrives(p);
@@ -194,7 +194,7 @@
 
     pub fn restart(&mut self, p: Peer) {
         let seed = self.rng.next_u64();
-        self.fleets.insert(p, Fleet::new(terms(p, self.n), seed, self.now));
+        self.fleets.insert(p, Fleet::new(fleet_config(p, self.n), seed, self.now));
         self.parts.insert(p, Part::default());
     }
 
@@ -205,8 +205,8 @@
         assert_eq!(self.fleets.values().filter(|f| f.leads()).count(), 1);
     }
 
-    pub fn told(&self, p: Peer, what: impl Fn(&News) -> bool) -> bool {
-        self.news.iter().any(|(q, n)| *q == p && what(n))
+    pub fn told(&self, p: Peer, what: impl Fn(&FleetEvent) -> bool) -> bool {
+        self.events.iter().any(|(q, n)| *q == p && what(n))
     }
 }
 
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -2,14 +2,14 @@
 
 use fleet::agreed::{Agreed, Command, Effect};
 use fleet::ledger::{self, End, Limits, Record};
-use fleet::{Holder, Life, life};
+use fleet::{Holder, Incarnation, incarnation};
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
 const LIMITS: Limits = Limits { records: 12, remember: 1_000 };
 
 fn holder() -> impl Strategy<Value = Holder> {
-    (1_u8..4, 1_u32..4).prop_map(|(p, term)| Holder { life: life(p, 1), term })
+    (1_u8..4, 1_u32..4).prop_map(|(p, term)| Holder { incarnation: incarnation(p, 1), term })
 }
 
 fn record() -> impl Strategy<Value = Record> {
@@ -37,7 +37,7 @@
         Just(End::Unknown)
     ];
     prop_oneof![
-        2 => (1_u8..4).prop_map(|p| Command::Register(life(p, 1), 5)),
+        2 => (1_u8..4).prop_map(|p| Command::Register(incarnation(p, 1), 5)),
         1 => holder().prop_map(|h| Command::Renew(h, 5)),
         1 => (holder(), 0_u64..3).prop_map(|(h, n)| Command::Expire(h, n)),
         1 => holder().prop_map(Command::Leave),
@@ -53,7 +53,7 @@
     #[test]
     fn any_commands_leave_a_sound_record(commands in prop::collection::vec(command(), 1..120)) {
         let mut ledger = Agreed::new(LIMITS, 0);
-        let from: Life = life(1, 1);
+        let from: Incarnation = incarnation(1, 1);
         let mut loads: BTreeMap<u64, Holder> = BTreeMap::new();
         for (n, c) in commands.into_iter().enumerate() {
             let mut copy = Agreed::decode(&ledger.encode()).unwrap();
--- a/crates/fleet/tests/lend.rs
+++ b/crates/fleet/tests/lend.rs
@@ -1,7 +1,7 @@
 //! Slots lent by the record, under any order of commands, late sweeps, cuts and lost holders.
 
 use fleet::lend::{Borrower, Command, Slots, Terms};
-use fleet::{Holder, Machine, Micros, life};
+use fleet::{Holder, Machine, Micros, incarnation};
 use proptest::prelude::*;
 use std::collections::BTreeSet;
 
@@ -10,7 +10,7 @@
 const MARGIN: Micros = 500 * MS;
 
 fn holder(p: u8, term: u32) -> Holder {
-    Holder { life: life(p, 1), term }
+    Holder { incarnation: incarnation(p, 1), term }
 }
 
 fn set(total: u16) -> Command {
--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -2,7 +2,7 @@
 
 use fleet::Machine as _;
 use fleet::plan::{Budget, Command, Machine, Plan, Step, lead, may_begin};
-use fleet::{Holder, Micros, life};
+use fleet::{Holder, Micros, incarnation};
 use proptest::prelude::*;
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -27,7 +27,7 @@
 }
 
 fn holder(p: u8) -> Holder {
-    Holder { life: life(p, 1), term: 1 }
+    Holder { incarnation: incarnation(p, 1), term: 1 }
 }
 
 fn rank(step: &Step) -> u8 {
--- a/crates/fleet/tests/policy_model/dispatcher.rs
+++ b/crates/fleet/tests/policy_model/dispatcher.rs
@@ -3,18 +3,18 @@
 use crate::model::{Break, Checks};
 use crate::view::{Entry, View};
 use fleet::policy::{Act, Command, Gate, Part};
-use fleet::{Holder, Life, Peer, life};
+use fleet::{Holder, Incarnation, Peer, incarnation};
 use std::sync::Arc;
 
 #[derive(Clone, Debug, PartialEq, Hash)]
 pub struct Dispatcher {
     pub me: Peer,
-    /// Which life this is.
+    /// Which incarnation this is.
     pub start: u64,
     /// Entries of the kept log that it has seen, and what they made.
     pub seen: usize,
     pub view: Arc<View>,
-    /// How often this life has asked for a lease.
+    /// How often this incarnation has asked for a lease.
     pub asks: u32,
     /// What was asked for last has not been seen yet.
     pub asked: bool,
@@ -39,7 +39,7 @@
         (self.seen, self.view) = (0, Arc::default());
     }
 
-    /// Its next life, which knows nothing.
+    /// Its next incarnation, which knows nothing.
     pub fn die(&mut self, lost: bool) {
         self.lose();
         self.start += 1;
@@ -54,8 +54,8 @@
         self.holder.is_some() || self.asked
     }
 
-    pub fn life(&self) -> Life {
-        life(self.me, self.start)
+    pub fn incarnation(&self) -> Incarnation {
+        incarnation(self.me, self.start)
     }
 
     /// By what a request would be admitted that arrived now.
@@ -69,18 +69,20 @@
 
     /// Whether it may act under this lease, now or once it sees that it was given.
     pub fn may_hold(&self, h: Holder) -> bool {
-        self.holder == Some(h) || (self.asked && self.life() == h.life)
+        self.holder == Some(h) || (self.asked && self.incarnation() == h.incarnation)
     }
 
     pub fn see(&mut self, entries: &[Entry], checks: &Checks) {
-        let own = self.life();
+        let own = self.incarnation();
         for entry in entries {
             let view = Arc::make_mut(&mut self.view);
             view.apply(entry, checks);
             match entry {
-                Entry::Register(life, ask) if self.asked && *life == own && *ask == self.asks => {
+                Entry::Register(incarnation, ask)
+                    if self.asked && *incarnation == own && *ask == self.asks =>
+                {
                     self.asked = false;
-                    self.holder = view.leases.alive().iter().find(|h| h.life == *life).copied();
+                    self.holder = view.leases.alive().iter().find(|h| h.incarnation == *incarnation).copied();
                 }
                 Entry::Expire(h) if self.holder == Some(*h) => self.holder = None,
                 _ => {}
--- a/crates/fleet/tests/policy_model/model.rs
+++ b/crates/fleet/tests/policy_model/model.rs
@@ -95,7 +95,7 @@
                 to.extend((!d.out.is_empty()).then_some(Action::Crash(n, false)));
             }
             // A dispatcher gives the lease that it has lost back before it asks for another.
-            let gone = w.end.leases.alive().iter().all(|h| h.life != d.life());
+            let gone = w.end.leases.alive().iter().all(|h| h.incarnation != d.incarnation());
             if !d.follows() && gone {
                 to.push(Action::Register(n));
             }
--- a/crates/fleet/tests/policy_model/view.rs
+++ b/crates/fleet/tests/policy_model/view.rs
@@ -3,15 +3,15 @@
 use crate::model::{Break, Checks};
 use fleet::leases::Leases;
 use fleet::policy::{Command, Policies, Stage};
-use fleet::{Holder, Life, Machine, Micros, peer_of};
+use fleet::{Holder, Incarnation, Machine, Micros, peer_of};
 use std::collections::BTreeSet;
 use std::hash::{Hash, Hasher};
 
 /// An entry of the log.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Entry {
-    /// A life asks for a lease, for the how manieth time.
-    Register(Life, u32),
+    /// An incarnation asks for a lease, for the how manieth time.
+    Register(Incarnation, u32),
     Expire(Holder),
     Policy(Command),
     /// Time has passed, past every limit.
@@ -41,8 +41,8 @@
     pub fn apply(&mut self, entry: &Entry, checks: &Checks) {
         let before = self.policies.current().number;
         match entry {
-            Entry::Register(life, _) => {
-                self.leases.register(*life);
+            Entry::Register(incarnation, _) => {
+                self.leases.register(*incarnation);
                 self.changed_leases(checks);
             }
             Entry::Expire(holder) => {
@@ -61,7 +61,7 @@
             }
         }
         let now = self.policies.current().number;
-        let faulty = |h: &Holder| checks.fault(peer_of(h.life), now);
+        let faulty = |h: &Holder| checks.fault(peer_of(h.incarnation), now);
         self.unfit |= now != before && self.leases.alive().iter().any(faulty);
     }
 
--- a/crates/fleet/tests/policy_model/world.rs
+++ b/crates/fleet/tests/policy_model/world.rs
@@ -28,7 +28,7 @@
         let each: Vec<Dispatcher> = (1..=DISPATCHERS).map(Dispatcher::new).collect();
         let mut w = World { log: Vec::new(), end: Arc::default(), each, highest: 0, left: checks.bounds };
         for n in 0..w.each.len() {
-            w.append(Entry::Register(w.each[n].life(), 1), checks);
+            w.append(Entry::Register(w.each[n].incarnation(), 1), checks);
         }
         let World { log, each, .. } = &mut w;
         each.iter_mut().for_each(|d| d.see(log, checks));
@@ -60,7 +60,7 @@
                 let d = &mut self.each[n];
                 (d.asks, d.asked) = (d.asks + 1, true);
                 (d.seen, d.view) = (self.log.len(), self.end.clone());
-                let entry = Entry::Register(d.life(), d.asks);
+                let entry = Entry::Register(d.incarnation(), d.asks);
                 self.append(entry, checks);
             }
             Action::Propose => {
@@ -109,8 +109,9 @@
     /// Holders that the log takes for alive and whose lease may be said to be over.
     pub fn over(&self, checks: &Checks) -> impl Iterator<Item = Holder> {
         let held = |h: &Holder| self.each.iter().any(|d| d.may_hold(*h));
-        let early =
-            |h: &Holder| checks.broken == Break::ExpiresEarly && usize::from(peer_of(h.life)) > checks.befall;
+        let early = |h: &Holder| {
+            checks.broken == Break::ExpiresEarly && usize::from(peer_of(h.incarnation)) > checks.befall
+        };
         self.end.leases.alive().iter().copied().filter(move |h| early(h) || !held(h))
     }
 }
--- a/crates/fleet/tests/schema.rs
+++ b/crates/fleet/tests/schema.rs
@@ -5,7 +5,7 @@
 use fleet::schema::motors::{Held, MOST};
 use fleet::schema::window::Window;
 use fleet::schema::{Command, Schema};
-use fleet::{Holder, Machine, Micros, life};
+use fleet::{Holder, Machine, Micros, incarnation};
 use std::collections::{BTreeMap, BTreeSet};
 
 #[path = "schema/world.rs"]
@@ -14,7 +14,7 @@
 const S: Micros = 1_000_000;
 
 fn holder(peer: u8) -> Holder {
-    Holder { life: life(peer, 1), term: 1 }
+    Holder { incarnation: incarnation(peer, 1), term: 1 }
 }
 
 fn tell(id: &str, version: u16, started: Micros) -> Command {
--- a/crates/fleet/tests/schema/world.rs
+++ b/crates/fleet/tests/schema/world.rs
@@ -2,7 +2,7 @@
 
 use fleet::schema::window::Window;
 use fleet::schema::{Command, Schema, Version};
-use fleet::{Holder, Machine, Micros, life};
+use fleet::{Holder, Machine, Micros, incarnation};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -49,7 +49,7 @@
 
 impl World {
     fn holder(&self, p: usize) -> Holder {
-        Holder { life: life(p as u8 + 1, 1), term: self.peers[p].term }
+        Holder { incarnation: incarnation(p as u8 + 1, 1), term: self.peers[p].term }
     }
 
     fn append(&mut self, entry: Entry) {
@@ -81,7 +81,7 @@
         let peer = &mut self.peers[p];
         let silent = self.log.get(peer.seen).map(|(at, _)| self.now - at);
         // It knows of a lease by the log, and by its own clock of the end of it, before the others do.
-        let holder = Holder { life: life(p as u8 + 1, 1), term: peer.term };
+        let holder = Holder { incarnation: incarnation(p as u8 + 1, 1), term: peer.term };
         let alive = self.state.1.contains(&holder) && peer.view.1.contains(&holder);
         let starts = peer.view.0.starts(silent.filter(|_| !alive));
         let Some(&v) = starts.get(draw as usize % starts.len().max(1)) else { return };
--- a/crates/lab/src/takeover/record.rs
+++ b/crates/lab/src/takeover/record.rs
@@ -1,7 +1,7 @@
 //! What a large record costs: memory, and how long a peer that starts anew takes to have all of it.
 
 use fleet::ledger::{Limits, Record};
-use fleet::{Fleet, Micros, Terms};
+use fleet::{Fleet, FleetConfig, Micros};
 use std::time::Instant;
 
 /// What was measured.
@@ -32,8 +32,8 @@
     slowest_ms: f64,
 }
 
-fn terms(me: u8, records: u32) -> Terms {
-    Terms {
+fn terms(me: u8, records: u32) -> FleetConfig {
+    FleetConfig {
         me,
         peers: vec![1, 2, 3],
         lease: 1_000_000,
@@ -62,7 +62,7 @@
                     self.fleets[usize::from(to) - 1].hear(self.now, i as u8 + 1, message);
                     self.slowest_ms = self.slowest_ms.max(begun.elapsed().as_secs_f64() * 1e3);
                 }
-                self.fleets[i].news.clear();
+                self.fleets[i].events.clear();
             }
             if quiet {
                 break;
--- a/crates/slots/tests/sim/mod.rs
+++ b/crates/slots/tests/sim/mod.rs
@@ -1,7 +1,7 @@
 //! A fleet in virtual time: dispatchers with this crate's queues, the record that lends slots, news that come late.
 
 use fleet::lend::{Borrower, Command, Slots, Terms as Lending};
-use fleet::{Holder, Machine, life};
+use fleet::{Holder, Machine, incarnation};
 use rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use slots::{Id, Job, Lent, Micros, Next, Queue, Shares, Tenant, Terms, Verdict};
@@ -70,7 +70,8 @@
     let mut draw = move || (rng.next_u64() >> 11) as f64 / (1u64 << 53) as f64;
     let n = w.dispatchers;
     let mut record = Slots::default();
-    let alive: BTreeSet<Holder> = (0..n).map(|d| Holder { life: life(d as u8 + 1, 1), term: 1 }).collect();
+    let alive: BTreeSet<Holder> =
+        (0..n).map(|d| Holder { incarnation: incarnation(d as u8 + 1, 1), term: 1 }).collect();
     record.apply(Command::Set(Lending { total: w.slots, term: TERM, longest: 5_000 * MS }), &alive);
     let mut all: Vec<Dispatcher> = (alive.iter().enumerate())
         .map(|(d, &me)| {
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -17,7 +17,7 @@
         let call = match line {
             Ok(Call::Plan(_) | Call::PlanStatus | Call::PlanAbort | Call::PlanMend(_))
             | Err(Fault::Missing("DRAIN" | "DRAIN PLAN" | "DRAIN MEND") | Fault::Extra("DRAIN"))
-                if self.hands.is_none() =>
+                if self.in_flight.is_none() =>
             {
                 return unknown();
             }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -121,7 +121,7 @@
             Ok(orders) => self.settle(now, orders),
             Err(e) => {
                 self.jobs.remove(&id);
-                self.off_hands_unasked(now, id);
+                self.end_in_flight_unasked(now, id);
                 self.not_taken(key, e, now);
                 self.advance(key, now);
             }
--- a/src/net/control/member.rs
+++ b/src/net/control/member.rs
@@ -2,39 +2,28 @@
 
 use super::server::{FollowerServer, Heard};
 use crate::api::{Micros, Settings};
-use crate::net::buffers::Pool;
-use crate::net::descriptors::Descriptors;
+use crate::net::event_source::EventSource;
 use crate::net::operator::Operators;
 use crate::net::peers::Peers;
 use crate::net::policy_calls::PolicyCalls;
 use crate::net::poll::{Key, Poll};
-use crate::net::room::Room;
 use crate::net::setup::context;
 use crate::net::signals::Signals;
 use crate::net::timers::Clock;
 use crate::policies::ready;
 use crate::settings::Names;
-use crate::settings::config::Config;
-use crate::settings::options::{Control, PolicyTerms};
+use crate::settings::options::PolicyTerms;
+use fleet::control::Member;
 use fleet::control::member::{MemberRecord, Violation};
-use fleet::control::{Member, MemberConfig};
-use fleet::ledger::Limits;
 use fleet::policy::{Act, Policy};
-use fleet::{Fleet, News, Peer, Terms};
+use fleet::{Fleet, FleetEvent};
 use std::io;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 /// How long a follower's connection that is ending may take to be written out.
 const LAST_WORDS: Micros = 1_000_000;
 /// A look at least this often.
 const LOOK: Micros = 1_000_000;
-/// Without a leader for this long, a group whose majority has started anew is given up: as many leases.
-const GIVE_UP_LEASES: u64 = 10;
-/// The longest message between members: a record has policies and changes that wait, which are bounded.
-const MOST_MEMBER_MESSAGE: usize = 16 << 20;
-/// Callers at the operators' address; a burst of changes has a caller each.
-const CALLERS: usize = 128;
 
 /// What policies are checked against, and the calls that wait.
 pub(super) struct MemberPolicy {
@@ -47,8 +36,8 @@
 /// A member that is set up and does not run yet.
 pub struct ControlMember {
     pub(super) poll: Poll,
-    clock: Clock,
-    signals: (Key, Signals),
+    pub(super) clock: Clock,
+    pub(super) signals: (Key, Signals),
     pub(super) fleet: Fleet,
     pub(super) peers: Peers,
     pub(super) member: Member,
@@ -57,79 +46,11 @@
     pub(super) policy: MemberPolicy,
     /// When followers' leases are over, once it was told to end.
     pub(super) stopping: Option<Micros>,
-    lease: Micros,
+    /// The member's own lease: as long as it may take to end.
+    pub(super) lease: Micros,
 }
 
 impl ControlMember {
-    /// Listens for members, followers and operators.
-    pub fn new(config: Config, settings: &Control, signals: Signals) -> io::Result<ControlMember> {
-        let seed = config.seed();
-        let operator = config.operator().map_err(context("configuration: operator"))?;
-        let (base, names) = config.settings.settings().map_err(context("configuration"))?;
-        let poll = Poll::new().map_err(context("poller"))?;
-        let mut clock = Clock::default();
-        let now = clock.now();
-        let place = |n: usize| (n + 1) as Peer;
-        let me = settings.members.iter().position(|m| Some(&m.name) == settings.me.as_ref()).map(place);
-        let me = me.ok_or_else(|| io::Error::other("control: no member block has this name"))?;
-        let members: Vec<(Peer, SocketAddr)> =
-            settings.members.iter().enumerate().map(|(n, m)| (place(n), m.address)).collect();
-        let others: Vec<(Peer, SocketAddr)> = members.iter().copied().filter(|(p, _)| *p != me).collect();
-        let timing = settings.timing;
-        let terms = Terms {
-            me,
-            peers: members.iter().map(|(p, _)| *p).collect(),
-            lease: timing.lease,
-            margin: timing.margin,
-            tick: timing.tick,
-            batch: timing.tick,
-            give_up: GIVE_UP_LEASES * timing.lease,
-            limits: Limits { records: 0, remember: 0 },
-        };
-        let listen = settings.listen.ok_or_else(|| io::Error::other("control: listen is missing"))?;
-        let at_followers =
-            settings.followers.ok_or_else(|| io::Error::other("control: followers is missing"))?;
-        let peers = Peers::bind(listen, &others, MOST_MEMBER_MESSAGE, now, &poll)
-            .map_err(context(&format!("control: listen on {listen}")))?;
-        // Those beyond the bound are told so, which takes a connection.
-        let connections = settings.most_followers + settings.most_followers / 8 + 8;
-        let server = FollowerServer::bind(at_followers, connections, &poll)
-            .map_err(context(&format!("control: listen on {at_followers}")))?;
-        let callers = CALLERS.max(Descriptors::of(config.limits.sockets).callers);
-        let bind = |at| Operators::bind(at, callers, &poll, &Pool::new(0));
-        let operators =
-            operator.map(|at| bind(at).map_err(context(&format!("listen on {at}")))).transpose()?;
-        let name_of = |(p, _): &(Peer, SocketAddr)| settings.members[usize::from(*p) - 1].name.clone();
-        let member = Member::new(MemberConfig {
-            group: settings.group.clone(),
-            me,
-            others: others.iter().map(name_of).collect(),
-            timing,
-            most_followers: settings.most_followers,
-            most_snapshots: settings.most_snapshots,
-        });
-        tracing::info!(name = settings.me, group = settings.group, "control member");
-        tracing::info!("members' address {}", peers.address()?);
-        tracing::info!("followers' address {}", server.address()?);
-        if let Some(operators) = &operators {
-            tracing::info!("operators' address {}", operators.address()?);
-        }
-        let signal_key = poll.add(&signals.stream, false)?;
-        Ok(ControlMember {
-            poll,
-            clock,
-            signals: (signal_key, signals),
-            fleet: Fleet::new(terms, seed, now),
-            peers,
-            member,
-            server,
-            operators,
-            policy: MemberPolicy { terms: settings.policy, base, names, calls: PolicyCalls::default() },
-            stopping: None,
-            lease: timing.lease,
-        })
-    }
-
     /// Runs until SIGTERM, and then until the leases of its followers are over.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = polling::Events::new();
@@ -153,7 +74,7 @@
     }
 
     fn next_due(&self, now: Micros) -> Micros {
-        let operators = self.operators.as_ref().and_then(Room::next_due);
+        let operators = self.operators.as_ref().and_then(EventSource::next_due);
         let due = [Some(self.member.next_due()), self.server.next_due(), self.peers.next_due(), operators];
         due.into_iter().flatten().fold(self.fleet.next_due().min(now + LOOK), Micros::min)
     }
@@ -241,12 +162,12 @@
 
     /// Looks at what is agreed.
     fn look(&mut self, now: Micros) {
-        while let Some(news) = self.fleet.news.pop_front() {
-            match news {
-                News::Held(_) => tracing::info!("lease held"),
-                News::Lost(_) => tracing::warn!("lease lost"),
-                News::Leader(leader) => tracing::info!(leader, "control: leader"),
-                News::GivenUp(_) => tracing::error!("control: the group has lost its record"),
+        while let Some(event) = self.fleet.events.pop_front() {
+            match event {
+                FleetEvent::Held(_) => tracing::info!("lease held"),
+                FleetEvent::Lost(_) => tracing::warn!("lease lost"),
+                FleetEvent::Leader(leader) => tracing::info!(leader, "control: leader"),
+                FleetEvent::GivenUp(_) => tracing::error!("control: the group has lost its record"),
                 _ => {}
             }
         }
--- a/src/net/control/mod.rs
+++ b/src/net/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod member;
 mod node;
 mod server;
+mod setup;
 mod stream;
 
 pub use link::ControlLink;
--- /dev/null
+++ b/src/net/control/setup.rs
@@ -0,0 +1,100 @@
+//! How a member's process is set up.
+
+use super::member::{ControlMember, MemberPolicy};
+use super::server::FollowerServer;
+use crate::net::buffers::Pool;
+use crate::net::descriptors::Descriptors;
+use crate::net::operator::Operators;
+use crate::net::peers::Peers;
+use crate::net::policy_calls::PolicyCalls;
+use crate::net::poll::Poll;
+use crate::net::setup::context;
+use crate::net::signals::Signals;
+use crate::net::timers::Clock;
+use crate::settings::config::Config;
+use crate::settings::options::Control;
+use fleet::control::{Member, MemberConfig};
+use fleet::ledger::Limits;
+use fleet::{Fleet, FleetConfig, Peer};
+use std::io;
+use std::net::SocketAddr;
+
+/// Without a leader for this long, a group whose majority has started anew is given up: as many leases.
+const GIVE_UP_LEASES: u64 = 10;
+
+/// The longest message between members: a record has policies and changes that wait, which are bounded.
+const MOST_MEMBER_MESSAGE: usize = 16 << 20;
+
+/// Callers at the operators' address; a burst of changes has a caller each.
+const CALLERS: usize = 128;
+
+impl ControlMember {
+    /// Listens for members, followers and operators.
+    pub fn new(config: Config, settings: &Control, signals: Signals) -> io::Result<ControlMember> {
+        let seed = config.seed();
+        let operator = config.operator().map_err(context("configuration: operator"))?;
+        let (base, names) = config.settings.settings().map_err(context("configuration"))?;
+        let poll = Poll::new().map_err(context("poller"))?;
+        let mut clock = Clock::default();
+        let now = clock.now();
+        let place = |n: usize| (n + 1) as Peer;
+        let me = settings.members.iter().position(|m| Some(&m.name) == settings.me.as_ref()).map(place);
+        let me = me.ok_or_else(|| io::Error::other("control: no member block has this name"))?;
+        let members: Vec<(Peer, SocketAddr)> =
+            settings.members.iter().enumerate().map(|(n, m)| (place(n), m.address)).collect();
+        let others: Vec<(Peer, SocketAddr)> = members.iter().copied().filter(|(p, _)| *p != me).collect();
+        let timing = settings.timing;
+        let group = FleetConfig {
+            me,
+            peers: members.iter().map(|(p, _)| *p).collect(),
+            lease: timing.lease,
+            margin: timing.margin,
+            tick: timing.tick,
+            batch: timing.tick,
+            give_up: GIVE_UP_LEASES * timing.lease,
+            limits: Limits { records: 0, remember: 0 },
+        };
+        let listen = settings.listen.ok_or_else(|| io::Error::other("control: listen is missing"))?;
+        let at_followers =
+            settings.followers.ok_or_else(|| io::Error::other("control: followers is missing"))?;
+        let peers = Peers::bind(listen, &others, MOST_MEMBER_MESSAGE, now, &poll)
+            .map_err(context(&format!("control: listen on {listen}")))?;
+        // Those beyond the bound are told so, which takes a connection.
+        let connections = settings.most_followers + settings.most_followers / 8 + 8;
+        let server = FollowerServer::bind(at_followers, connections, &poll)
+            .map_err(context(&format!("control: listen on {at_followers}")))?;
+        let callers = CALLERS.max(Descriptors::of(config.limits.sockets).callers);
+        let bind = |at| Operators::bind(at, callers, &poll, &Pool::new(0));
+        let operators =
+            operator.map(|at| bind(at).map_err(context(&format!("listen on {at}")))).transpose()?;
+        let name_of = |(p, _): &(Peer, SocketAddr)| settings.members[usize::from(*p) - 1].name.clone();
+        let member = Member::new(MemberConfig {
+            group: settings.group.clone(),
+            me,
+            others: others.iter().map(name_of).collect(),
+            timing,
+            most_followers: settings.most_followers,
+            most_snapshots: settings.most_snapshots,
+        });
+        tracing::info!(name = settings.me, group = settings.group, "control member");
+        tracing::info!("members' address {}", peers.address()?);
+        tracing::info!("followers' address {}", server.address()?);
+        if let Some(operators) = &operators {
+            tracing::info!("operators' address {}", operators.address()?);
+        }
+        let signal_key = poll.add(&signals.stream, false)?;
+        Ok(ControlMember {
+            poll,
+            clock,
+            signals: (signal_key, signals),
+            fleet: Fleet::new(group, seed, now),
+            peers,
+            member,
+            server,
+            operators,
+            policy: MemberPolicy { terms: settings.policy, base, names, calls: PolicyCalls::default() },
+            stopping: None,
+            lease: timing.lease,
+        })
+    }
+}
--- a/src/net/room.rs
+++ b/src/net/event_source.rs
@@ -4,11 +4,11 @@
 use crate::api::Micros;
 
 /// What the loop has to know of a side to schedule it; what happens there is the side's own.
-pub trait Room {
+pub trait EventSource {
     /// Whether a key is one of its sockets.
     fn owns(&self, key: Key) -> bool;
 
-    /// When [`Room::tick`] has something to do next; `None` if never.
+    /// When [`EventSource::tick`] has something to do next; `None` if never.
     fn next_due(&self) -> Option<Micros>;
 
     /// Does what is due.
--- a/src/net/executors/silence.rs
+++ b/src/net/executors/silence.rs
@@ -3,8 +3,8 @@
 use super::{Due, Executors, PART, PROBE_SLACK};
 use crate::api::Micros;
 use crate::dispatch::{Echo, Report};
+use crate::net::event_source::EventSource;
 use crate::net::poll::{Key, Poll};
-use crate::net::room::Room;
 use crate::settings::Transport;
 
 /// A mute connection whose executor is heard elsewhere has this long to be heard too.
@@ -41,7 +41,7 @@
         }
     }
 }
-impl Room for Executors {
+impl EventSource for Executors {
     fn owns(&self, key: Key) -> bool {
         self.conns.contains_key(&key)
     }
--- a/src/net/executors/tests.rs
+++ b/src/net/executors/tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 use crate::codec::coordinator::Target;
 use crate::dispatch::{End, Load, Terms};
+use crate::net::event_source::EventSource;
 use crate::net::poll::Poll;
-use crate::net::room::Room;
 use std::net::TcpListener;
 
 const TRANSPORT: Transport = Transport {
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -1,8 +1,8 @@
 //! The connection to the coordinator.
 
 use super::dial;
+use super::event_source::EventSource;
 use super::poll::{Key, Poll};
-use super::room::Room;
 use crate::api::Micros;
 use crate::codec::coordinator::{self, Line, Update};
 use std::io::{self, Read, Write};
@@ -195,7 +195,7 @@
     }
 }
 
-impl Room for Feed {
+impl EventSource for Feed {
     fn owns(&self, key: Key) -> bool {
         self.watch.iter().chain(&self.previous).any(|w| w.key == key)
     }
--- a/src/net/hands/mod.rs
+++ b/src/net/in_flight/mod.rs
@@ -6,22 +6,22 @@
 mod moves;
 mod requests;
 
+use super::event_source::EventSource;
 use super::peers::Peers;
 use super::poll::{Key, Poll};
-use super::room::Room;
 use super::upkeep::Upkeep;
 use crate::api::{Effect, Micros, Settings};
 use crate::settings::{Names, options};
 use crate::takeover::{Bounds, Takeover};
 use fleet::ledger::Limits;
 use fleet::plan::Budget;
-use fleet::{Fleet, Peer, Terms};
+use fleet::{Fleet, FleetConfig, Peer};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// The record of work in hand, and the links that it is agreed on.
-pub struct Hands {
+pub struct InFlight {
     pub(super) takeover: Takeover,
     pub(super) peers: Peers,
     /// The names of the classes, by index.
@@ -63,7 +63,7 @@
     }
 }
 
-impl Hands {
+impl InFlight {
     /// Which of the peers this is.
     pub(super) fn me(&self) -> Peer {
         self.takeover.fleet.me()
@@ -76,7 +76,7 @@
         seed: u64,
         now: Micros,
         poll: &Poll,
-    ) -> io::Result<Hands> {
+    ) -> io::Result<InFlight> {
         let micros = |d: std::time::Duration| d.as_micros() as Micros;
         let place = |n: usize| (n + 1) as Peer;
         let named: Vec<(Peer, &str, SocketAddr)> =
@@ -85,7 +85,7 @@
         let me = me.ok_or_else(|| io::Error::other(format!("peers: no peer block is named {:?}", o.me)))?;
         let others: Vec<(Peer, SocketAddr)> =
             named.iter().filter(|(p, _, _)| *p != me).map(|(p, _, at)| (*p, *at)).collect();
-        let terms = Terms {
+        let config = FleetConfig {
             me,
             peers: named.iter().map(|(p, _, _)| *p).collect(),
             lease: micros(o.lease),
@@ -104,7 +104,7 @@
             fetch: micros(o.lease) / 5,
         };
         let peers = Peers::bind(o.listen, &others, o.most_frame as usize, now, poll)?;
-        let takeover = Takeover::new(Fleet::new(terms, seed, now), bounds);
+        let takeover = Takeover::new(Fleet::new(config, seed, now), bounds);
         let budget = Budget {
             machines: o.min_motores,
             headroom: o.headroom,
@@ -115,7 +115,7 @@
         };
         let (upkeep, Classes { names, repeats, cores, .. }) =
             (Upkeep::new(budget, 2 * micros(o.lease), now), classes);
-        Ok(Hands { takeover, peers, classes: names, repeats, cores, upkeep })
+        Ok(InFlight { takeover, peers, classes: names, repeats, cores, upkeep })
     }
 
     /// Cores of a machine of a kind; those of the smallest where its kind is not known.
@@ -125,7 +125,7 @@
     }
 }
 
-impl Room for Hands {
+impl EventSource for InFlight {
     fn owns(&self, key: Key) -> bool {
         self.peers.owns(key)
     }
--- a/src/net/hands/moves.rs
+++ b/src/net/in_flight/moves.rs
@@ -14,29 +14,31 @@
 impl Node {
     /// Lets the record do what is due, before anything else of a turn and after all: a lease that ran out while
     /// this process stood still is over before it is acted on.
-    pub(in crate::net) fn keep_hands(&mut self, now: Micros) {
-        let Some(hands) = self.hands.as_mut().filter(|h| h.takeover.next_due() <= now) else { return };
-        hands.takeover.tick(now);
+    pub(in crate::net) fn keep_in_flight(&mut self, now: Micros) {
+        let Some(in_flight) = self.in_flight.as_mut().filter(|h| h.takeover.next_due() <= now) else {
+            return;
+        };
+        in_flight.takeover.tick(now);
         // What was lost with the time that has passed is known before anything else is done.
         self.keep_policy(now);
-        self.move_hands(now);
+        self.move_in_flight(now);
     }
 
     /// What peers said, what comes of it, and what is said to them, until nothing is left.
-    pub(in crate::net) fn move_hands(&mut self, now: Micros) {
+    pub(in crate::net) fn move_in_flight(&mut self, now: Micros) {
         loop {
-            let Some(hands) = &mut self.hands else { return };
-            for (from, message) in std::mem::take(&mut hands.peers.heard) {
-                hands.takeover.hears(now, from, message);
+            let Some(in_flight) = &mut self.in_flight else { return };
+            for (from, message) in std::mem::take(&mut in_flight.peers.heard) {
+                in_flight.takeover.hears(now, from, message);
             }
-            hands.takeover.flush(now);
+            in_flight.takeover.flush(now);
             self.keep_policy(now);
-            let Some(hands) = &mut self.hands else { return };
-            for (to, message) in std::mem::take(&mut hands.takeover.fleet.messages) {
-                hands.peers.send(to, &message, now);
+            let Some(in_flight) = &mut self.in_flight else { return };
+            for (to, message) in std::mem::take(&mut in_flight.takeover.fleet.messages) {
+                in_flight.peers.send(to, &message, now);
             }
-            hands.peers.flush(now, &self.poll);
-            let Some(next) = hands.takeover.moves.pop_front() else { return };
+            in_flight.peers.flush(now, &self.poll);
+            let Some(next) = in_flight.takeover.moves.pop_front() else { return };
             let orders = match next {
                 Move::Admit(rid) => self.admit_recorded(now, rid),
                 Move::Answer(rid, reply) => {
@@ -52,9 +54,9 @@
 
     /// Takes a request of a lost peer in hand; its result waits for its client.
     fn adopt(&mut self, now: Micros, record: &Record) -> Vec<Order<Rows>> {
-        let Some(hands) = &mut self.hands else { return Vec::new() };
+        let Some(in_flight) = &mut self.in_flight else { return Vec::new() };
         let (class, statement) = (usize::from(record.class), record.statement.clone().unwrap_or_default());
-        let Some(kind) = hands.classes.get(class).cloned() else { return Vec::new() };
+        let Some(kind) = in_flight.classes.get(class).cloned() else { return Vec::new() };
         let budget = record.deadline.saturating_sub(now);
         let request = Request {
             id: record.rid,
@@ -81,7 +83,7 @@
                     "fleet: not taken over"
                 );
                 self.jobs.remove(&record.rid);
-                self.off_hands_unasked(now, record.rid);
+                self.end_in_flight_unasked(now, record.rid);
                 Vec::new()
             }
         }
@@ -89,30 +91,30 @@
 
     /// Whether a machine gets nothing new, as the plan has it out for work.
     pub(in crate::net) fn held_back(&self, uid: &str) -> bool {
-        self.hands.as_ref().is_some_and(|h| h.upkeep.holds_back(uid))
+        self.in_flight.as_ref().is_some_and(|h| h.upkeep.holds_back(uid))
     }
 
     /// Since when a machine is back from work that it was out for, in milliseconds; 0 if it was not.
     pub(in crate::net) fn cold_ms(&self, uid: &str) -> u64 {
-        self.hands.as_ref().map_or(0, |h| h.upkeep.cold_ms(uid))
+        self.in_flight.as_ref().map_or(0, |h| h.upkeep.cold_ms(uid))
     }
 
     /// At the end: what is still owned is given back at once.
     pub(in crate::net) fn leave_fleet(&mut self, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
-        hands.takeover.fleet.leave(now);
-        for (to, message) in std::mem::take(&mut hands.takeover.fleet.messages) {
-            hands.peers.send(to, &message, now);
+        let Some(in_flight) = &mut self.in_flight else { return };
+        in_flight.takeover.fleet.leave(now);
+        for (to, message) in std::mem::take(&mut in_flight.takeover.fleet.messages) {
+            in_flight.peers.send(to, &message, now);
         }
-        hands.peers.flush(now, &self.poll);
+        in_flight.peers.flush(now, &self.poll);
     }
 
-    pub(in crate::net) fn count_hands(&self) {
-        let Some(hands) = &self.hands else { return };
-        let (t, w) = (&hands.takeover.tally, &hands.peers.tally);
+    pub(in crate::net) fn count_in_flight(&self) {
+        let Some(in_flight) = &self.in_flight else { return };
+        let (t, w) = (&in_flight.takeover.tally, &in_flight.peers.tally);
         tracing::info!(
-            records = hands.takeover.fleet.ledger().map_or(0, |l| l.len()),
-            leads = hands.takeover.fleet.leads(),
+            records = in_flight.takeover.fleet.ledger().map_or(0, |l| l.len()),
+            leads = in_flight.takeover.fleet.leads(),
             recorded = t.recorded,
             unrecorded = t.unrecorded,
             claimed = t.claimed,
--- a/src/net/hands/requests.rs
+++ b/src/net/in_flight/requests.rs
@@ -1,6 +1,6 @@
 //! The way of a request past the record: in, out to an executor, and back.
 
-use super::Hands;
+use super::InFlight;
 use crate::api::Micros;
 use crate::dispatch::{Answer, Request, Ticket};
 use crate::net::Node;
@@ -9,7 +9,7 @@
 use crate::takeover::{Gate, Move, Pages, Past, Reply, Try};
 use fleet::ledger::Record;
 
-impl Hands {
+impl InFlight {
     fn attempt(&self, now: Micros, r: &Request, job: &Job, policy: u64) -> Try {
         let index = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
         Try {
@@ -50,34 +50,34 @@
 
 impl Node {
     /// What becomes of a request that is admitted: whether the decisions get it now.
-    pub(in crate::net) fn on_hands(&mut self, now: Micros, request: &Request, job: &Job) -> Gate {
+    pub(in crate::net) fn begin_in_flight(&mut self, now: Micros, request: &Request, job: &Job) -> Gate {
         let policy = self.policy_number();
-        let Some(hands) = &mut self.hands else { return Gate::Go };
-        let attempt = hands.attempt(now, request, job, policy);
-        hands.takeover.arrives(now, attempt)
+        let Some(in_flight) = &mut self.in_flight else { return Gate::Go };
+        let attempt = in_flight.attempt(now, request, job, policy);
+        in_flight.takeover.arrives(now, attempt)
     }
 
     /// Whether an attempt may go out; one that may not is let go of.
     pub(in crate::net) fn may_send(&mut self, now: Micros, ticket: Ticket, executor: u32) -> bool {
-        let Some(hands) = &mut self.hands else { return true };
-        let may = hands.takeover.may_send(now, ticket.request);
+        let Some(in_flight) = &mut self.in_flight else { return true };
+        let may = in_flight.takeover.may_send(now, ticket.request);
         match may {
-            true => hands.takeover.sent(now, ticket.request, executor),
-            false => hands.takeover.moves.push_back(Move::LetGo(ticket.request)),
+            true => in_flight.takeover.sent(now, ticket.request, executor),
+            false => in_flight.takeover.moves.push_back(Move::LetGo(ticket.request)),
         }
         may
     }
 
     /// A request has its answer.
-    pub(in crate::net) fn off_hands(&mut self, now: Micros, request: u64, answer: &Answer<Rows>) {
-        let Some(hands) = self.hands.as_mut().filter(|h| h.takeover.follows(request)) else { return };
+    pub(in crate::net) fn end_in_flight(&mut self, now: Micros, request: u64, answer: &Answer<Rows>) {
+        let Some(in_flight) = self.in_flight.as_mut().filter(|h| h.takeover.follows(request)) else { return };
         let reply = match answer {
-            Answer::Served(rows) if hands.takeover.keeps_result(request) => Reply::Served(pages(rows)),
+            Answer::Served(rows) if in_flight.takeover.keeps_result(request) => Reply::Served(pages(rows)),
             Answer::Served(_) => Reply::Served(Vec::new()),
             Answer::Refused(ms) => Reply::Refused(*ms),
             Answer::Failed => Reply::Failed,
         };
-        hands.takeover.answered(now, request, reply);
+        in_flight.takeover.answered(now, request, reply);
     }
 
     /// A reply as the network holds it.
@@ -90,27 +90,27 @@
     }
 
     /// A request that passed the gate could not be taken.
-    pub(in crate::net) fn off_hands_unasked(&mut self, now: Micros, request: u64) {
-        if let Some(hands) = &mut self.hands {
-            hands.takeover.answered(now, request, Reply::Refused(0));
+    pub(in crate::net) fn end_in_flight_unasked(&mut self, now: Micros, request: u64) {
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.takeover.answered(now, request, Reply::Refused(0));
         }
     }
 
     /// The client of a request has left.
     pub(in crate::net) fn client_left(&mut self, now: Micros, request: u64) {
-        if let Some(hands) = &mut self.hands {
-            hands.takeover.left(now, request);
+        if let Some(in_flight) = &mut self.in_flight {
+            in_flight.takeover.left(now, request);
         }
     }
 
     /// A request whose client had left is over.
     pub(in crate::net) fn past(&mut self, now: Micros, request: u64, served: Option<Rows>, never_ran: bool) {
-        let Some(hands) = self.hands.as_mut().filter(|h| h.takeover.follows(request)) else { return };
+        let Some(in_flight) = self.in_flight.as_mut().filter(|h| h.takeover.follows(request)) else { return };
         let past = match (served, never_ran) {
             (Some(rows), _) => Past::Served(pages(&rows)),
             (None, true) => Past::NeverRan,
             (None, false) => Past::MayHaveRan,
         };
-        hands.takeover.over(now, request, past);
+        in_flight.takeover.over(now, request, past);
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -8,9 +8,10 @@
 pub mod control;
 mod descriptors;
 mod dial;
+mod event_source;
 mod executors;
 mod feed;
-mod hands;
+mod in_flight;
 mod limits;
 mod listen;
 mod lists;
@@ -19,8 +20,8 @@
 mod peers;
 mod policy;
 mod policy_calls;
+mod policy_status;
 pub mod poll;
-mod room;
 mod rules;
 mod session;
 mod setup;
@@ -41,14 +42,14 @@
 use buffers::Pool;
 use control::ControlLink;
 use descriptors::Descriptors;
+use event_source::EventSource;
 use executors::{Executors, Job, Rows};
 use feed::Feed;
-use hands::Hands;
+use in_flight::InFlight;
 use limits::*;
 use lists::Lists;
 use operator::Operators;
 use poll::{Key, Poll};
-use room::Room;
 use rules::Rules;
 use session::Sessions;
 use setup::context;
@@ -75,7 +76,7 @@
     lists: Option<Lists>,
     storm: Option<Storm>,
     /// Work in hand on the record of a fleet, where our settings name peers.
-    hands: Option<Hands>,
+    in_flight: Option<InFlight>,
     /// The member of a control group that is followed, where our settings name one.
     control: Option<ControlLink>,
     /// What all admit requests by, where our settings say that it is agreed on.
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -5,8 +5,8 @@
 //! as many as may be are open, the oldest makes room. Nothing here waits on a caller.
 
 use super::buffers::{Outbox, Pool};
+use super::event_source::EventSource;
 use super::poll::{Key, Poll};
-use super::room::Room;
 use crate::api::Micros;
 use crate::codec::operator::{Call, Decoder, Fault};
 use std::collections::BTreeMap;
@@ -149,7 +149,7 @@
     }
 }
 
-impl Room for Operators {
+impl EventSource for Operators {
     fn owns(&self, key: Key) -> bool {
         key == self.key || self.callers.contains_key(&key)
     }
--- a/src/net/orders.rs
+++ b/src/net/orders.rs
@@ -45,7 +45,7 @@
             Order::Probe(executor) => self.executors.probe(executor, now, &self.poll),
             Order::Answer(request, mut answer) => {
                 let Some((key, job)) = self.jobs.remove(&request) else { return };
-                self.off_hands(now, request, &answer);
+                self.end_in_flight(now, request, &answer);
                 self.figures.ended(
                     &job.kind,
                     match answer {
--- a/src/net/peers/mod.rs
+++ b/src/net/peers/mod.rs
@@ -5,9 +5,9 @@
 mod incoming;
 mod links;
 
+use super::event_source::EventSource;
 use super::listen;
 use super::poll::{Key, Poll};
-use super::room::Room;
 use crate::api::Micros;
 use fleet::Peer;
 use fleet::wire::{self, Message};
@@ -107,7 +107,7 @@
     }
 }
 
-impl Room for Peers {
+impl EventSource for Peers {
     fn owns(&self, key: Key) -> bool {
         let dialed = |l: &Link| l.conn.as_ref().is_some_and(|(k, _)| *k == key);
         key == self.key || self.incoming.contains_key(&key) || self.links.values().any(dialed)
--- a/src/net/policy.rs
+++ b/src/net/policy.rs
@@ -22,7 +22,7 @@
     /// Where the policy is learned from: the members of a control group, or the log of a fleet of peers.
     fn policy_record(&self) -> Option<&dyn PolicyRecord> {
         let control = self.control.as_ref().map(|c| &c.follower as &dyn PolicyRecord);
-        control.or_else(|| self.hands.as_ref().map(|h| &h.takeover.fleet as &dyn PolicyRecord))
+        control.or_else(|| self.in_flight.as_ref().map(|h| &h.takeover.fleet as &dyn PolicyRecord))
     }
 
     /// What is agreed on the policy, as far as it is known here.
@@ -47,9 +47,9 @@
     /// What becomes of a request that arrives: whether the decisions get it now.
     pub(super) fn gate(&mut self, now: Micros, request: &Request, job: &Job) -> Gate {
         match self.door() {
-            None => self.on_hands(now, request, job),
+            None => self.begin_in_flight(now, request, job),
             Some(Door::Admit(number)) => {
-                let gate = self.on_hands(now, request, job);
+                let gate = self.begin_in_flight(now, request, job);
                 if gate == Gate::Go {
                     told(request.id, number);
                 }
@@ -105,7 +105,8 @@
     /// Looks at what the fleet holds alike, says what is to be said of it, and lets requests go that waited.
     pub(super) fn keep_policy(&mut self, now: Micros) {
         let Some(rules) = &mut self.rules else { return };
-        let (changed, record): (bool, &mut dyn PolicyRecord) = match (&mut self.control, &mut self.hands) {
+        let (changed, record): (bool, &mut dyn PolicyRecord) = match (&mut self.control, &mut self.in_flight)
+        {
             (Some(control), _) => (control.follower.take_changed(), &mut control.follower),
             (None, Some(h)) => (std::mem::take(&mut h.takeover.ruled), &mut h.takeover.fleet),
             (None, None) => return,
@@ -157,8 +158,8 @@
                 };
             }
         }
-        if let Some(hands) = self.hands.as_mut().filter(|_| unsaid) {
-            hands.takeover.ruled = true;
+        if let Some(in_flight) = self.in_flight.as_mut().filter(|_| unsaid) {
+            in_flight.takeover.ruled = true;
         }
         if let Some(settings) = change
             && let Err(e) = self.dispatch.take_on(settings)
--- a/src/net/policy_calls.rs
+++ b/src/net/policy_calls.rs
@@ -1,6 +1,7 @@
 //! What operators ask of the policy that the fleet holds alike.
 
 use super::Node;
+use super::policy_status::status;
 use super::poll::Key;
 use crate::api::{Micros, Settings};
 use crate::codec::operator::policy::Ask;
@@ -9,15 +10,11 @@
 use crate::settings::hcl::{Fault, shown};
 use crate::settings::options::PolicyTerms;
 use fleet::Peer;
-use fleet::policy::{Command, MOST_TEXT, Policies, Policy as Agreed, PolicyRecord, Stage, Waiting};
-use std::fmt::Write as _;
+use fleet::policy::{Command, MOST_TEXT, Policies, Policy as Agreed, PolicyRecord, Waiting};
 use std::io::Read as _;
 
 /// A call is answered within a second, agreed or not.
 const AGREED: Micros = 800_000;
-/// Faults shown of one vote.
-const SHOWN: usize = 4;
-
 /// What an operator's call waits for.
 pub(super) enum For {
     /// The change proposed here at this time is under way; another one excludes it.
@@ -179,8 +176,8 @@
         match self.policy_command(now, ask) {
             Err(answer) => Some(answer),
             Ok((command, what)) => {
-                let Some(hands) = &mut self.hands else { return Some("-ERR no fleet".into()) };
-                if !hands.takeover.fleet.say(now, command) {
+                let Some(in_flight) = &mut self.in_flight else { return Some("-ERR no fleet".into()) };
+                if !in_flight.takeover.fleet.say(now, command) {
                     return Some("-ERR no lease: this dispatcher is cut off from the fleet".into());
                 }
                 self.rules.as_mut()?.calls.wait(caller, what, now);
@@ -220,46 +217,3 @@
         self.rules.as_ref().is_some_and(|r| !r.calls.is_empty())
     }
 }
-
-/// The answer to `POLICY STATUS`.
-pub(super) fn status(p: &Policies, here: u64, now: Micros) -> String {
-    let mut text = format!("+OK policy {} in force", p.current().number);
-    if here != p.current().number {
-        let _ = write!(text, ", {here} here");
-    }
-    text.push('\n');
-    if !p.abreast() {
-        text.push_str(
-            "the fleet has lost its record: nothing is admitted until a policy is in force again\n",
-        );
-    }
-    if let Some(q) = p.pending() {
-        let (stage, who, done) = match q.stage {
-            Stage::Voting => ("voting", "voted", q.votes.len()),
-            Stage::Closing => ("closing", "stopped", q.stopped.len()),
-        };
-        let since = now.saturating_sub(q.at) / 1_000;
-        let _ =
-            writeln!(text, "proposed {} {stage} by peer {} {since}ms, {done} {who}", q.policy.number, q.by);
-        for (h, faults) in q.votes.iter().filter(|(_, f)| !f.is_empty()) {
-            faults_of(&mut text, q.policy.number, fleet::peer_of(h.life), faults);
-        }
-    }
-    for e in p.ended() {
-        match &e.why {
-            None => drop(writeln!(text, "{} in force", e.number)),
-            Some(why) => drop(writeln!(text, "{} given up: {}", e.number, shown(why))),
-        }
-        e.faults.iter().for_each(|(peer, faults)| faults_of(&mut text, e.number, *peer, faults));
-    }
-    text + "."
-}
-
-fn faults_of(text: &mut String, number: u64, peer: fleet::Peer, faults: &[String]) {
-    for fault in faults.iter().take(SHOWN) {
-        let _ = writeln!(text, "{number} peer {peer}: {}", shown(fault));
-    }
-    if faults.len() > SHOWN {
-        let _ = writeln!(text, "{number} peer {peer}: {} more", faults.len() - SHOWN);
-    }
-}
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -5,7 +5,7 @@
 use super::descriptors::Descriptors;
 use super::executors::Executors;
 use super::feed::Feed;
-use super::hands::{Classes, Hands};
+use super::in_flight::{Classes, InFlight};
 use super::limits::{CLIENTS, COUNTERS, KEPT_PART, LONGEST_WAIT, SWEEP};
 use super::lists::Lists;
 use super::operator::Operators;
@@ -84,16 +84,16 @@
         let bans = calls::handed_over(&bans_file, &config.name);
         let mut clock = Clock::default();
         let now = clock.now();
-        let hands = match (&options.peers, classes) {
+        let in_flight = match (&options.peers, classes) {
             (Some(o), Some(classes)) => {
                 dispatch.follow_left();
-                let hands = Hands::start(o, classes, seed, now, &poll);
-                Some(hands.map_err(context(&format!("peers: listen on {}", o.listen)))?)
+                let in_flight = InFlight::start(o, classes, seed, now, &poll);
+                Some(in_flight.map_err(context(&format!("peers: listen on {}", o.listen)))?)
             }
             _ => None,
         };
         let control = options.control.as_ref().map(|c| ControlLink::new(c, &config.name, seed ^ now, now));
-        let me = hands.as_ref().map_or(0, Hands::me);
+        let me = in_flight.as_ref().map_or(0, InFlight::me);
         let rules =
             policy_terms.zip(base).map(|((terms, backoff_ms), base)| Rules::new(terms, me, backoff_ms, base));
         let mut node = Node {
@@ -105,7 +105,7 @@
             feed: Some(Feed::new(config.coordinator, config.known.index)),
             lists: None,
             storm,
-            hands,
+            in_flight,
             control,
             rules,
             jobs: BTreeMap::new(),
@@ -153,7 +153,7 @@
         if let Some(o) = &node.operators {
             tracing::info!("operators' address {}", o.address()?);
         }
-        if let Some(h) = &node.hands {
+        if let Some(h) = &node.in_flight {
             tracing::info!("peers' address {}", h.peers.address()?);
         }
         node.members(now, News::Restored, &known);
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -70,7 +70,7 @@
             broken = invariant::broken(),
             "counters"
         );
-        self.count_hands();
+        self.count_in_flight();
         if let Some(s) = &self.storm {
             let t = s.tally;
             tracing::info!(
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -21,7 +21,7 @@
             let woke = self.clock.now();
             // What came while this process did not look came at any time since it last did.
             self.behind = (woke - now).saturating_sub(wait) + worked;
-            self.keep_hands(woke);
+            self.keep_in_flight(woke);
             self.keep_control(woke);
             let (clients, others): (Vec<_>, Vec<_>) = events.iter().partition(|e| self.comes_first(e.key));
             for event in clients.into_iter().chain(others) {
@@ -55,18 +55,18 @@
     }
 
     /// The sides that have sockets and timers of their own.
-    fn rooms(&self) -> impl Iterator<Item = &dyn Room> {
-        let feed = self.feed.as_ref().map(|f| f as &dyn Room);
-        let hands = self.hands.as_ref().map(|h| h as &dyn Room);
-        let operators = self.operators.as_ref().map(|o| o as &dyn Room);
-        std::iter::once(&self.executors as &dyn Room).chain(feed).chain(operators).chain(hands)
+    fn event_sources(&self) -> impl Iterator<Item = &dyn EventSource> {
+        let feed = self.feed.as_ref().map(|f| f as &dyn EventSource);
+        let in_flight = self.in_flight.as_ref().map(|h| h as &dyn EventSource);
+        let operators = self.operators.as_ref().map(|o| o as &dyn EventSource);
+        std::iter::once(&self.executors as &dyn EventSource).chain(feed).chain(operators).chain(in_flight)
     }
 
     fn next_due(&self) -> Micros {
         let lists = self.lists.as_ref().filter(|l| l.pending()).map(|_| self.clock.last());
-        let rooms = self.rooms().map(Room::next_due);
+        let event_sources = self.event_sources().map(EventSource::next_due);
         let control = self.control.as_ref().map(ControlLink::next_due);
-        let due = [self.dispatch.next_due(), self.accept_at, lists, control].into_iter().chain(rooms);
+        let due = [self.dispatch.next_due(), self.accept_at, lists, control].into_iter().chain(event_sources);
         // While stopping, a look every now and then is near enough to each of its limits.
         let own = if self.stopping.is_some() { self.clock.last() + STOP_LOOK } else { self.clients_at };
         due.flatten().fold(own, Micros::min)
@@ -101,11 +101,11 @@
             updates.into_iter().flatten().for_each(|update| self.update(now, update));
         } else if self.lists.as_ref().is_some_and(|l| l.owns(key)) {
             self.with_lists(now, |lists, _| lists.ready(now));
-        } else if self.hands.as_ref().is_some_and(|h| h.owns(key)) {
-            if let Some(h) = &mut self.hands {
+        } else if self.in_flight.as_ref().is_some_and(|h| h.owns(key)) {
+            if let Some(h) = &mut self.in_flight {
                 h.peers.ready(key, now, &self.poll);
             }
-            self.move_hands(now);
+            self.move_in_flight(now);
         } else if self.control.as_ref().is_some_and(|c| c.owns(key)) {
             self.control_ready(now);
         } else if self.executors.owns(key) {
@@ -141,10 +141,10 @@
         if let Some(o) = &mut self.operators {
             o.tick(now, &self.poll);
         }
-        if let Some(h) = &mut self.hands {
+        if let Some(h) = &mut self.in_flight {
             h.tick(now, &self.poll);
         }
-        self.keep_hands(now);
+        self.keep_in_flight(now);
         self.keep_plan(now);
         self.keep_control(now);
         self.keep_policy(now);
--- a/src/net/upkeep/calls.rs
+++ b/src/net/upkeep/calls.rs
@@ -39,12 +39,12 @@
             },
             _ => Command::Abort,
         };
-        let Some(hands) = &mut self.hands else { return Some("-ERR no fleet".into()) };
-        if !hands.takeover.fleet.agree(now, fleet::agreed::Command::Plan(command)) {
+        let Some(in_flight) = &mut self.in_flight else { return Some("-ERR no fleet".into()) };
+        if !in_flight.takeover.fleet.agree(now, fleet::agreed::Command::Plan(command)) {
             return Some("-ERR no lease: this dispatcher is cut off from the fleet".into());
         }
-        hands.upkeep.waiting.push(Waiting { caller, call, until: now + AGREED });
-        hands.upkeep.look_at = now;
+        in_flight.upkeep.waiting.push(Waiting { caller, call, until: now + AGREED });
+        in_flight.upkeep.look_at = now;
         None
     }
 
@@ -58,9 +58,9 @@
         }
         if let Some(why) = plan.stopped() {
             let _ = writeln!(text, "stopped: {why}");
-        } else if let (Some(next), Some(hands)) = (plan.next(), &self.hands) {
+        } else if let (Some(next), Some(in_flight)) = (plan.next(), &self.in_flight) {
             let busy = self.dispatch.busy(now);
-            if let Err(why) = plan::may_begin(plan, &self.machines(), busy, &hands.upkeep.budget) {
+            if let Err(why) = plan::may_begin(plan, &self.machines(), busy, &in_flight.upkeep.budget) {
                 let _ = writeln!(text, "{next} is held up: {}", told(&why));
             }
         }
@@ -68,15 +68,15 @@
     }
 
     pub(super) fn answer_calls(&mut self, plan: &Plan, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
+        let Some(in_flight) = &mut self.in_flight else { return };
         let done = |call: &Call| match call {
             Call::Plan(ids) => ids.iter().all(|id| plan.step(id).is_some_and(|s| !s.over())),
             Call::PlanMend(id) => plan.step(id).is_some_and(|s| !s.banned()),
             _ => plan.next().is_none() && !plan.steps().any(|(_, s)| matches!(s, Step::Drains(..))),
         };
         let (over, waiting): (Vec<Waiting>, Vec<Waiting>) =
-            hands.upkeep.waiting.drain(..).partition(|w| done(&w.call) || w.until <= now);
-        hands.upkeep.waiting = waiting;
+            in_flight.upkeep.waiting.drain(..).partition(|w| done(&w.call) || w.until <= now);
+        in_flight.upkeep.waiting = waiting;
         for w in over {
             let answer = match (done(&w.call), &w.call) {
                 (false, _) => "-ERR not agreed in time; DRAIN STATUS tells what came of it".into(),
--- a/src/net/upkeep/keep.rs
+++ b/src/net/upkeep/keep.rs
@@ -13,14 +13,14 @@
 
 impl Node {
     pub(super) fn plan(&self) -> Option<&Plan> {
-        self.hands.as_ref()?.takeover.fleet.agreed().map(fleet::Agreed::plan)
+        self.in_flight.as_ref()?.takeover.fleet.agreed().map(fleet::Agreed::plan)
     }
 
     pub(super) fn machines(&self) -> BTreeMap<String, Machine> {
-        let Some(hands) = &self.hands else { return BTreeMap::new() };
+        let Some(in_flight) = &self.in_flight else { return BTreeMap::new() };
         let machine = |t: &crate::codec::coordinator::Target| Machine {
             hall: self.names.zones.get(&t.az).copied().unwrap_or(0),
-            cores: hands.cores_of(self.names.kinds.get(&t.model).copied()),
+            cores: in_flight.cores_of(self.names.kinds.get(&t.model).copied()),
             up: t.state == State::Up && !self.bans.banned(&t.uid),
             started: t.boot_ms.saturating_mul(1_000),
         };
@@ -30,20 +30,20 @@
     /// Looks at the plan: what it holds back here, what is idle, who waits for an answer, and as leader what comes
     /// next.
     pub(in crate::net) fn keep_plan(&mut self, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
-        let changed = std::mem::take(&mut hands.takeover.planned);
-        if !changed && now < hands.upkeep.look_at {
+        let Some(in_flight) = &mut self.in_flight else { return };
+        let changed = std::mem::take(&mut in_flight.takeover.planned);
+        if !changed && now < in_flight.upkeep.look_at {
             return;
         }
-        hands.upkeep.look_at = now + LOOK;
-        let Some(plan) = hands.takeover.fleet.agreed().map(fleet::Agreed::plan) else {
+        in_flight.upkeep.look_at = now + LOOK;
+        let Some(plan) = in_flight.takeover.fleet.agreed().map(fleet::Agreed::plan) else {
             return self.not_yet_told(now);
         };
-        if plan.steps().next().is_none() && hands.upkeep.held_back.is_empty() {
-            hands.upkeep.told = true;
+        if plan.steps().next().is_none() && in_flight.upkeep.held_back.is_empty() {
+            in_flight.upkeep.told = true;
             return;
         }
-        hands.upkeep.active = plan.steps().any(|(_, s)| !s.over());
+        in_flight.upkeep.active = plan.steps().any(|(_, s)| !s.over());
         let plan = plan.clone();
         self.log_plan(&plan, now);
         self.hold_back(&plan, now);
@@ -55,10 +55,10 @@
     /// One that has just started knows no plan: it leaves all alone until it is told, or until nobody has told it
     /// anything for two leases.
     fn not_yet_told(&mut self, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
-        if now >= hands.upkeep.begun + hands.upkeep.untold {
-            if !hands.upkeep.told {
-                hands.upkeep.told = true;
+        let Some(in_flight) = &mut self.in_flight else { return };
+        if now >= in_flight.upkeep.begun + in_flight.upkeep.untold {
+            if !in_flight.upkeep.told {
+                in_flight.upkeep.told = true;
                 tracing::warn!("maintenance: no word of the fleet, motores are used as listed");
                 self.hold_back(&Plan::default(), now);
             }
@@ -69,22 +69,22 @@
     }
 
     fn log_plan(&mut self, plan: &Plan, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
+        let Some(in_flight) = &mut self.in_flight else { return };
         let steps: BTreeMap<String, String> = plan.steps().map(|(id, s)| (id.into(), kind(s))).collect();
         for (id, step) in plan.steps() {
-            if hands.upkeep.logged.get(id) != steps.get(id) {
+            if in_flight.upkeep.logged.get(id) != steps.get(id) {
                 tracing::info!(motor = id, step = word(step, now), "maintenance");
             }
         }
-        hands.upkeep.logged = steps;
+        in_flight.upkeep.logged = steps;
     }
 
     /// What the plan holds back and what it has brought back, told to the decisions where it changed.
     fn hold_back(&mut self, plan: &Plan, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
-        hands.upkeep.told = true;
-        let without_word = hands.takeover.fleet.without_word(now);
-        let held = plan.held_back(&hands.upkeep.budget, without_word);
+        let Some(in_flight) = &mut self.in_flight else { return };
+        in_flight.upkeep.told = true;
+        let without_word = in_flight.takeover.fleet.without_word(now);
+        let held = plan.held_back(&in_flight.upkeep.budget, without_word);
         let held: BTreeSet<String> = held.into_iter().map(String::from).collect();
         let cold: BTreeMap<String, Micros> = plan
             .steps()
@@ -94,16 +94,16 @@
     }
 
     fn hold(&mut self, held: BTreeSet<String>, cold: BTreeMap<String, Micros>, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
+        let Some(in_flight) = &mut self.in_flight else { return };
         let mut changed: BTreeSet<String> =
-            held.symmetric_difference(&hands.upkeep.held_back).cloned().collect();
+            held.symmetric_difference(&in_flight.upkeep.held_back).cloned().collect();
         for (id, at) in cold {
-            if hands.upkeep.cold.insert(id.clone(), at) != Some(at) {
+            if in_flight.upkeep.cold.insert(id.clone(), at) != Some(at) {
                 changed.insert(id);
             }
         }
-        hands.upkeep.held_back = held;
-        hands.upkeep.cold.retain(|uid, _| self.targets.contains_key(uid));
+        in_flight.upkeep.held_back = held;
+        in_flight.upkeep.cold.retain(|uid, _| self.targets.contains_key(uid));
         let targets: Vec<_> = changed.iter().filter_map(|id| self.targets.get(id).cloned()).collect();
         if !targets.is_empty() {
             self.members(now, News::Changes, &targets);
@@ -111,26 +111,28 @@
     }
 
     fn tell_idle(&mut self, plan: &Plan, now: Micros) {
-        let Some(hands) = &mut self.hands else { return };
-        let Some(holder) = hands.takeover.fleet.holds(now) else { return };
+        let Some(in_flight) = &mut self.in_flight else { return };
+        let Some(holder) = in_flight.takeover.fleet.holds(now) else { return };
         for (id, step) in plan.steps() {
             let Step::Drains(_, idle) = step else { continue };
-            if !idle.contains(&holder) && hands.upkeep.held_back.contains(id) && !self.executors.busy(id) {
+            if !idle.contains(&holder) && in_flight.upkeep.held_back.contains(id) && !self.executors.busy(id)
+            {
                 let idle = Command::Idle(holder, id.into());
-                hands.takeover.fleet.agree(now, fleet::agreed::Command::Plan(idle));
+                in_flight.takeover.fleet.agree(now, fleet::agreed::Command::Plan(idle));
             }
         }
     }
 
     fn lead_plan(&mut self, plan: &Plan, now: Micros) {
-        if !self.hands.as_ref().is_some_and(|h| h.upkeep.active && h.takeover.fleet.leads()) {
+        if !self.in_flight.as_ref().is_some_and(|h| h.upkeep.active && h.takeover.fleet.leads()) {
             return;
         }
         let (machines, busy) = (self.machines(), self.dispatch.busy(now));
-        let Some(hands) = &mut self.hands else { return };
-        let alive: BTreeSet<_> = hands.takeover.fleet.agreed().map(|a| a.alive().clone()).unwrap_or_default();
-        for command in plan::lead(plan, &machines, busy, &alive, &hands.upkeep.budget, now) {
-            hands.takeover.fleet.agree(now, fleet::agreed::Command::Plan(command));
+        let Some(in_flight) = &mut self.in_flight else { return };
+        let alive: BTreeSet<_> =
+            in_flight.takeover.fleet.agreed().map(|a| a.alive().clone()).unwrap_or_default();
+        for command in plan::lead(plan, &machines, busy, &alive, &in_flight.upkeep.budget, now) {
+            in_flight.takeover.fleet.agree(now, fleet::agreed::Command::Plan(command));
         }
     }
 }
--- a/src/schema/market.rs
+++ b/src/schema/market.rs
@@ -92,7 +92,7 @@
 impl Words {
     /// An answer of the process that began at `started` says which version it holds.
     pub fn said(&mut self, schema: &Schema, id: &str, version: Version, started: Micros) {
-        if !schema.motors().news(id, version, started) {
+        if !schema.motors().is_new(id, version, started) {
             return;
         }
         if self.said.len() >= MOST {
@@ -106,7 +106,7 @@
 
     /// Whether an executor has said what the log does not know yet.
     pub fn doubt(&self, schema: &Schema, id: &str) -> bool {
-        self.said.get(id).is_some_and(|&(version, started)| schema.motors().news(id, version, started))
+        self.said.get(id).is_some_and(|&(version, started)| schema.motors().is_new(id, version, started))
     }
 
     /// What is to be proposed to the fleet, until it is in the log.
@@ -116,6 +116,6 @@
     }
 
     fn forget(&mut self, schema: &Schema) {
-        self.said.retain(|id, &mut (version, at)| schema.motors().news(id, version, at));
+        self.said.retain(|id, &mut (version, at)| schema.motors().is_new(id, version, at));
     }
 }
--- a/src/schema/tests.rs
+++ b/src/schema/tests.rs
@@ -3,7 +3,7 @@
 use super::*;
 use crate::api::Micros;
 use fleet::schema::{Command, Schema, Version};
-use fleet::{Holder, Machine, life};
+use fleet::{Holder, Machine, incarnation};
 use proptest::prelude::*;
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -11,7 +11,7 @@
 const TERMS: Terms = Terms { per_core_s: 1.0, burst_s: 1.0, spread: 2 * S, backoff: S / 2 };
 
 fn holder() -> Holder {
-    Holder { life: life(1, 1), term: 1 }
+    Holder { incarnation: incarnation(1, 1), term: 1 }
 }
 
 fn apply(s: &mut Schema, command: Command) -> bool {
--- a/src/takeover/news.rs
+++ b/src/takeover/fleet_events.rs
@@ -4,36 +4,41 @@
 use super::{Takeover, reply};
 use crate::api::Micros;
 use fleet::ledger::End;
-use fleet::{Holder, News, Part, Peer};
+use fleet::{FleetEvent, Holder, Peer, StateKind};
 
 impl Takeover {
-    pub(super) fn news(&mut self, now: Micros) {
-        while let Some(news) = self.fleet.news.pop_front() {
-            self.ruled |= matches!(news, News::Held(_) | News::Lost(_) | News::Joined(_) | News::GivenUp(_));
-            match news {
-                News::Opened(ask) => self.opened(now, ask),
-                News::Taken(ask) => self.taken(now, ask),
-                News::Unrecorded(ask) => self.not_recorded(ask),
-                News::Claimed { ask, from, mine, .. } => self.claimed(now, ask, from, mine),
-                News::Closed(ask, end) => self.closed(now, ask, &end),
-                News::Fetch(peer, ask) => self.fetched(now, peer, ask),
-                News::Result(ask, pages) => self.result(ask, pages),
-                News::Changed(Part::Plan) => self.planned = true,
-                News::Changed(Part::Policy) => self.ruled = true,
+    pub(super) fn take_fleet_events(&mut self, now: Micros) {
+        while let Some(event) = self.fleet.events.pop_front() {
+            self.ruled |= matches!(
+                event,
+                FleetEvent::Held(_) | FleetEvent::Lost(_) | FleetEvent::Joined(_) | FleetEvent::GivenUp(_)
+            );
+            match event {
+                FleetEvent::Opened(ask) => self.opened(now, ask),
+                FleetEvent::Taken(ask) => self.taken(now, ask),
+                FleetEvent::Unrecorded(ask) => self.not_recorded(ask),
+                FleetEvent::Claimed { ask, from, mine, .. } => self.claimed(now, ask, from, mine),
+                FleetEvent::Closed(ask, end) => self.closed(now, ask, &end),
+                FleetEvent::Fetch(peer, ask) => self.fetched(now, peer, ask),
+                FleetEvent::Result(ask, pages) => self.result(ask, pages),
+                FleetEvent::Changed(StateKind::Plan) => self.planned = true,
+                FleetEvent::Changed(StateKind::Policy) => self.ruled = true,
                 // Nothing of these is acted on yet.
-                News::Changed(Part::Schema | Part::Slots) => {}
-                News::Lost(holder) => self.lost(holder),
-                News::Held(h) => tracing::info!(term = h.term, "fleet: lease held"),
-                News::Ended(h) => {
+                FleetEvent::Changed(StateKind::Schema | StateKind::Slots) => {}
+                FleetEvent::Lost(holder) => self.lost(holder),
+                FleetEvent::Held(h) => tracing::info!(term = h.term, "fleet: lease held"),
+                FleetEvent::Ended(h) => {
                     tracing::warn!(
-                        peer = fleet::peer_of(h.life),
+                        peer = fleet::peer_of(h.incarnation),
                         term = h.term,
                         "fleet: a peer's lease is over"
                     );
                 }
-                News::Joined(id) => tracing::info!(fleet = format_args!("{id:016x}"), "fleet: takes part"),
-                News::Leader(leader) => tracing::info!(?leader, "fleet: leader"),
-                News::GivenUp(id) => {
+                FleetEvent::Joined(id) => {
+                    tracing::info!(fleet = format_args!("{id:016x}"), "fleet: takes part")
+                }
+                FleetEvent::Leader(leader) => tracing::info!(?leader, "fleet: leader"),
+                FleetEvent::GivenUp(id) => {
                     let fleet = format_args!("{id:016x}");
                     tracing::error!(fleet, "fleet: its majority has started anew; its record is lost");
                 }
@@ -111,7 +116,7 @@
         };
         tracing::info!(
             request = format_args!("{:016x}", record.rid),
-            peer = fleet::peer_of(from.life),
+            peer = fleet::peer_of(from.incarnation),
             tried = record.tried.len(),
             "fleet: taken over"
         );
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -5,11 +5,11 @@
 //! is sent; what may repeat is put on record beside being sent, and only where a client could come back for it.
 //! A try that finds its ask on record waits for what comes of that: it never runs beside it.
 //!
-//! `arrivals` has the requests that come, `answers` those that end, and `news` what the fleet tells of them.
+//! `arrivals` has the requests that come, `answers` those that end, and `fleet_events` what the fleet tells of them.
 
 mod answers;
 mod arrivals;
-mod news;
+mod fleet_events;
 #[cfg(test)]
 mod tests;
 mod types;
@@ -64,7 +64,7 @@
     /// A message of a peer.
     pub fn hears(&mut self, now: Micros, from: Peer, message: Message) {
         self.fleet.hear(now, from, message);
-        self.news(now);
+        self.take_fleet_events(now);
     }
 
     /// When [`Takeover::tick`] has something to do next.
@@ -76,7 +76,7 @@
     /// still is over before it acts on it.
     pub fn tick(&mut self, now: Micros) {
         self.fleet.tick(now);
-        self.news(now);
+        self.take_fleet_events(now);
         while let Some(&(at, ask)) = self.due.first().filter(|(at, _)| *at <= now) {
             self.due.remove(&(at, ask));
             match self.local.get_mut(&ask).map(|l| &mut l.stage) {
@@ -100,7 +100,7 @@
         if self.next_due() <= now {
             self.tick(now);
         }
-        self.news(now);
+        self.take_fleet_events(now);
     }
 }
 
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use fleet::Terms;
+use fleet::FleetConfig;
 use fleet::ledger::{Limits, Record};
 
 const MS: Micros = 1_000;
@@ -14,7 +14,7 @@
 impl Three {
     fn formed() -> Three {
         let now = 1_000_000 * MS;
-        let terms = |me| Terms {
+        let terms = |me| FleetConfig {
             me,
             peers: vec![1, 2, 3],
             lease: 1_000 * MS,
