Believe no follower that claims to have acted by a policy of an impossible number

Seen by reading: a subscription's policy number went unchecked into the number that a new fleet begins at and that the next change gets (sessions::hear, queue::queue); one garbled or hostile follower with u64::MAX would have left no number for any change, and in a debug build ended the member by an overflow.

Change: a number above 2^48 ends that connection; numbers are counted with saturation. What ends a connection stands in a file of its own.

--- a/crates/fleet/src/control/member/mod.rs
+++ b/crates/fleet/src/control/member/mod.rs
@@ -7,6 +7,7 @@
 mod leases;
 mod sessions;
 mod streams;
+mod violation;
 
 use super::messages::{FollowerId, MemberMessage};
 use super::timing::Timing;
@@ -15,8 +16,8 @@
 use consent::Deferred;
 use leases::Granted;
 use sessions::Session;
-pub use sessions::Violation;
 use std::collections::{BTreeMap, VecDeque};
+pub use violation::Violation;
 
 /// A follower's connection, as its host numbers them.
 pub type SessionId = u64;
--- a/crates/fleet/src/control/member/sessions.rs
+++ b/crates/fleet/src/control/member/sessions.rs
@@ -1,12 +1,14 @@
 //! Connections of followers: what they say, and what is answered at once.
 
-use super::{Member, MemberView, SessionId};
+use super::{Member, MemberView, SessionId, Violation};
 use crate::Micros;
 use crate::control::messages::{
     FollowerId, FollowerMessage, MOST_NAME, MemberMessage, Rejection, Resume, VERSION,
 };
 use crate::policy::{FAULT, FAULTS, MOST_TEXT, Policy, Revision};
-use std::fmt;
+
+/// The highest number of a policy that is believed: with a change each microsecond it takes nine years to come there.
+const MOST_POLICY: u64 = 1 << 48;
 
 /// A connection without a word for so many of a follower's leases is over.
 const SILENT_LEASES: u64 = 3;
@@ -38,35 +40,6 @@
     pub(super) blocked: bool,
 }
 
-/// Why a follower's message is not taken; its connection ends.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Violation {
-    /// It speaks before it has subscribed.
-    NotSubscribed,
-    /// It subscribes twice.
-    SubscribedTwice,
-    /// A name or text is too long.
-    TooLong,
-    /// It claims a revision that was not sent to it.
-    Revision(Revision),
-    /// It was turned away.
-    Rejected(Rejection),
-}
-
-impl fmt::Display for Violation {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Violation::NotSubscribed => write!(f, "it speaks before it has subscribed"),
-            Violation::SubscribedTwice => write!(f, "it subscribes twice"),
-            Violation::TooLong => write!(f, "a name or text is too long"),
-            Violation::Revision(r) => write!(f, "it claims revision {r}, which was not sent to it"),
-            Violation::Rejected(r) => write!(f, "turned away: {r}"),
-        }
-    }
-}
-
-impl std::error::Error for Violation {}
-
 impl Member {
     /// A connection came up.
     pub fn connected(&mut self, now: Micros, session: SessionId) {
@@ -129,6 +102,9 @@
             if group.len() > MOST_NAME || name.len() > MOST_NAME {
                 return Err(Violation::TooLong);
             }
+            if policy > MOST_POLICY {
+                return Err(Violation::Policy(policy));
+            }
             self.followers_policy = self.followers_policy.max(policy);
             let rejection = self.rejects(version, &group, view);
             if let Some(rejection) = rejection {
@@ -154,6 +130,9 @@
             FollowerMessage::Cannot(number, why) if why.len() <= FAULT * FAULTS => {
                 s.cannot = Some((number, why));
             }
+            FollowerMessage::Restore { number, .. } if number > MOST_POLICY => {
+                return Err(Violation::Policy(number));
+            }
             FollowerMessage::Restore { number, text, digest } if text.len() <= MOST_TEXT => {
                 self.restore = Some(Policy { number, text, digest });
             }
--- a/crates/fleet/src/policy/apply.rs
+++ b/crates/fleet/src/policy/apply.rs
@@ -8,7 +8,7 @@
         if self.accepts(&p.text).is_err() {
             return false;
         }
-        self.last = (self.last + 1).max(least);
+        self.last = self.last.saturating_add(1).max(least);
         self.take(self.last, by, at);
         let vote = at.saturating_add(limits[0]);
         let policy = Policy { number: self.last, ..p };
--- a/crates/fleet/src/policy/queue.rs
+++ b/crates/fleet/src/policy/queue.rs
@@ -53,7 +53,7 @@
             return false;
         }
         // Who knows of a higher number says so in the policy's own.
-        self.last = (self.last + 1).max(waiting.policy.number);
+        self.last = self.last.saturating_add(1).max(waiting.policy.number);
         self.take(self.last, waiting.by, waiting.at);
         waiting.policy.number = self.last;
         self.waiting.push_back(waiting);
--- a/crates/fleet/tests/control/streams.rs
+++ b/crates/fleet/tests/control/streams.rs
@@ -123,6 +123,20 @@
     assert!(out.iter().any(|(_, m)| matches!(m, MemberMessage::Rejected(Rejection::Version(VERSION)))));
 }
 
+// A number that no fleet comes to would be the least of all that follow: nobody is believed who claims it.
+#[test]
+fn a_policy_that_cannot_be_is_not_believed() {
+    let mut w = World::new(3, 2, 30);
+    w.formed();
+    let claim = |m: &mut FollowerMessage| {
+        let FollowerMessage::Subscribe { policy, .. } = m else { return };
+        *policy = u64::MAX;
+    };
+    assert_eq!(subscribe(&mut w, 1, claim), Err(Violation::Policy(u64::MAX)));
+    assert!(w.propose(1, "one"));
+    w.until(1_000 * MS, "it has the next number", |w| w.all_at(1));
+}
+
 // Whoever speaks before it has subscribed, or claims what was not sent to it, is none of ours.
 #[test]
 fn violations_end_the_connection() {
