Make the capacity page from measured slopes, with 1,600 followers and faults

Need: the operators ask what 1,600 dispatchers and 3,300 databases come to, from measured slopes, and which mechanism is missing.

--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -94,7 +94,7 @@
         /// A short run for CI: nothing is kept
         #[arg(long)]
         slice: bool,
-        /// Only this part: list, connections, control, changes, regions, faults, voters
+        /// Only this part: list, connections, control, changes, regions, faults
         #[arg(long)]
         part: Option<scale::Part>,
     },
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -16,6 +16,7 @@
 mod list;
 mod page;
 mod process;
+mod report;
 mod table;
 
 pub use hollow::HollowArgs;
--- a/crates/lab/src/scale/page.rs
+++ b/crates/lab/src/scale/page.rs
@@ -22,8 +22,8 @@
     what: &'static str,
     file: &'static str,
     columns: [&'static str; 2],
-    /// Only rows of a group of this many members.
-    members: Option<f64>,
+    /// Only rows with this value in that column.
+    only: Option<(&'static str, f64)>,
     at: f64,
     /// What the table's unit is multiplied with.
     factor: f64,
@@ -38,7 +38,7 @@
         what,
         file: "list.csv",
         columns: ["executors", column],
-        members: None,
+        only: None,
         at: EXECUTORS,
         factor,
         unit,
@@ -48,7 +48,7 @@
         what,
         file: "connections.csv",
         columns: ["clients", column],
-        members: None,
+        only: None,
         at: CLIENTS,
         factor,
         unit,
@@ -58,12 +58,22 @@
         what,
         file: "control.csv",
         columns: ["followers", column],
-        members: Some(MEMBERS as f64),
+        only: Some(("members", MEMBERS as f64)),
         at: followers,
         factor,
         unit,
         budget,
     };
+    let voters = Figure {
+        what: "all as voters, without followers: bytes of each with the others",
+        file: "control.csv",
+        columns: ["members", "member_member_bytes_s"],
+        only: Some(("followers", followers)),
+        at: followers,
+        factor: 1e-3,
+        unit: "KB/s",
+        budget: Some(18.0),
+    };
     vec![
         of_list("dispatcher: memory with the list", "memory", 1e-6, "MB", None),
         of_list("dispatcher: start with the whole list", "start_s", 1.0, "s", None),
@@ -91,13 +101,14 @@
         of_control("control: a member's bytes with followers", "member_follower_bytes_s", 1e-3, "KB/s", None),
         of_control("control: a member's bytes with members", "member_member_bytes_s", 1e-3, "KB/s", None),
         of_control("control: a member's descriptors", "member_descriptors", 1.0, "", None),
+        voters,
     ]
 }
 
 impl Figure {
     fn fit(&self, table: &Table) -> Option<Fit> {
         let [x, y] = self.columns;
-        fit(&table.points(x, y, |row| self.members.is_none_or(|m| row("members") == m)))
+        fit(&table.points(x, y, |row| self.only.is_none_or(|(column, value)| row(column) == value)))
     }
 
     fn row(&self, fit: Fit) -> String {
