--- a/crates/fleet/tests/control/main.rs
+++ b/crates/fleet/tests/control/main.rs
@@ -1,8 +1,13 @@
 //! Followers of a control group: what holds of changes, leases and moves, in virtual time.
 
 mod faults;
+mod follower_node;
+mod refusals;
 mod storm;
 mod streams;
+mod turns;
+mod watch;
+mod wires;
 mod world;
 
 use fleet::policy::{Act, Gate};
--- a/crates/fleet/tests/control/streams.rs
+++ b/crates/fleet/tests/control/streams.rs
@@ -2,9 +2,8 @@
 
 use super::world::*;
 use fleet::control::member::MemberRecord;
-use fleet::control::member::Violation;
 use fleet::control::messages::{FRAMING, FollowerMessage, MOST_FOLLOWER_FRAME, MemberMessage, VERSION};
-use fleet::control::{FollowerId, Rejection, Resume};
+use fleet::control::{FollowerId, Resume};
 use fleet::policy::{Change, Gate, Policies, Policy};
 use proptest::prelude::*;
 
@@ -70,92 +69,6 @@
     assert!(w.snapshots_seen >= 1 && w.snapshots_seen <= w.most_snapshots, "{}", w.snapshots_seen);
 }
 
-// A member at its bound says so and names the others; those it turns away find room there.
-#[test]
-fn a_member_at_its_bound_names_the_others() {
-    let mut w = World::new(3, 0, 25);
-    w.most_followers = 4;
-    (1..=3).for_each(|p| w.start_member(p));
-    (0..12).for_each(|f| w.start_follower(f));
-    w.until(60_000 * MS, "all have found room", World::all_admit);
-    assert!(w.members.values().all(|n| n.member.followers() == 4));
-    let rejection = subscribe(&mut w, 1, |_| ()).unwrap_err();
-    assert_eq!(rejection, Violation::Rejected(Rejection::Full(vec!["m2".into(), "m3".into()])));
-}
-
-fn subscribe(w: &mut World, peer: u8, change: impl FnOnce(&mut FollowerMessage)) -> Result<(), Violation> {
-    let (now, session) = (w.now, 999_999);
-    let node = w.members.get_mut(&peer).unwrap();
-    node.member.connected(now, session);
-    let mut message = FollowerMessage::Subscribe {
-        version: VERSION,
-        group: GROUP.into(),
-        follower: FollowerId(77),
-        name: "x".into(),
-        resume: None,
-        policy: 0,
-    };
-    change(&mut message);
-    let view = node.fleet.view(now);
-    let told = node.member.hear(now, session, message, view);
-    node.member.disconnected(session);
-    told
-}
-
-// A follower of another group or version is told why.
-#[test]
-fn others_are_turned_away_with_a_reason() {
-    let mut w = World::new(3, 1, 26);
-    w.formed();
-    let version = |m: &mut FollowerMessage| {
-        let FollowerMessage::Subscribe { version, .. } = m else { return };
-        *version += 1;
-    };
-    let told = subscribe(&mut w, 1, version);
-    assert_eq!(told, Err(Violation::Rejected(Rejection::Version(VERSION))));
-    let group = |m: &mut FollowerMessage| {
-        let FollowerMessage::Subscribe { group, .. } = m else { return };
-        *group = "another".into();
-    };
-    let told = subscribe(&mut w, 1, group);
-    assert_eq!(told, Err(Violation::Rejected(Rejection::Group(GROUP.into()))));
-    let out = &w.members[&1].member.outgoing;
-    assert!(out.iter().any(|(_, m)| matches!(m, MemberMessage::Rejected(Rejection::Version(VERSION)))));
-}
-
-// A number that no fleet comes to would be the least of all that follow: nobody is believed who claims it.
-#[test]
-fn a_policy_that_cannot_be_is_not_believed() {
-    let mut w = World::new(3, 2, 30);
-    w.formed();
-    let claim = |m: &mut FollowerMessage| {
-        let FollowerMessage::Subscribe { policy, .. } = m else { return };
-        *policy = u64::MAX;
-    };
-    assert_eq!(subscribe(&mut w, 1, claim), Err(Violation::Policy(u64::MAX)));
-    assert!(w.propose(1, "one"));
-    w.until(1_000 * MS, "it has the next number", |w| w.all_at(1));
-}
-
-// Whoever speaks before it has subscribed, or claims what was not sent to it, is none of ours.
-#[test]
-fn violations_end_the_connection() {
-    let mut w = World::new(3, 1, 27);
-    w.formed();
-    let now = w.now;
-    let node = w.members.get_mut(&1).unwrap();
-    node.member.connected(now, 5_000);
-    let early = FollowerMessage::Renew { at: None, asked: 1 };
-    let view = node.fleet.view(now);
-    assert_eq!(node.member.hear(now, 5_000, early, view), Err(Violation::NotSubscribed));
-    let fleet = node.fleet.founding().unwrap();
-    let (peer, session) = w.followers[&0].connection.unwrap();
-    let node = w.members.get_mut(&peer).unwrap();
-    let ahead = FollowerMessage::Renew { at: Some(Resume { fleet, revision: 1_000 }), asked: 1 };
-    let view = node.fleet.view(now);
-    assert_eq!(node.member.hear(now, session, ahead, view), Err(Violation::Revision(1_000)));
-}
-
 fn subscribed(w: &mut World, session: u64, resume: Option<Resume>) {
     let now = w.now;
     let node = w.members.get_mut(&1).unwrap();
--- /dev/null
+++ b/crates/fleet/tests/control/turns.rs
@@ -0,0 +1,107 @@
+//! What each process does in its turn.
+
+use super::wires::{Payload, Wire};
+use super::world::{MS, World};
+use fleet::Peer;
+use fleet::control::follower::Order;
+use fleet::control::messages::FRAMING;
+use fleet::policy::Gate;
+use fleet::wire::frame;
+
+impl World {
+    pub fn turn_member(&mut self, peer: Peer) {
+        let now = self.now;
+        let Some(node) = self.members.get_mut(&peer) else { return };
+        node.fleet.tick(now);
+        node.fleet.flush(now);
+        node.member.tick(now);
+        node.member.look(now, &mut node.fleet, &mut |_| Vec::new());
+        node.fleet.flush(now);
+        let messages = std::mem::take(&mut node.fleet.messages);
+        node.fleet.events.clear();
+        let outgoing = std::mem::take(&mut node.member.outgoing);
+        let closing = std::mem::take(&mut node.member.closing);
+        self.snapshots_seen = self.snapshots_seen.max(node.member.snapshots_under_way());
+        for (to, message) in messages {
+            let lost = self.cut.contains(&(peer, to)) || self.draw(200) == 0;
+            let at = now + self.delay + self.draw(4) * MS;
+            if !lost {
+                self.peer_wires.push_back((at, peer, to, frame(&message)));
+            }
+        }
+        for (session, message) in outgoing {
+            let at = now + self.draw(4) * MS;
+            let payload = Payload::ToFollower(FRAMING.frame(&message));
+            self.wires.push(Wire { at, session, payload });
+        }
+        closing.into_iter().for_each(|s| self.close(s));
+    }
+
+    pub fn turn_follower(&mut self, index: usize) {
+        let now = self.now;
+        let Some(f) = self.followers.get_mut(&index) else { return };
+        let clock = f.clock(now);
+        f.look(now);
+        f.follower.tick(clock);
+        f.look(now);
+        f.follower.tick(clock);
+        let orders = std::mem::take(&mut f.follower.orders);
+        for order in orders {
+            self.carry_out(index, order);
+        }
+        let Some(f) = self.followers.get_mut(&index) else { return };
+        let outgoing = std::mem::take(&mut f.follower.outgoing);
+        if let Some((_, session)) = f.connection {
+            for message in outgoing {
+                let at = now + self.draw(4) * MS;
+                let payload = Payload::ToMember(FRAMING.frame(&message));
+                self.wires.push(Wire { at, session, payload });
+            }
+        }
+    }
+
+    fn carry_out(&mut self, index: usize, order: Order) {
+        let now = self.now;
+        let Some(f) = self.followers.get_mut(&index) else { return };
+        let clock = f.clock(now);
+        if let Some((peer, session)) = f.connection.take() {
+            // Its own end is over at once; the member sees it when the way allows.
+            if let Some(node) = self.members.get_mut(&peer) {
+                node.member.disconnected(session);
+            }
+            self.sessions.remove(&session);
+        }
+        let Order::Dial(member) = order else { return };
+        let peer = (member + 1) as Peer;
+        let session = self.next_session;
+        self.next_session += 1;
+        match self.members.get_mut(&peer) {
+            Some(node) if !self.silent.contains(&index) => {
+                node.member.connected(now, session);
+                self.sessions.insert(session, (index, peer));
+                let Some(f) = self.followers.get_mut(&index) else { return };
+                f.connection = Some((peer, session));
+                f.follower.connected(clock);
+            }
+            _ => {
+                if let Some(f) = self.followers.get_mut(&index).filter(|_| !self.silent.contains(&index)) {
+                    f.follower.disconnected(clock);
+                }
+            }
+        }
+    }
+
+    /// A request arrives: never is it admitted by an older policy than any before it was.
+    pub fn arrives(&mut self, index: usize) {
+        match self.followers.get(&index).map(|f| f.gate(self.now)) {
+            Some(Gate::Admit(number)) => {
+                self.gates[0] += 1;
+                let newest = self.admitted;
+                assert!(number >= newest, "at {} d{index} admits by {number} after {newest}", self.now);
+                self.admitted = number;
+            }
+            Some(Gate::Hold) => self.gates[1] += 1,
+            _ => self.gates[2] += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/control/watch.rs
@@ -0,0 +1,74 @@
+//! How tests let the world run, look at it, and call changes.
+
+use super::world::{LIMITS, MS, World};
+use fleet::policy::{self, Gate, Policy, PolicyRecord, Waiting};
+use fleet::{Micros, Peer};
+
+impl World {
+    pub fn run(&mut self, span: Micros, mut each: impl FnMut(&mut World)) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+            each(self);
+        }
+    }
+
+    /// Until something holds, within a span of the world's time.
+    pub fn until(&mut self, within: Micros, what: &str, holds: impl Fn(&World) -> bool) -> Micros {
+        let begun = self.now;
+        while !holds(self) {
+            assert!(self.now < begun + within, "not within {} ms: {what}", within / MS);
+            self.step();
+        }
+        self.now - begun
+    }
+
+    pub fn formed(&mut self) {
+        self.until(20_000 * MS, "all have a lease", World::all_admit);
+    }
+
+    /// Whether every follower admits now.
+    pub fn all_admit(&self) -> bool {
+        self.followers.values().all(|f| matches!(f.gate(self.now), Gate::Admit(_)))
+    }
+
+    /// Whether every follower admits by this number.
+    pub fn all_at(&self, number: u64) -> bool {
+        self.followers.values().all(|f| f.gate(self.now) == Gate::Admit(number))
+    }
+
+    /// Proposes a policy at a member; whether it could.
+    pub fn propose(&mut self, peer: Peer, text: &str) -> bool {
+        self.next_at += 1;
+        let at = self.now + self.next_at;
+        let now = self.now;
+        let Some(node) = self.members.get_mut(&peer) else { return false };
+        let mut digest = [0; 32];
+        digest.iter_mut().zip(text.bytes()).for_each(|(d, b)| *d = b);
+        let policy = Policy { number: node.member.known_policy(), text: text.into(), digest };
+        let waiting = Waiting { policy, by: peer, at, limits: LIMITS };
+        node.fleet.say(now, policy::Command::Queue(waiting))
+    }
+
+    /// Proposes at any member that can, within some seconds.
+    pub fn propose_anywhere(&mut self, text: &str) {
+        for _ in 0..4_000 {
+            let peers: Vec<Peer> = self.members.keys().copied().collect();
+            if peers.into_iter().any(|p| self.propose(p, text)) {
+                return;
+            }
+            self.step();
+        }
+        panic!("nobody could propose");
+    }
+
+    /// The member that a follower is connected to.
+    pub fn member_of(&self, index: usize) -> Option<Peer> {
+        self.followers.get(&index).and_then(|f| f.follower.member()).map(|m| (m + 1) as Peer)
+    }
+
+    /// The member that leads.
+    pub fn leader(&self) -> Option<Peer> {
+        self.members.iter().find(|(_, n)| n.fleet.leads()).map(|(p, _)| *p)
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/control/wires.rs
@@ -0,0 +1,106 @@
+//! What is under way between processes.
+
+use super::world::{MS, World};
+use fleet::control::member::MemberRecord;
+use fleet::control::messages::{FRAMING, MOST_FOLLOWER_FRAME, MOST_MEMBER_FRAME};
+use fleet::control::{FollowerMessage, MemberMessage, SessionId};
+use fleet::wire::next;
+use fleet::{Micros, Peer};
+use std::collections::BTreeSet;
+
+pub enum Payload {
+    ToMember(Vec<u8>),
+    ToFollower(Vec<u8>),
+    Closed,
+}
+
+pub struct Wire {
+    pub at: Micros,
+    pub session: SessionId,
+    pub payload: Payload,
+}
+
+impl World {
+    pub fn deliver_between_members(&mut self) {
+        let now = self.now;
+        let mut due: Vec<_> = self.peer_wires.iter().filter(|w| w.0 <= now).cloned().collect();
+        self.peer_wires.retain(|w| w.0 > now);
+        due.sort_by_key(|w| w.0);
+        for (at, from, to, bytes) in due {
+            if self.paused_members.contains_key(&to) {
+                self.peer_wires.push_back((at + 5 * MS, from, to, bytes));
+            } else if let Some(node) = self.members.get_mut(&to) {
+                let (_, message) = next(&bytes, 64 << 20).unwrap().unwrap();
+                node.fleet.hear(now, from, message);
+            }
+        }
+    }
+
+    /// Bytes of one connection come in their order; those of one that is silent wait.
+    pub fn deliver_to_followers_and_members(&mut self) {
+        let now = self.now;
+        let wires = std::mem::take(&mut self.wires);
+        let mut held = BTreeSet::new();
+        for wire in wires {
+            let Some((follower, peer)) = self.sessions.get(&wire.session).copied() else { continue };
+            let stalls = match wire.payload {
+                Payload::ToMember(_) => self.paused_members.contains_key(&peer),
+                Payload::ToFollower(_) => {
+                    self.paused_followers.contains_key(&follower)
+                        || self.followers.get(&follower).is_some_and(|f| f.deaf)
+                }
+                Payload::Closed => false,
+            };
+            let towards_member = matches!(wire.payload, Payload::ToMember(_));
+            let way = (wire.session, towards_member);
+            let silent = self.silent.contains(&follower) && !matches!(wire.payload, Payload::Closed);
+            if wire.at > now || stalls || silent || held.contains(&way) {
+                held.insert(way);
+                self.wires.push(wire);
+                continue;
+            }
+            self.deliver(wire, follower, peer);
+        }
+    }
+
+    fn deliver(&mut self, wire: Wire, follower: usize, peer: Peer) {
+        let (now, session) = (self.now, wire.session);
+        match wire.payload {
+            Payload::ToMember(bytes) => {
+                let Some(node) = self.members.get_mut(&peer) else { return };
+                let read = FRAMING.next::<FollowerMessage>(&bytes, MOST_FOLLOWER_FRAME);
+                let (_, message) = read.unwrap().unwrap();
+                let view = node.fleet.view(now);
+                if node.member.hear(now, session, message, view).is_err() {
+                    node.member.disconnected(session);
+                    node.member.closing.push(session);
+                }
+            }
+            Payload::ToFollower(bytes) => {
+                let Some(f) = self.followers.get_mut(&follower) else { return };
+                if f.connection.is_none_or(|(_, s)| s != session) {
+                    return;
+                }
+                let clock = f.clock(now);
+                let snapshots = f.follower.tally.snapshots;
+                let read = FRAMING.next::<MemberMessage>(&bytes, MOST_MEMBER_FRAME);
+                let (_, message) = read.unwrap().unwrap();
+                f.follower.hear(clock, message);
+                f.check_revision(snapshots);
+            }
+            Payload::Closed => {
+                self.sessions.remove(&session);
+                if let Some(node) = self.members.get_mut(&peer) {
+                    node.member.disconnected(session);
+                }
+                if let Some(f) = self.followers.get_mut(&follower)
+                    && f.connection.is_some_and(|(_, s)| s == session)
+                {
+                    f.connection = None;
+                    let clock = f.clock(now);
+                    f.follower.disconnected(clock);
+                }
+            }
+        }
+    }
+}
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -2,7 +2,7 @@
 //! with 1,600 hollow followers.
 //!
 //! - [`list`], [`connections`], [`control`], [`changes`], [`faults`]: the measurements, a table each.
-//! - [`hollow`]: followers without clients, some hundred to a process.
+//! - [`mod@hollow`]: followers without clients, some hundred to a process.
 //! - [`page`]: the figures of the capacity page, made of the kept tables.
 
 mod changes;
--- a/tests/control_group/group.rs
+++ b/tests/control_group/group.rs
@@ -1,18 +1,17 @@
 //! Members and followers as processes, two old executors and two new ones, and clients.
 
-use standins::asks::{Ask, PATIENCE, ask, call, table};
+use super::members::MemberProcess;
+use standins::asks::{Ask, PATIENCE, call};
 use standins::engine::{Engine, Pull};
 use standins::feed::Feed;
 use standins::link::Link;
 use standins::scripted::*;
-use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::Child;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::AtomicBool;
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
-use std::time::{Duration, Instant, SystemTime};
+use std::time::{Duration, Instant};
 
 /// One zone, two kinds of executor; the class may go to both.
 pub const SETTINGS: &str = r#"{"areas":["a"],"balancers":3,"kinds":["old","new"],"domain":{"kindCores":[8,8],"memoryByKindMb":[16384,16384],"parallelism":[1]},"permissions":{"cancel":true,"maxAttempts":3,"probes":true,"retryAfter":true,"maxRetryAfter":1.0,"dialTimeout":0.25},"report":{"how":"on_probe"},"requestClasses":[{"name":"read","promise":5.0,"hardLimit":20.0,"effect":"read_like","boundTo":["old","new"]}],"rules":{"stopSendingWithin":0.5,"coldFrom":0.0,"rampTime":1,"fall":1,"fallMultiple":3}}"#;
@@ -24,35 +23,17 @@
 const LEASE: &str = "3s";
 const LIMITS: &str = "  policy {\n    vote_limit = \"30s\"\n    close_limit = \"30s\"\n  }\n";
 
-/// A member's process and where it is reached.
-pub struct MemberProcess {
-    child: Option<Child>,
-    /// Ways to it that stay where they are when it is started anew.
-    peers: Link,
-    followers: Link,
-    operators: Option<SocketAddr>,
-}
-
-impl Drop for MemberProcess {
-    fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 pub struct Group {
-    launch: Launch,
+    pub launch: Launch,
     pub members: Vec<MemberProcess>,
-    member_settings: String,
-    lines: String,
+    pub member_settings: String,
+    pub lines: String,
     pub engines: Vec<Engine>,
     pub dispatchers: Vec<(Dispatcher, SocketAddr)>,
-    asks: Arc<Mutex<Vec<Ask>>>,
-    stop: Arc<AtomicBool>,
-    clients: Vec<JoinHandle<()>>,
-    feed: Feed,
+    pub asks: Arc<Mutex<Vec<Ask>>>,
+    pub stop: Arc<AtomicBool>,
+    pub clients: Vec<JoinHandle<()>>,
+    pub feed: Feed,
 }
 
 fn launch() -> Launch {
@@ -61,7 +42,7 @@
     launch
 }
 
-fn said(line: &str, what: &str) -> SocketAddr {
+pub fn said(line: &str, what: &str) -> SocketAddr {
     line.split(what).nth(1).unwrap().trim().parse().unwrap()
 }
 
@@ -102,7 +83,7 @@
         group
     }
 
-    fn member_blocks(&self, order: [usize; 3]) -> String {
+    pub fn member_blocks(&self, order: [usize; 3]) -> String {
         let block = |(i, at): (usize, usize)| {
             let m = &self.members[at];
             format!(
@@ -113,58 +94,6 @@
         order.into_iter().enumerate().map(block).collect()
     }
 
-    /// Starts a member, anew or for the first time.
-    pub fn start_member(&mut self, i: usize) {
-        let own = self.launch.file(&format!(
-            "control {{\n  role = \"member\"\n  me = \"m{i}\"\n  listen = \"127.0.0.1:0\"\n  followers = \"127.0.0.1:0\"\n{}{}}}\n",
-            self.lines,
-            self.member_blocks([0, 1, 2])
-        ));
-        let config = Launch { settings: self.member_settings.clone(), ..self.launch.clone() }
-            .config_of(self.feed.address, &[])
-            .replace(r#""more":0"#, r#""operator":"127.0.0.1:0""#);
-        let launch = self.launch.clone().with(&["--settings", &own.display().to_string()]);
-        let (mut child, _) = launch.spawn(&config);
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        self.members[i].child = Some(child);
-        let mut address = |what: &str| {
-            let mut line = String::new();
-            while !line.contains(what) {
-                line.clear();
-                assert!(log.read_line(&mut line).unwrap() > 0, "a member did not start");
-            }
-            said(&line, what)
-        };
-        let member = &mut self.members[i];
-        member.peers.leads_to(address("members' address "));
-        member.followers.leads_to(address("followers' address "));
-        member.operators = Some(address("operators' address "));
-        // Its log is read to its end, so that it never waits for a reader.
-        thread::spawn(move || log.lines().map_while(Result::ok).for_each(drop));
-    }
-
-    pub fn kill_member(&mut self, i: usize) {
-        let mut child = self.members[i].child.take().unwrap();
-        child.kill().unwrap();
-        child.wait().unwrap();
-    }
-
-    /// Tells a member to end, and waits until it has.
-    pub fn end_member(&mut self, i: usize) {
-        let mut child = self.members[i].child.take().unwrap();
-        let pid = child.id().to_string();
-        assert!(std::process::Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
-        let begun = Instant::now();
-        loop {
-            if let Some(status) = child.try_wait().unwrap() {
-                assert!(status.success(), "it ends in order");
-                return;
-            }
-            assert!(begun.elapsed() < PATIENCE, "it does not end");
-            thread::sleep(Duration::from_millis(20));
-        }
-    }
-
     /// Where followers reach a member.
     pub fn followers_address(&self, i: usize) -> SocketAddr {
         self.members[i].followers.address
@@ -256,82 +185,6 @@
             }
         }
     }
-
-    /// Until a member's status satisfies this.
-    pub fn until_member(&self, i: usize, done: impl Fn(&str) -> bool) -> String {
-        let begun = Instant::now();
-        loop {
-            let status = self.call_member(i, "POLICY STATUS");
-            if done(&status) {
-                return status;
-            }
-            assert!(begun.elapsed() < PATIENCE, "member {i}: {status}");
-            thread::sleep(Duration::from_millis(10));
-        }
-    }
-
-    /// Until a member has a lease of its own.
-    pub fn until_leased(&self, i: usize) {
-        let begun = Instant::now();
-        while !self.call_member(i, "DUMP").contains("control_lease_held 1\n") {
-            assert!(begun.elapsed() < PATIENCE, "member {i} has no lease");
-            thread::sleep(Duration::from_millis(10));
-        }
-    }
-
-    /// A client at a dispatcher that asks all the time, until that is gone or [`Group::rest`].
-    pub fn client(&mut self, at: usize) {
-        let (to, asks, stop) = (self.dispatchers[at].0.address, self.asks.clone(), self.stop.clone());
-        self.clients.push(thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) && ask(at, to, &asks).got.is_some() {
-                thread::sleep(Duration::from_millis(4));
-            }
-        }));
-    }
-
-    /// Asks once.
-    pub fn ask(&self, at: usize) -> Ask {
-        ask(at, self.dispatchers[at].0.address, &self.asks)
-    }
-
-    /// Lets the clients end.
-    pub fn rest(&mut self) {
-        self.stop.store(true, Ordering::SeqCst);
-        self.clients.drain(..).for_each(|c| c.join().unwrap());
-        self.stop.store(false, Ordering::SeqCst);
-    }
-
-    /// All requests so far.
-    pub fn asks(&self) -> Vec<Ask> {
-        self.asks.lock().unwrap().clone()
-    }
-
-    /// When requests that satisfy this reached these executors, with the requests, in order of time.
-    pub fn reached(&self, executors: [usize; 2], of: impl Fn(&Ask) -> bool) -> Vec<(SystemTime, Ask)> {
-        let asks: Vec<Ask> = self.asks().into_iter().filter(|a| of(a)).collect();
-        let pulls = executors.iter().flat_map(|m| self.engines[*m].pulls());
-        let named = |p: &Pull| asks.iter().find(|a| p.statement.contains(&table(a.rid))).cloned();
-        let mut all: Vec<_> = pulls.filter_map(|p| Some((p.at, named(&p)?))).collect();
-        all.sort_by_key(|(at, _)| *at);
-        all
-    }
-
-    /// Until a request of those asked since then reached a new executor; when it did.
-    pub fn first_new(&self, since: SystemTime) -> SystemTime {
-        let begun = Instant::now();
-        loop {
-            if let Some((at, _)) = self.reached(NEW, |a| a.asked > since).first() {
-                return *at;
-            }
-            assert!(begun.elapsed() < PATIENCE, "nothing reached a new executor in time");
-            thread::sleep(Duration::from_millis(10));
-        }
-    }
-
-    /// The requests that were asked after a moment and reached an old executor all the same.
-    pub fn late_old(&self, since: SystemTime) -> Vec<u64> {
-        self.reached(OLD, |a| a.asked > since).into_iter().map(|(_, a)| a.rid).collect()
-    }
 }
 
 /// A dispatcher without a group.
--- a/tests/control_group/main.rs
+++ b/tests/control_group/main.rs
@@ -1,6 +1,8 @@
 //! Three members of a control group and three dispatchers that follow them, all of them real processes, with clients.
 
 mod group;
+mod members;
+mod requests;
 
 use group::*;
 use standins::asks::{Answer, call};
