--- /dev/null
+++ b/tests/slow_turns/deadlines.rs
@@ -0,0 +1,55 @@
+//! The time that is passed on to an executor: no more than the client still waits, with 0.15 s of slack.
+
+use super::*;
+use std::time::{Duration, Instant};
+
+/// What the client waits in all, and by how much more may be passed on than it has left.
+const BUDGET_MS: u128 = 15_000;
+const SLACK_MS: u128 = 150;
+
+/// The time passed on with a pull is no more than is left of a request that was asked then.
+fn within_what_is_left(pull: &[String], asked: Instant) {
+    let passed_on = pull[2].split(',').find_map(|f| f.strip_prefix("ms=")).expect("a time");
+    let passed_on: u128 = passed_on.parse().expect("milliseconds");
+    let left = BUDGET_MS - asked.elapsed().as_millis();
+    assert!(passed_on <= left + SLACK_MS, "{passed_on} ms passed on, {left} ms left");
+}
+
+// It was read at the beginning of a turn that took long, and goes out at its end.
+#[test]
+fn counts_the_turn_that_it_was_read_in() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut peer = with_idle_connection(&d, &executor);
+    let mut client = resting(&d);
+    let mut asked = None;
+    let turn = LongTurn::begin(&d, || {
+        asked = Some(Instant::now());
+        client.ask(&request("read", 0xa1, ""));
+        arrived(&client.stream);
+    });
+    turn.end_after(Duration::from_millis(900));
+    let pull = peer.command().expect("a pull");
+    within_what_is_left(&pull, asked.expect("asked"));
+    answer(&mut peer, &pull);
+    assert_eq!(client.got(), row());
+}
+
+// A client is not read for a while after mistakes of its own: what it asked meanwhile has waited.
+#[test]
+fn counts_the_pause_after_a_mistake() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut peer = with_idle_connection(&d, &executor);
+    let mut client = resting(&d);
+    for _ in 0..6 {
+        client.ask("SELECT a FROM t");
+        assert!(matches!(client.got(), Got::Error(1064, _)));
+    }
+    let asked = Instant::now();
+    client.ask(&request("read", 0xa1, ""));
+    let pull = peer.command().expect("a pull");
+    within_what_is_left(&pull, asked);
+    answer(&mut peer, &pull);
+    assert_eq!(client.got(), row());
+}
--- /dev/null
+++ b/tests/slow_turns/departed.rs
@@ -0,0 +1,176 @@
+//! Clients that leave in the middle of a long turn: no attempt may begin for them more than 0.1 s later.
+
+use super::*;
+use std::time::Duration;
+
+/// Longer than an attempt may begin after its client has left.
+const OVERDUE: Duration = Duration::from_millis(250);
+
+/// The next request to reach the executor has to be another client's.
+fn nothing_began(d: &Dispatcher, peer: &mut Peer) {
+    let mut next = Client::asks(d.address, &request("read", 0xaf, ""));
+    let pull = peer.command().expect("a pull");
+    assert_eq!(pull[1], format!("{:016x}", 0xaf), "began for a client that had left: {pull:?}");
+    answer(peer, &pull);
+    assert_eq!(next.got(), row());
+}
+
+#[test]
+fn as_it_arrived() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut peer = with_idle_connection(&d, &executor);
+    let (mut closes, mut killed, mut killer) = (resting(&d), resting(&d), resting(&d));
+    let turn = LongTurn::begin(&d, || {
+        closes.ask(&request("load", 0xa1, ""));
+        arrived(&closes.stream);
+        killed.ask(&request("read", 0xa2, ""));
+        arrived(&killed.stream);
+    });
+    drop(closes);
+    killer.ask(&format!("KILL QUERY {}", killed.id));
+    turn.end_after(OVERDUE);
+    nothing_began(&d, &mut peer);
+    assert!(matches!(killed.got(), Got::Error(1317, _)));
+    assert_eq!(killer.got(), Got::Ok);
+}
+
+// A KILL on a connection that nobody has accepted yet.
+#[test]
+fn killed_from_the_backlog() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut peer = with_idle_connection(&d, &executor);
+    let mut killed = resting(&d);
+    let turn = LongTurn::begin(&d, || {
+        killed.ask(&request("load", 0xa1, ""));
+        arrived(&killed.stream);
+    });
+    let crowd: Vec<_> =
+        (0..100).map(|_| std::net::TcpStream::connect(d.address).expect("a backlog")).collect();
+    let _killer = Client::writes(d.address, &format!("KILL QUERY {}", killed.id));
+    turn.end_after(OVERDUE);
+    nothing_began(&d, &mut peer);
+    assert!(matches!(killed.got(), Got::Error(1317, _)));
+    drop(crowd);
+}
+
+// A timer: the key has rested by the end of the long turn, and the next load of it is due.
+#[test]
+fn due_by_a_timer() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(1.5, &[&executor]);
+    let mut first = Client::asks(d.address, &request("load", 0xa1, ",obj=00000000000000ee"));
+    let mut peer = executor.accept();
+    assert_eq!(peer.command().expect("a pull")[1], format!("{:016x}", 0xa1));
+    let mut second = resting(&d);
+    second.ask(&request("load", 0xa2, ",obj=00000000000000ee"));
+    arrived(&second.stream);
+    peer.resets();
+    assert!(matches!(first.got(), Got::Error(1105, _)));
+    let mut peer = with_idle_connection(&d, &executor);
+    let turn = LongTurn::begin(&d, || ());
+    drop(second);
+    turn.end_after(Duration::from_millis(2_000));
+    nothing_began(&d, &mut peer);
+}
+
+// The one before of its key has its answer in that turn.
+#[test]
+fn next_of_its_key() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut spare = with_idle_connection(&d, &executor);
+    let mut first = Client::asks(d.address, &request("load", 0xa1, ",obj=00000000000000ee"));
+    let pull = spare.command().expect("a pull");
+    let mut second = resting(&d);
+    second.ask(&request("load", 0xa2, ",obj=00000000000000ee"));
+    arrived(&second.stream);
+    let turn = LongTurn::begin(&d, || {
+        answer(&mut spare, &pull);
+        arrived(spare.stream());
+    });
+    drop(second);
+    turn.end_after(OVERDUE);
+    assert_eq!(first.got(), row());
+    nothing_began(&d, &mut spare);
+}
+
+// Its connection comes up in that turn.
+#[test]
+fn waits_for_its_connection() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let filler = executor.narrows();
+    let client = Client::asks(d.address, &request("load", 0xa1, ""));
+    dialed(executor.address, 1);
+    let mut peer = None;
+    let turn = LongTurn::begin(&d, || {
+        executor.widens(filler);
+        peer = Some(executor.accept());
+    });
+    drop(client);
+    turn.end_after(OVERDUE);
+    nothing_began(&d, &mut peer.expect("its connection"));
+}
+
+// Its first attempt is lost in that turn, and another executor is there for a second.
+#[test]
+fn sent_again_elsewhere() {
+    let executors = [Executor::new(), Executor::new()];
+    let both = [&executors[0], &executors[1]];
+    let (d, _coordinator) = dispatcher(0.1, &both);
+    let mut peers = with_idle_connections(&d, &both);
+    let client = Client::asks(d.address, &request("read", 0xa1, ""));
+    let (at, pull) = next_pull(&mut peers);
+    assert_eq!(pull[1], format!("{:016x}", 0xa1));
+    let busy = peers.swap_remove(at);
+    let turn = LongTurn::begin(&d, || busy.resets());
+    drop(client);
+    turn.end_after(OVERDUE);
+    let mut next = Client::asks(d.address, &request("read", 0xaf, ""));
+    let (at, pull) = next_pull(&mut peers);
+    assert_eq!(pull[1], format!("{:016x}", 0xaf), "began for a client that had left: {pull:?}");
+    answer(&mut peers[at], &pull);
+    assert_eq!(next.got(), row());
+}
+
+/// Idle connections to all of these executors.
+fn with_idle_connections(d: &Dispatcher, executors: &[&Executor]) -> Vec<Peer> {
+    let (mut clients, mut peers) = (Vec::new(), Vec::new());
+    let mut met = vec![false; executors.len()];
+    for rid in 0xb00.. {
+        if met.iter().all(|m| *m) {
+            break;
+        }
+        // All stay open for now, so that each has a connection of its own.
+        clients.push(Client::asks(d.address, &request("read", rid, "")));
+        let (at, mut peer) = Executor::any(executors);
+        met[at] = true;
+        let pull = peer.command().expect("a pull");
+        peers.push((peer, pull));
+    }
+    peers.iter_mut().for_each(|(peer, pull)| answer(peer, pull));
+    clients.iter_mut().for_each(|client| assert_eq!(client.got(), row()));
+    peers.into_iter().map(|(peer, _)| peer).collect()
+}
+
+/// The next pull on any of some connections, and on which.
+fn next_pull(peers: &mut [Peer]) -> (usize, Vec<String>) {
+    let mut found = None;
+    awaited("a pull", || {
+        found = peers.iter().position(has_something);
+        found.is_some()
+    });
+    let at = found.expect("a connection");
+    (at, peers[at].command().expect("a pull"))
+}
+
+/// Whether something is here to be read.
+fn has_something(peer: &Peer) -> bool {
+    let stream = peer.stream();
+    stream.set_nonblocking(true).expect("a socket");
+    let something = stream.peek(&mut [0]).is_ok();
+    stream.set_nonblocking(false).expect("a socket");
+    something
+}
--- /dev/null
+++ b/tests/slow_turns/main.rs
@@ -0,0 +1,56 @@
+//! A turn of the loop that takes long: what the program knew at its beginning is stale by its end. Real processes on
+//! loopback sockets; the turn is held up by SIGHUP with a configuration that comes through a pipe, so that what happens
+//! in its middle happens there every time.
+
+mod deadlines;
+mod departed;
+mod long_turn;
+
+use long_turn::LongTurn;
+use standins::scripted::*;
+
+/// A dispatcher with settings that send nothing but what a test asks for; loads keep the order of their key.
+fn dispatcher(key_quiet_s: f64, executors: &[&Executor]) -> (Dispatcher, Coordinator) {
+    let mut launch = Launch::new(env!("CARGO_BIN_EXE_ottercroft"), env!("CARGO_TARGET_TMPDIR"));
+    let load = r#""effect":"non_idempotent""#;
+    let rules = r#""rules":{"#;
+    let settings = Quiet::default().json();
+    assert!(settings.contains(load) && settings.contains(rules));
+    launch.settings = settings
+        .replace(load, &format!(r#"{load},"keepOrder":true"#))
+        .replace(rules, &format!(r#"{rules}"keyQuiet":{key_quiet_s},"#));
+    let names: Vec<String> = (1..=executors.len()).map(|n| format!("e{n}")).collect();
+    let listed: Vec<_> = names.iter().zip(executors).map(|(name, e)| (name.as_str(), e.address)).collect();
+    launch.dispatcher(&listed)
+}
+
+/// A request of a class that its client waits 15 s for.
+fn request(class: &str, rid: u64, more: &str) -> String {
+    format!("/* method={class},rid={rid:016x},budget=15000,est=10.0{more} */ SELECT a FROM sales_7.t")
+}
+
+fn row() -> Got {
+    Got::Rows(vec![["1", "x", "y"].map(String::from).to_vec()])
+}
+
+/// A client that is logged in and asks nothing.
+fn resting(d: &Dispatcher) -> Client {
+    let mut client = Client::asks(d.address, "SET NAMES utf8mb4");
+    assert_eq!(client.got(), Got::Ok);
+    client
+}
+
+/// Answers what was pulled.
+fn answer(peer: &mut Peer, pull: &[String]) {
+    peer.page(&pull[1], "OK pages=1", "1\tx\ty\n");
+}
+
+/// Has a request served, so that a connection to the executor is up and idle.
+fn with_idle_connection(d: &Dispatcher, executor: &Executor) -> Peer {
+    let mut client = Client::asks(d.address, &request("read", 0xa0, ""));
+    let mut peer = executor.accept();
+    let pull = peer.command().expect("a pull");
+    answer(&mut peer, &pull);
+    assert_eq!(client.got(), row());
+    peer
+}
