Begin no attempt by an old look at the clients, and count spans on the monotonic clock

Ruled out: the order within a turn (clients first), which is kept and was right.

Change: every attempt's first byte is written in one place (Executors::write), and only while the last look at all clients is no older than half of the 0.1 s of the rule; else it waits there for the next look (executors/look.rs). Each report, order and request is judged by the clock of its own moment. A look reads each client to its end, accepts all that wait, and takes all ready sockets. A request's time counts from when its last byte can have come: behind a turn, a pause after mistakes, a paused listener or the start. Executors and coordinator are judged silent by what was heard up to the last look, not by how long this process took.

The clock was the Unix clock kept from going back; spans are now on the monotonic clock (src/clock), and the starts that the list tells by the wall clock become moments of it once, on both sides of a step.

--- /dev/null
+++ b/src/clock/tests.rs
@@ -0,0 +1,85 @@
+use super::*;
+use std::sync::atomic::{AtomicI64, Ordering};
+
+const HOUR: i64 = 3_600_000_000;
+const SECOND: i64 = 1_000_000;
+
+/// By how much tests have stepped the wall clock of this process.
+static STEPPED: AtomicI64 = AtomicI64::new(0);
+
+pub(super) fn stepped(unix: Micros) -> Micros {
+    unix.saturating_add_signed(STEPPED.load(Ordering::SeqCst))
+}
+
+/// Steps the wall clock, and back at the end. One at a time: it is the whole process's.
+pub(crate) struct SteppedWall {
+    _one: std::sync::MutexGuard<'static, ()>,
+}
+
+impl SteppedWall {
+    pub(crate) fn new() -> SteppedWall {
+        static ONE: std::sync::Mutex<()> = std::sync::Mutex::new(());
+        SteppedWall { _one: ONE.lock().unwrap_or_else(std::sync::PoisonError::into_inner) }
+    }
+
+    pub(crate) fn step(&self, by: i64) {
+        STEPPED.fetch_add(by, Ordering::SeqCst);
+    }
+}
+
+impl Drop for SteppedWall {
+    fn drop(&mut self) {
+        STEPPED.store(0, Ordering::SeqCst);
+    }
+}
+
+const STEPS: [i64; 4] = [5 * SECOND, -5 * SECOND, HOUR, -HOUR];
+
+// The clock was the wall clock, kept from going back: it stood still for an hour, or ended everything at once.
+#[test]
+fn the_clock_does_not_follow_steps_of_the_wall_clock() {
+    let wall = SteppedWall::new();
+    let mut clock = Clock::default();
+    for step in STEPS {
+        let (before, begun) = (clock.now(), Instant::now());
+        wall.step(step);
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        let (spent, real) = (clock.now() - before, begun.elapsed().as_micros() as Micros);
+        assert!(spent >= 20_000 && spent <= real + 1_000, "{spent} us counted of {real}, step {step}");
+    }
+}
+
+#[test]
+fn a_start_is_the_same_moment_on_both_sides_of_a_step() {
+    let (now, started) = (10_000 * SECOND as Micros, 9_997 * SECOND as Micros);
+    for step in STEPS {
+        let mut wall = WallClock::default();
+        wall.observe(now, now);
+        let after = now + 1_000;
+        wall.observe(after, after.saturating_add_signed(step));
+        // Told by a machine that read its clock before the step, and by one that read it after.
+        assert_eq!(wall.monotonic(after, started), started, "before a step of {step}");
+        let told = started.saturating_add_signed(step);
+        assert_eq!(wall.monotonic(after, told), started, "after a step of {step}");
+    }
+}
+
+#[test]
+fn a_start_in_the_future_counts_as_one_just_now() {
+    let mut wall = WallClock::default();
+    wall.observe(1_000, 5_000);
+    assert_eq!(wall.monotonic(2_000, 6_000 + 3_600_000_000), 2_000);
+}
+
+#[test]
+fn a_start_told_again_after_a_step_is_no_new_start() {
+    let (mut boots, mut wall) = (BootTimes::default(), WallClock::default());
+    let now = 10_000_000_000;
+    wall.observe(now, now);
+    let started = boots.started("e1", 9_999_000, now, &wall);
+    assert_eq!(started, Some(9_999_000_000));
+    wall.observe(now + 1, now - HOUR as Micros);
+    assert_eq!(boots.started("e1", 9_999_000, now + 2, &wall), started);
+    assert_eq!(boots.started("e1", 0, now, &wall), None);
+    assert!(boots.is_empty());
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`control`] holds every decision.
 //! - [`dispatch`] is the facade that a real dispatcher sees: pick, report, tick.
 //! - [`codec`] holds the codecs of its protocols.
+//! - [`clock`] is time: spans on the monotonic clock, and what the wall clock is still needed for.
 //! - [`net`] is the dispatcher on sockets: one event loop.
 //! - [`membership`] is which motores there are: lists from files beside the coordinator's feed.
 //! - [`takeover`] has work in hand survive its dispatcher, where our settings name peers.
@@ -18,6 +19,7 @@
 
 pub mod api;
 pub mod cli;
+pub mod clock;
 pub mod codec;
 pub mod control;
 pub mod dispatch;
--- a/src/membership/settling.rs
+++ b/src/membership/settling.rs
@@ -35,9 +35,10 @@
 pub struct Stamp(pub Vec<FileStamp>);
 
 impl Stamp {
-    fn young(&self, now: Micros) -> bool {
+    /// Whether it changed within the grain of the file system's clock, which is the wall clock.
+    fn young(&self, unix: Micros) -> bool {
         let newest = self.0.iter().map(|f| f.changed.0.max(f.changed.1)).max();
-        newest.is_some_and(|t| t + GRAIN_NS > i128::from(now) * 1_000)
+        newest.is_some_and(|t| t + GRAIN_NS > i128::from(unix) * 1_000)
     }
 }
 
@@ -102,8 +103,8 @@
         (self.judged, self.candidate, self.again) = (None, None, None);
     }
 
-    /// A reading, and the stamp that held before and after it.
-    pub fn read(&mut self, now: Micros, stamp: &Stamp, read: Read) -> Next {
+    /// A reading, and the stamp that held before and after it; the wall clock's time is what stamps are made of.
+    pub fn read(&mut self, now: Micros, unix: Micros, stamp: &Stamp, read: Read) -> Next {
         let Read::Whole { bytes, sealed } = read else {
             self.candidate = None;
             let at = now + self.retry;
@@ -113,7 +114,7 @@
         self.retry = RETRY;
         let fresh = self.judged.as_ref().is_none_or(|(_, s)| s != stamp);
         // Once for each stamp: a file whose time lies ahead of ours would be read for ever.
-        self.again = (fresh && stamp.young(now)).then_some(now + GRAIN);
+        self.again = (fresh && stamp.young(unix)).then_some(now + GRAIN);
         if let Some((judged, at)) = &mut self.judged
             && *judged == bytes
         {
--- a/src/membership/settling/tests.rs
+++ b/src/membership/settling/tests.rs
@@ -17,12 +17,12 @@
 #[test]
 fn a_sealed_file_is_judged_at_once_and_another_has_to_settle() {
     let mut s = Settling::new(SETTLE);
-    assert_eq!(s.read(1_000_000, &stamp(1, 900_000), whole(b"a", true)), Next::Judge);
+    assert_eq!(s.read(1_000_000, 1_000_000, &stamp(1, 900_000), whole(b"a", true)), Next::Judge);
     let changed = stamp(2, 1_000_000);
     assert!(s.wants(1_000_001, &changed));
-    assert_eq!(s.read(1_000_001, &changed, whole(b"b", false)), Next::ReadAt(1_300_001));
-    assert_eq!(s.read(1_100_000, &changed, whole(b"b", false)), Next::ReadAt(1_300_001));
-    assert_eq!(s.read(1_300_001, &changed, whole(b"b", false)), Next::Judge);
+    assert_eq!(s.read(1_000_001, 1_000_001, &changed, whole(b"b", false)), Next::ReadAt(1_300_001));
+    assert_eq!(s.read(1_100_000, 1_100_000, &changed, whole(b"b", false)), Next::ReadAt(1_300_001));
+    assert_eq!(s.read(1_300_001, 1_300_001, &changed, whole(b"b", false)), Next::Judge);
     assert!(!s.wants(1_400_000, &changed));
 }
 
@@ -32,16 +32,16 @@
 fn a_young_file_is_read_once_more() {
     let mut s = Settling::new(SETTLE);
     let young = stamp(1, 1_000_000);
-    assert_eq!(s.read(1_000_001, &young, whole(b"a", true)), Next::Judge);
+    assert_eq!(s.read(1_000_001, 1_000_001, &young, whole(b"a", true)), Next::Judge);
     assert!(!s.wants(1_000_002, &young));
     let due = s.next_due().unwrap();
     assert!(s.wants(due, &young));
-    assert_eq!(s.read(due, &young, whole(b"a2", true)), Next::Judge);
+    assert_eq!(s.read(due, due, &young, whole(b"a2", true)), Next::Judge);
     assert!(!s.wants(due + GRAIN, &young) && s.next_due().is_none());
     let ahead = stamp(2, 99_000_000);
-    s.read(2_000_000, &ahead, whole(b"c", true));
+    s.read(2_000_000, 2_000_000, &ahead, whole(b"c", true));
     let due = s.next_due().unwrap();
-    s.read(due, &ahead, whole(b"c", true));
+    s.read(due, due, &ahead, whole(b"c", true));
     assert_eq!(s.next_due(), None);
 }
 
@@ -66,7 +66,7 @@
         while now < at + 20 * SETTLE {
             if let Some((t, n, _)) = writes.iter().rev().find(|w| w.0 <= now) {
                 let (st, text) = (stamp(*n, *t), n.to_le_bytes());
-                if s.wants(now, &st) && s.read(now, &st, whole(&text, false)) == Next::Judge {
+                if s.wants(now, &st) && s.read(now, now, &st, whole(&text, false)) == Next::Judge {
                     judged.push(*n);
                 }
             }
--- a/src/membership/watcher/followed.rs
+++ b/src/membership/watcher/followed.rs
@@ -3,6 +3,7 @@
 use super::reading::{Rules, full, parse};
 use super::{GAP, Word, now};
 use crate::api::Micros;
+use crate::clock::unix;
 use crate::membership::check::{self, Terms};
 use crate::membership::files::{self, Trouble};
 use crate::membership::keep;
@@ -74,7 +75,7 @@
             Ok(version) => version,
             Err(Trouble::Unusable(why)) => return self.troubled(now, why, rules),
             Err(Trouble::Changing) => {
-                if let Next::ReadAt(at) = self.settling.read(now, &stamp, Read::Changing) {
+                if let Next::ReadAt(at) = self.settling.read(now, unix(), &stamp, Read::Changing) {
                     self.due = self.due.min(at);
                 }
                 return None;
@@ -89,7 +90,7 @@
         }
         let sealed = |l: &List| matches!(&l.files[..], [one] if one.seal_holds());
         let sealed = matches!(&self.parsed, Some((_, Some(l), f)) if f.is_empty() && sealed(l));
-        let next = self.settling.read(now, &version.stamp, Read::Whole { bytes, sealed });
+        let next = self.settling.read(now, unix(), &version.stamp, Read::Whole { bytes, sealed });
         self.due = self.settling.next_due().map_or(self.due, |t| t.min(self.due));
         match next {
             Next::Judge => self.parsed.take().map(|(_, list, faults)| self.judge(bytes, list, faults, rules)),
--- a/src/membership/watcher/mod.rs
+++ b/src/membership/watcher/mod.rs
@@ -17,6 +17,7 @@
 use super::keep::Acceptance;
 use super::list::{Digest, List};
 use crate::api::Micros;
+use crate::clock::now;
 use crate::settings::hcl::Fault;
 use std::collections::BTreeSet;
 use std::io::{self, Read as _};
@@ -24,7 +25,7 @@
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, Sender, channel, sync_channel};
 use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 use worker::{Task, Worker};
 
 /// Looks are no nearer to each other than this, however many notifications come.
@@ -63,14 +64,10 @@
     pub source: Arc<str>,
     /// The word.
     pub word: Word,
-    /// When the look began that it comes of, in microseconds since 1970.
+    /// When the look began that it comes of, by this process's clock.
     pub looked: Micros,
 }
 
-fn now() -> Micros {
-    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros)
-}
-
 /// The thread, seen from the loop.
 pub struct Watcher {
     /// Readable when there are words.
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -9,13 +9,14 @@
 
 impl Node {
     pub(super) fn accept(&mut self, now: Micros) {
-        // After a standstill a KILL may wait behind any number of others, and what it ends must not begin.
-        let turns = if self.was_away() { BACKLOG.div_ceil(ACCEPTS) } else { 1 };
-        for _ in 0..turns {
+        // A KILL may wait behind any number of others, and what it ends must not begin. As many as can wait, and no more:
+        // under a flood new ones would come for ever.
+        for _ in 0..BACKLOG.div_ceil(ACCEPTS) {
             if !self.accept_some(now) {
                 return;
             }
         }
+        self.backlog_since.get_or_insert(now);
     }
 
     /// Takes some in; whether there may be more.
@@ -24,7 +25,10 @@
             let Some((_, listener)) = &self.listener else { return false };
             let stream = match listener.accept() {
                 Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return false,
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                    self.backlog_since = None;
+                    return false;
+                }
                 Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
                 Err(e) if dial::out_of_descriptors(&e) && self.shed(now) => continue,
                 Err(e) => {
@@ -38,7 +42,9 @@
             let mut scramble = [0; 20];
             (0u32..).zip(&mut scramble).for_each(|(i, b)| *b = 33 + (id.rotate_left(i) % 90) as u8);
             let full = self.sessions.served() >= self.descriptors.clients && !self.evict(now);
-            match Session::new(stream, &self.poll, &self.pool, id, &scramble, now) {
+            // What it wrote may have come as long ago as it can have waited here.
+            let waits_since = self.backlog_since.unwrap_or(now).min(now.saturating_sub(self.behind));
+            match Session::new(stream, &self.poll, &self.pool, id, &scramble, waits_since, now) {
                 Ok(mut s) => {
                     if full {
                         self.refused_clients += 1;
@@ -66,6 +72,7 @@
         if let Some((_, listener)) = self.listener.take() {
             self.poll.remove(&listener);
             self.paused = Some(listener);
+            self.backlog_since.get_or_insert(now.saturating_sub(self.behind));
             self.accept_at = Some(now + ACCEPT_PAUSE);
         }
     }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -104,7 +104,7 @@
     /// A ban was put on or lifted: the module hears of the executor anew, and the next process of it.
     pub(super) fn banned(&mut self, now: Micros, id: &str) {
         if let Some(target) = self.targets.get(id).cloned() {
-            self.members(now, News::Changes, &[target]);
+            self.relist(now, News::Changes, &[target]);
         }
         save_bans(&self.bans_file, &self.bans, &self.name);
     }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -13,10 +13,10 @@
 
 impl Node {
     pub(super) fn read(&mut self, key: Key, now: Micros) {
-        let away = self.was_away();
+        let behind = self.behind;
         let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
-        // Who was not read for its mistakes may have gone meanwhile, too.
-        if !s.read(now) || ((away || s.erred()) && !s.read_on()) || s.leaves() {
+        // Whatever came is read to its end before any of it counts: behind a request may lie that its client has gone.
+        if !s.read(now, behind) || !s.read_on() || s.leaves() {
             return self.hang_up(key, now);
         }
         if s.open.is_some() && s.overruns() {
@@ -61,7 +61,6 @@
                 Some(Asked::Close) => return self.hang_up(key, now),
                 Some(Asked::Kill(id)) => self.kill(key, id, now),
                 Some(Asked::Request(mut request, job)) => {
-                    request.budget = request.budget.saturating_sub(self.behind);
                     let id = request.id;
                     if s.overruns() {
                         return self.overrun(key, now);
@@ -71,21 +70,28 @@
                         continue;
                     }
                     s.open = Some(id);
+                    let came = s.came();
                     self.cap(&mut request);
                     self.jobs.insert(id, (key, job));
-                    self.arrived.push_back((key, request));
+                    self.arrived.push_back(Arrived { client: key, request, came });
                 }
             }
         }
         self.flush(key);
     }
 
-    /// Requests that were read begin, in order, unless their clients have gone meanwhile.
-    pub(super) fn begin_arrived(&mut self, now: Micros) {
-        while let Some((key, request)) = self.arrived.pop_front() {
-            let waits = self.sessions.by_key.get(&key).is_some_and(|s| s.open == Some(request.id));
+    /// Requests that were read begin, in order, unless their clients have gone meanwhile. Once this has taken so long
+    /// that more clients may have gone, the rest waits for another look at them.
+    pub(super) fn begin_arrived(&mut self) {
+        while let Some(Arrived { client, mut request, came }) = self.arrived.pop_front() {
+            let now = self.clock.now();
+            request.budget = request.budget.saturating_sub(now.saturating_sub(came));
+            let waits = self.sessions.by_key.get(&client).is_some_and(|s| s.open == Some(request.id));
             if let Some((_, job)) = self.jobs.get(&request.id).filter(|_| waits).cloned() {
-                self.begin(key, request, job, now);
+                self.begin(client, request, job, now);
+            }
+            if !self.executors.may_begin() {
+                return;
             }
         }
     }
@@ -118,7 +124,7 @@
             }
         };
         match taken {
-            Ok(orders) => self.settle(now, orders),
+            Ok(orders) => self.settle(orders),
             Err(e) => {
                 self.jobs.remove(&id);
                 self.end_in_flight_unasked(now, id);
@@ -159,7 +165,7 @@
     pub(super) fn left(&mut self, request: u64, now: Micros) {
         self.jobs.remove(&request);
         let orders = self.dispatch.report(now, Report::Left(request));
-        self.settle(now, orders);
+        self.settle(orders);
         self.client_left(now, request);
     }
 
--- a/src/net/control/member.rs
+++ b/src/net/control/member.rs
@@ -2,6 +2,7 @@
 
 use super::server::{FollowerServer, Heard};
 use crate::api::{Micros, Settings};
+use crate::clock::Clock;
 use crate::net::event_source::EventSource;
 use crate::net::operator::Operators;
 use crate::net::peers::Peers;
@@ -9,7 +10,6 @@
 use crate::net::poll::{Key, Poll};
 use crate::net::setup::context;
 use crate::net::signals::Signals;
-use crate::net::timers::Clock;
 use crate::policies::ready;
 use crate::settings::Names;
 use crate::settings::options::PolicyTerms;
--- a/src/net/control/setup.rs
+++ b/src/net/control/setup.rs
@@ -2,6 +2,7 @@
 
 use super::member::{ControlMember, MemberPolicy};
 use super::server::FollowerServer;
+use crate::clock::Clock;
 use crate::net::buffers::Pool;
 use crate::net::descriptors::Descriptors;
 use crate::net::operator::Operators;
@@ -10,7 +11,6 @@
 use crate::net::poll::Poll;
 use crate::net::setup::context;
 use crate::net::signals::Signals;
-use crate::net::timers::Clock;
 use crate::settings::config::Config;
 use crate::settings::options::Control;
 use fleet::control::{Member, MemberConfig};
--- a/src/net/descriptors.rs
+++ b/src/net/descriptors.rs
@@ -1,5 +1,7 @@
 //! How the file descriptors that the configuration allows are shared out, so that no side can take another's.
 
+use std::num::NonZeroUsize;
+
 /// What every dispatcher has open besides: standard streams (3), the poller (3), the signals' stream with its writing
 /// ends (4), the listener, the feed with the one before it (2), a file that is read, and one just accepted.
 const OWN: usize = 15;
@@ -32,9 +34,9 @@
     }
 
     /// All that may be open at once.
-    #[cfg(test)]
-    fn most(&self) -> usize {
-        self.clients + self.lingering + self.executors + self.callers + OWN
+    pub(super) fn most(&self) -> NonZeroUsize {
+        let own = NonZeroUsize::MIN.saturating_add(OWN - 1);
+        own.saturating_add(self.clients + self.lingering + self.executors + self.callers)
     }
 }
 
--- a/src/net/descriptors/tests.rs
+++ b/src/net/descriptors/tests.rs
@@ -7,7 +7,7 @@
     #[test]
     fn all_shares_fit_together(all in LEAST..100_000usize) {
         let d = Descriptors::of(all);
-        prop_assert!(d.most() <= all, "{:?} of {}", d, all);
+        prop_assert!(d.most().get() <= all, "{:?} of {}", d, all);
         prop_assert!(d.clients >= all / 3, "clients may hold a third");
     }
 }
--- a/src/net/executors/mod.rs
+++ b/src/net/executors/mod.rs
@@ -9,10 +9,12 @@
 //! - `attempts`: the dispatcher's orders.
 //! - `pool`: which connection is used, dialed or closed.
 //! - `traffic`: what is read and written.
+//! - `look`: the look at clients that has to come before an attempt begins.
 //! - `silence`: what falls due when nothing comes.
 
 mod attempts;
 mod listing;
+mod look;
 mod pool;
 mod silence;
 mod traffic;
@@ -23,9 +25,11 @@
 use super::poll::Key;
 use super::timers::Timers;
 use crate::api::Micros;
+use crate::clock::Clock;
 use crate::codec::coordinator::State;
 use crate::dispatch::{ExecutorId, Report, Ticket, executor_id};
 use crate::settings::Transport;
+use look::Look;
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -85,6 +89,8 @@
     /// Where each attempt is.
     places: BTreeMap<Ticket, Key>,
     timers: Timers<Due>,
+    clock: Clock,
+    look: Look,
     tags: Pcg64Mcg,
     scratch: Vec<u8>,
     /// What the dispatcher has to be told, in order.
@@ -97,7 +103,7 @@
 
 impl Executors {
     /// None yet; `most_conns` bounds the connections in all, `seed` makes tags that nobody can know ahead.
-    pub fn new(transport: Transport, most_conns: usize, seed: u64, pool: &Pool) -> Executors {
+    pub fn new(transport: Transport, most_conns: usize, seed: u64, pool: &Pool, clock: Clock) -> Executors {
         Executors {
             transport,
             most_conns,
@@ -107,6 +113,8 @@
             conns: BTreeMap::new(),
             places: BTreeMap::new(),
             timers: Timers::default(),
+            clock,
+            look: Look::default(),
             tags: Pcg64Mcg::seed_from_u64(!seed),
             scratch: Vec::new(),
             reports: VecDeque::new(),
--- a/src/net/executors/tests.rs
+++ b/src/net/executors/tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::clock::Clock;
 use crate::codec::coordinator::Target;
 use crate::dispatch::{End, Load, Terms};
 use crate::net::event_source::EventSource;
@@ -37,7 +38,7 @@
 fn a_pull_that_waits_is_taken_back_when_its_executor_drains() {
     let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
     let at = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
+    let mut e = Executors::new(TRANSPORT, 9, 7, &pool, Clock::manual(Default::default()));
     listed(&mut e, &at, State::Up, 0, 1, &poll);
     let ticket = start(&mut e, 7, 2, &poll);
     assert!(e.reports.is_empty());
@@ -53,7 +54,7 @@
 fn a_pull_that_waits_is_taken_back_when_its_executor_moves() {
     let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
     let [old, new] = [0; 2].map(|_| TcpListener::bind("127.0.0.1:0").unwrap());
-    let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
+    let mut e = Executors::new(TRANSPORT, 9, 7, &pool, Clock::manual(Default::default()));
     listed(&mut e, &old, State::Up, 0, 1, &poll);
     let ticket = start(&mut e, 7, 2, &poll);
     listed(&mut e, &new, State::Up, 0, 3, &poll);
@@ -66,7 +67,7 @@
 fn a_new_start_ends_what_is_older_and_nothing_else() {
     let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
     let at = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut e = Executors::new(TRANSPORT, 2, 7, &pool);
+    let mut e = Executors::new(TRANSPORT, 2, 7, &pool, Clock::manual(Default::default()));
     listed(&mut e, &at, State::Up, 0, 1, &poll);
     let old = start(&mut e, 7, 1_000, &poll);
     let old_key = *e.conns.keys().next().unwrap();
@@ -92,7 +93,7 @@
     use std::io::{Read, Write};
     let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
     let at = TcpListener::bind("127.0.0.1:0").unwrap();
-    let mut e = Executors::new(TRANSPORT, 9, 7, &pool);
+    let mut e = Executors::new(TRANSPORT, 9, 7, &pool, Clock::manual(Default::default()));
     listed(&mut e, &at, State::Up, 0, 1, &poll);
     let ticket = start(&mut e, 0x2a, 2, &poll);
     let key = *e.conns.keys().next().unwrap();
--- a/src/net/executors/traffic.rs
+++ b/src/net/executors/traffic.rs
@@ -147,6 +147,7 @@
                 }
             }
             let Some(next) = conn.queue.pop_front() else { break None };
+            let now = self.clock.now().max(now);
             conn.touched = now;
             self.scratch.clear();
             let out = &mut self.scratch;
@@ -160,6 +161,12 @@
                         self.reports.push_back(Report::Ended(s.ticket, End::NeverSent, None));
                         continue;
                     }
+                    if !self.look.is_fresh(now) {
+                        self.look.wait(key);
+                        conn.queue.push_front(Outgoing::Pull { id, job, terms });
+                        break None;
+                    }
+                    self.look.begins();
                     let wait_ms = (until.saturating_sub(now) / 1000).max(1);
                     executor::pull(
                         out,
--- a/src/net/in_flight/moves.rs
+++ b/src/net/in_flight/moves.rs
@@ -48,7 +48,7 @@
                 Move::Adopt(record) => self.adopt(now, &record),
                 Move::LetGo(rid) => self.dispatch.let_go(now, rid),
             };
-            self.settle(now, orders);
+            self.settle(orders);
         }
     }
 
--- a/src/net/limits.rs
+++ b/src/net/limits.rs
@@ -16,9 +16,9 @@
 /// Connections accepted in one turn at most, and what may wait to be.
 pub(super) const ACCEPTS: usize = 64;
 pub(super) const BACKLOG: usize = 1024;
-/// A client that has gone may have been gone for a tenth of a second when something begins for it. Where the loop was
-/// away for half of that, what a client sent is read to its end before any of it counts.
-pub(super) const AWAY: Micros = 50_000;
+/// An attempt may begin no later than 0.1 s after its client has left. A look at the clients is good for half of that;
+/// the other half is for the way of what they sent, and for the write itself.
+pub(super) const LOOK_VALID: Micros = 50_000;
 /// Clients are looked after this often: pauses, and what they owe.
 pub(super) const CLIENTS: Micros = 100_000;
 /// A client that just connected has this long to say something before it may have to make room.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -32,6 +32,7 @@
 mod upkeep;
 
 use crate::api::Micros;
+use crate::clock::{BootTimes, Clock, WallClock};
 use crate::codec::coordinator::Target;
 use crate::dispatch::{Dispatch, Request};
 use crate::operator::bans::Bans;
@@ -60,12 +61,22 @@
 use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::time::Duration;
-use timers::Clock;
+
+/// A request that was read and has not begun.
+struct Arrived {
+    client: Key,
+    request: Request,
+    /// When its last byte may have come, at the earliest.
+    came: Micros,
+}
 
 /// A dispatcher that is set up and has not begun to serve.
 pub struct Node {
     poll: Poll,
     clock: Clock,
+    wall: WallClock,
+    /// Starts of executors that the list told, by this process's clock.
+    boots: BootTimes,
     pool: Pool,
     names: Names,
     dispatch: Dispatch<Rows>,
@@ -82,8 +93,8 @@
     /// What all admit requests by, where our settings say that it is agreed on.
     rules: Option<Rules>,
     jobs: BTreeMap<u64, (Key, Job)>,
-    /// Requests read in this turn that have not begun, in order, each with its client.
-    arrived: VecDeque<(Key, Request)>,
+    /// Requests that were read and have not begun, in order.
+    arrived: VecDeque<Arrived>,
     listener: Option<(Key, TcpListener)>,
     /// The listener while accepting pauses.
     paused: Option<TcpListener>,
@@ -94,8 +105,13 @@
     limits: Shutdown,
     next_id: u32,
     accept_at: Option<Micros>,
-    /// How long ago what is read now may have come.
+    /// When the sockets were last looked at, and how long before that what was found there may have come.
+    woke: Micros,
     behind: Micros,
+    /// All that executors and the coordinator said up to this moment has been heeded.
+    heard_until: Micros,
+    /// Since when connections may wait unaccepted: the listener was left before it was empty.
+    backlog_since: Option<Micros>,
     sweep_at: Micros,
     clients_at: Micros,
     counters_at: Micros,
--- a/src/net/orders.rs
+++ b/src/net/orders.rs
@@ -5,6 +5,7 @@
 use super::executors::{Executors, Rows};
 use super::lists::{self, Lists};
 use crate::api::Micros;
+use crate::clock;
 use crate::codec::coordinator::{State, Target, Update};
 use crate::dispatch::{Answer, End, Member, News, Order, Report, Standing, executor_id};
 use crate::operator::figures::Disposition;
@@ -12,9 +13,10 @@
 
 impl Node {
     /// Carries orders out, and hands on what comes of them, until nothing is left.
-    pub(super) fn settle(&mut self, now: Micros, orders: Vec<Order<Rows>>) {
+    pub(super) fn settle(&mut self, orders: Vec<Order<Rows>>) {
         let mut orders = VecDeque::from(orders);
         loop {
+            let now = self.clock.now();
             if let Some(order) = orders.pop_front() {
                 self.carry_out(now, order);
             } else if let Some(report) = self.executors.reports.pop_front() {
@@ -117,7 +119,21 @@
         }
     }
 
+    /// The list has news. Starts that it tells by the wall clock become times of this process's clock.
     pub(super) fn members(&mut self, now: Micros, news: News, targets: &[Target]) {
+        self.wall.observe(now, clock::unix());
+        let boots = &mut self.boots;
+        let by_our_clock = |t: &Target| {
+            let started = boots.started(&t.uid, t.boot_ms, now, &self.wall);
+            // To the nearest millisecond, which is how it is told.
+            Target { boot_ms: started.map_or(0, |at| (at + 500) / 1_000), ..t.clone() }
+        };
+        let targets: Vec<Target> = targets.iter().map(by_our_clock).collect();
+        self.relist(now, news, &targets);
+    }
+
+    /// What the list says of executors now, with starts by this process's clock.
+    pub(super) fn relist(&mut self, now: Micros, news: News, targets: &[Target]) {
         let member = |t: &Target| {
             // Who is gone may be named by no more than that: it was where it was listed.
             let known = self.targets.get(&t.uid).filter(|_| t.state == State::Removed);
@@ -166,8 +182,11 @@
             };
         }
         self.onlined.retain(|uid, _| self.targets.contains_key(uid));
+        if self.boots.len() > self.targets.len() {
+            self.boots.retain(|uid| self.targets.contains_key(uid));
+        }
         self.executors.listed(targets, news != News::Changes, now, &self.poll);
         let orders = self.dispatch.members(now, news, &members);
-        self.settle(now, orders);
+        self.settle(orders);
     }
 }
--- a/src/net/policy.rs
+++ b/src/net/policy.rs
@@ -196,7 +196,7 @@
                     }
                 },
             };
-            self.settle(now, orders);
+            self.settle(orders);
         }
     }
 }
--- a/src/net/session/leaving.rs
+++ b/src/net/session/leaving.rs
@@ -63,11 +63,6 @@
         self.closing.is_some()
     }
 
-    /// Whether its last request or command was a mistake of its own.
-    pub fn erred(&self) -> bool {
-        self.errors > 0
-    }
-
     /// Whether it is not read for a while.
     pub fn paused(&self) -> bool {
         self.paused_until.is_some()
--- a/src/net/session/mod.rs
+++ b/src/net/session/mod.rs
@@ -55,6 +55,10 @@
     pub touched: Micros,
     /// When it connected.
     opened: Micros,
+    /// Since when bytes may wait in the socket that were not read; `None` while it is watched for them.
+    unread_since: Option<Micros>,
+    /// When the bytes that were read last may have come, at the earliest.
+    came: Micros,
     /// Since when its next message has been here in part.
     part_since: Option<Micros>,
     /// Whether it ever brought a request or command whole, beside its login.
@@ -71,13 +75,14 @@
 }
 
 impl Session {
-    /// Takes a connection in and greets.
+    /// Takes a connection in that may have waited since a time, and greets.
     pub fn new(
         stream: TcpStream,
         poll: &Poll,
         pool: &Pool,
         id: u32,
         scramble: &[u8; 20],
+        waits_since: Micros,
         now: Micros,
     ) -> io::Result<Session> {
         stream.set_nonblocking(true)?;
@@ -98,6 +103,8 @@
             open: None,
             touched: now,
             opened: now,
+            unread_since: Some(waits_since),
+            came: now,
             part_since: None,
             asked: false,
             errors: 0,
@@ -109,8 +116,13 @@
         })
     }
 
-    /// Reads once. False once the client is gone.
-    pub fn read(&mut self, now: Micros) -> bool {
+    /// When the last byte of what was read may have come, at the earliest: a request's time counts from there.
+    pub fn came(&self) -> Micros {
+        self.came
+    }
+
+    /// Reads once; what a watched socket has may have come so long ago. False once the client is gone.
+    pub fn read(&mut self, now: Micros, behind: Micros) -> bool {
         if self.closing.is_some() {
             let mut waste = [0; 4096];
             return match self.stream.read(&mut waste) {
@@ -125,6 +137,8 @@
             return true;
         }
         self.touched = now;
+        let watched_since = now.saturating_sub(behind);
+        self.came = self.unread_since.take().map_or(watched_since, |since| since.min(watched_since));
         if self.inbox.full() {
             return false;
         }
@@ -134,7 +148,7 @@
         }
     }
 
-    /// After a standstill: reads on until nothing more is there. False if the client has gone meanwhile, or half of
+    /// Reads on until nothing more is there. False if the client has gone meanwhile, or half of
     /// it: whatever it asked before that is not begun any more.
     pub fn read_on(&mut self) -> bool {
         while self.closing.is_none() && self.paused_until.is_none() && !self.inbox.full() {
@@ -203,6 +217,7 @@
         }
         self.error(error);
         self.paused_until = Some(now + (PAUSE << self.errors));
+        self.unread_since = Some(now);
     }
 
     /// Closes it.
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -14,9 +14,9 @@
 use super::session::Sessions;
 use super::shutdown::Shutdown;
 use super::signals::Signals;
-use super::timers::Clock;
 use super::{Node, calls, listen};
 use crate::api::Micros;
+use crate::clock::{BootTimes, Clock, WallClock};
 use crate::dispatch::{Dispatch, News};
 use crate::membership::check::Catalog;
 use crate::operator::figures::Figures;
@@ -101,7 +101,7 @@
             names,
             dispatch,
             sessions: Sessions::default(),
-            executors: Executors::new(transport, descriptors.executors, seed, &pool),
+            executors: Executors::new(transport, descriptors.executors, seed, &pool, clock.clone()),
             feed: Some(Feed::new(config.coordinator, config.known.index)),
             lists: None,
             storm,
@@ -119,7 +119,11 @@
             // Connection ids start anywhere: a KILL meant for another life or dispatcher must not hit.
             next_id: (seed ^ (seed >> 32) ^ now) as u32,
             accept_at: None,
+            // The listener is there since before this.
+            woke: now,
             behind: 0,
+            heard_until: now,
+            backlog_since: Some(now),
             sweep_at: now + SWEEP,
             clients_at: now + CLIENTS,
             counters_at: now + COUNTERS,
@@ -139,6 +143,8 @@
             onlined: BTreeMap::new(),
             pool,
             clock,
+            wall: WallClock::default(),
+            boots: BootTimes::default(),
         };
         let mut known = config.known.targets();
         if let Some(lists) = options.lists {
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -146,12 +146,12 @@
             // The last look at what was written in time.
             let all: Vec<Key> = self.sessions.by_key.keys().copied().collect();
             all.into_iter().for_each(|key| self.read(key, now));
-            self.begin_arrived(now);
+            self.begin_arrived();
         }
         if now >= since + self.limits.gives_up && !self.given_up {
             self.given_up = true;
             let orders = self.dispatch.give_up(now);
-            self.settle(now, orders);
+            self.settle(orders);
         }
         self.let_go(now);
         self.sessions.by_key.is_empty() || now >= since + self.limits.ends
@@ -171,7 +171,7 @@
                 false => self.finish(key, now),
             }
         }
-        self.begin_arrived(now);
+        self.begin_arrived();
     }
 }
 
--- a/src/net/timers.rs
+++ b/src/net/timers.rs
@@ -1,26 +1,7 @@
-//! The clock, and what is due when.
+//! What is due when.
 
 use crate::api::Micros;
 use std::collections::BTreeSet;
-use std::time::{SystemTime, UNIX_EPOCH};
-
-/// The Unix clock in microseconds, kept from going back.
-#[derive(Default)]
-pub struct Clock(Micros);
-
-impl Clock {
-    /// The time.
-    pub fn now(&mut self) -> Micros {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
-        self.0 = self.0.max(unix);
-        self.0
-    }
-
-    /// The time when it was last asked.
-    pub fn last(&self) -> Micros {
-        self.0
-    }
-}
 
 /// What is due when; entries are not taken back, whoever gets one checks whether it still matters.
 pub struct Timers<T>(BTreeSet<(Micros, T)>);
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -2,15 +2,16 @@
 //!
 //! All that came is taken in before anything new begins: first signals and the clients' side, so that who has gone is
 //! known, then executors, lists and operators, so that what has ended and who drains is known. Then requests begin
-//! that came in this turn, then what is due by the clock.
+//! that came in this turn, then what is due by the clock. No attempt begins by an old look at the clients (`executors::look`).
 
 use super::*;
+use crate::clock;
 
 impl Node {
     /// Serves until SIGTERM, then until all that was taken has its answer.
     pub fn run(&mut self) -> io::Result<()> {
-        let mut events = polling::Events::new();
-        let mut worked = 0;
+        // A look takes in all sockets that are ready, however many they are.
+        let mut events = polling::Events::with_capacity(self.descriptors.most());
         loop {
             let now = self.clock.now();
             if self.over(now) {
@@ -20,21 +21,18 @@
             self.poll.wait(&mut events, Duration::from_micros(wait)).map_err(context("poller"))?;
             let woke = self.clock.now();
             // What came while this process did not look came at any time since it last did.
-            self.behind = (woke - now).saturating_sub(wait) + worked;
-            self.keep_in_flight(woke);
-            self.keep_control(woke);
-            let (clients, others): (Vec<_>, Vec<_>) = events.iter().partition(|e| self.comes_first(e.key));
-            for event in clients.into_iter().chain(others) {
-                self.ready(event.key, event.readable, event.writable, woke);
-            }
-            self.begin_arrived(woke);
+            let late = (woke - now).saturating_sub(wait);
+            self.behind = late + now.saturating_sub(self.woke);
+            self.woke = woke;
+            self.take_in(&events, now);
+            self.executors.begin_waiting(&self.poll);
+            self.begin_arrived();
             self.tick();
-            self.begin_arrived(self.clock.last());
-            let (asleep, busy) = (woke - now, self.clock.now() - woke);
-            if busy > SLOW_TURN || asleep > wait + SLOW_TURN {
-                tracing::warn!(slept_us = asleep, wanted_us = wait, worked_us = busy, "slow turn");
+            self.begin_arrived();
+            let worked = self.clock.now() - woke;
+            if worked > SLOW_TURN || late > SLOW_TURN {
+                tracing::warn!(slept_us = woke - now, wanted_us = wait, worked_us = worked, "slow turn");
             }
-            worked = busy;
         }
         self.leave_fleet(self.clock.last());
         self.leave_control(self.clock.last());
@@ -43,17 +41,29 @@
         Ok(())
     }
 
+    /// Heeds all that came. Clients and signals come first: from then on it is known what clients did up to `before`,
+    /// the moment before the sockets were looked at.
+    fn take_in(&mut self, events: &polling::Events, before: Micros) {
+        self.keep_in_flight(self.woke);
+        self.keep_control(self.woke);
+        let listening = self.listener.as_ref().map(|(key, _)| *key);
+        if listening.is_some_and(|key| events.iter().all(|e| e.key != key)) {
+            self.backlog_since = None;
+        }
+        let (clients, others): (Vec<_>, Vec<_>) = events.iter().partition(|e| self.comes_first(e.key));
+        clients.into_iter().for_each(|e| self.ready(e.key, e.readable, e.writable));
+        self.executors.looked(before);
+        others.into_iter().for_each(|e| self.ready(e.key, e.readable, e.writable));
+        // Whoever fell silent is judged by what is known, not by how long this process took to see it.
+        self.heard_until = before;
+    }
+
     /// Whether a key is of the signals, the clients' listener or a client.
     fn comes_first(&self, key: Key) -> bool {
         let listens = self.listener.as_ref().is_some_and(|(k, _)| *k == key);
         listens || key == self.signals.0 || self.sessions.by_key.contains_key(&key)
     }
 
-    /// Whether the loop was away for so long that a client may have asked and gone meanwhile.
-    pub(super) fn was_away(&self) -> bool {
-        self.behind >= AWAY
-    }
-
     /// The sides that have sockets and timers of their own.
     fn event_sources(&self) -> impl Iterator<Item = &dyn EventSource> {
         let feed = self.feed.as_ref().map(|f| f as &dyn EventSource);
@@ -63,6 +73,9 @@
     }
 
     fn next_due(&self) -> Micros {
+        if self.executors.waits_for_look() || !self.arrived.is_empty() {
+            return self.clock.last();
+        }
         let lists = self.lists.as_ref().filter(|l| l.pending()).map(|_| self.clock.last());
         let event_sources = self.event_sources().map(EventSource::next_due);
         let control = self.control.as_ref().map(ControlLink::next_due);
@@ -72,7 +85,8 @@
         due.flatten().fold(own, Micros::min)
     }
 
-    fn ready(&mut self, key: Key, readable: bool, writable: bool, now: Micros) {
+    fn ready(&mut self, key: Key, readable: bool, writable: bool) {
+        let now = self.clock.now();
         if self.listener.as_ref().is_some_and(|(k, _)| *k == key) {
             self.accept(now);
         } else if key == self.signals.0 {
@@ -110,7 +124,7 @@
             self.control_ready(now);
         } else if self.executors.owns(key) {
             self.executors.ready(key, readable, writable, now, &self.poll);
-            self.settle(now, Vec::new());
+            self.settle(Vec::new());
         } else if self.sessions.by_key.contains_key(&key) {
             if readable {
                 self.read(key, now);
@@ -124,11 +138,12 @@
     fn tick(&mut self) {
         let now = self.clock.now();
         let orders = self.dispatch.tick(now);
-        self.settle(now, orders);
-        self.executors.tick(now, &self.poll);
-        self.settle(now, Vec::new());
+        self.settle(orders);
+        let heard_until = self.heard_until;
+        self.executors.tick(heard_until, &self.poll);
+        self.settle(Vec::new());
         if let Some(feed) = &mut self.feed {
-            feed.tick(now, &self.poll);
+            feed.tick(heard_until, &self.poll);
         }
         self.spare_descriptors(now);
         if self.lists.as_ref().is_some_and(Lists::pending) {
@@ -150,6 +165,7 @@
         self.keep_policy(now);
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
+            self.wall.observe(now, clock::unix());
             self.look_after_clients(now);
             self.send_all_away(now);
             self.watch_storm(now);
--- a/src/net/upkeep/keep.rs
+++ b/src/net/upkeep/keep.rs
@@ -106,7 +106,7 @@
         in_flight.upkeep.cold.retain(|uid, _| self.targets.contains_key(uid));
         let targets: Vec<_> = changed.iter().filter_map(|id| self.targets.get(id).cloned()).collect();
         if !targets.is_empty() {
-            self.members(now, News::Changes, &targets);
+            self.relist(now, News::Changes, &targets);
         }
     }
 
