Play large fleets of real dispatchers with little processor time, and count what is lost

`make prove-lost`: 1 to 300 dispatchers with lists of 60 to 3,200 executors, half of them just started, each process stopped for 50 ms of every 55; clients wait, close, half-close or send a KILL at any point of a request. Counted: attempts begun later than 0.1 s (and 0.05 s of slack) after their client left, no answer, late, wrong or twice, and the time passed on against what was left, each by the bound that its note can prove.

Seen there: an attempt that had waited for a look began after all else of that turn (lists, executors), which made the look old again on little processor time; it now begins right after the look at the clients (net/turn.rs).

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms prove-takeover prove-takeover-slice prove-maintenance prove-maintenance-slice prove-policy prove-policy-slice prove-scale prove-scale-slice check-capacity
+.PHONY: build test lint run prove-motor-lists prove-motor-lists-slice prove-retry-storms prove-takeover prove-takeover-slice prove-maintenance prove-maintenance-slice prove-policy prove-policy-slice prove-scale prove-scale-slice check-capacity prove-lost prove-lost-slice
 
 build:
 	cargo build --release --locked
@@ -54,6 +54,13 @@
 prove-scale-slice: build
 	cargo run --release --locked --quiet -p lab -- scale --slice
 
+# Large fleets with little processor time: some three minutes, best on a machine that does nothing else.
+prove-lost: build
+	cargo run --release --locked --quiet -p lab -- lost
+
+prove-lost-slice: build
+	cargo run --release --locked --quiet -p lab -- lost --slice
+
 # The capacity page's figures are those that the kept tables give.
 check-capacity:
 	cargo run --release --locked --quiet -p lab -- capacity
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -4,6 +4,7 @@
 mod chart;
 mod daemon;
 mod fleet;
+mod lost;
 mod maintenance;
 mod motor_lists;
 mod policy;
@@ -89,6 +90,18 @@
         #[arg(long)]
         slice: bool,
     },
+    /// Requests lost in large fleets: long lists, little processor time, clients that leave at every point
+    Lost {
+        /// A short run for CI: nothing is kept
+        #[arg(long)]
+        slice: bool,
+        /// For clients
+        #[arg(long, default_value_t = 7)]
+        seed: u64,
+        /// Only the runs of so many dispatchers; nothing is kept
+        #[arg(long)]
+        dispatchers: Option<usize>,
+    },
     /// What lists, connections and a control group of 1,600 dispatchers cost, and how changes fare under faults
     Scale {
         /// A short run for CI: nothing is kept
@@ -143,6 +156,12 @@
             let results = cli.results.join("policy");
             policy::prove(&cli.program, &results, runs, lanes, seed, slice).map_err(plain)
         }
+        Command::Lost { slice, seed, dispatchers } => {
+            let mut sizes = lost::sizes(slice);
+            sizes.retain(|size| dispatchers.is_none_or(|n| size.dispatchers == n));
+            let kept = (!slice && dispatchers.is_none()).then(|| cli.results.join("lost"));
+            lost::prove(&cli.program, kept.as_deref(), seed, &sizes).map_err(plain)
+        }
         Command::Scale { slice, part } => {
             scale::prove(&cli.program, &cli.results.join("scale"), slice, part).map_err(plain)
         }
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -20,12 +20,12 @@
 mod table;
 
 pub use hollow::HollowArgs;
+pub use table::Table;
 
 use crate::fleet::Failure;
 use group::Shape;
 use std::path::Path;
 use std::time::Duration;
-use table::Table;
 
 /// One part of the measurement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
--- a/crates/standins/src/scripted/client.rs
+++ b/crates/standins/src/scripted/client.rs
@@ -80,7 +80,12 @@
 
     /// Writes a query.
     pub fn ask(&mut self, sql: &str) {
-        self.stream.write_all(&query(sql)).unwrap();
+        self.try_ask(sql).unwrap();
+    }
+
+    /// Writes a query; an error if its connection is over.
+    pub fn try_ask(&mut self, sql: &str) -> std::io::Result<()> {
+        self.stream.write_all(&query(sql))
     }
 
     fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
--- a/src/control/subset.rs
+++ b/src/control/subset.rs
@@ -28,7 +28,7 @@
     pub(super) fn candidates(&mut self, id: QueryId, times: usize) -> Vec<usize> {
         let all = self.roster.count(Part::All, self.open_to(&self.queries[&id]));
         let mut chosen = if all <= SAMPLE {
-            self.roster.window(Part::All, self.open_to(&self.queries[&id]), 0, all)
+            self.roster.all(self.open_to(&self.queries[&id]))
         } else {
             let chances = [self.chance(), self.chance()];
             self.sample(&self.queries[&id], times, chances)
@@ -58,9 +58,10 @@
     /// The engines among which a table group has its homes: the same at all gateways.
     pub(super) fn neighbours(&self, class: ClassId, group: u64) -> Vec<usize> {
         let open = |pool: u64| pool >> class & 1 == 1;
-        let mut near = self.roster.window(Part::All, open, mixed(group), SAMPLE);
-        near.sort_unstable();
-        near
+        if self.roster.count(Part::All, open) <= SAMPLE {
+            return self.roster.all(open);
+        }
+        self.roster.window(Part::All, open, mixed(group), SAMPLE)
     }
 
     /// Engines as many as a draw looks at: what is weighed against all the others.
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -26,7 +26,6 @@
             self.behind = late + before.saturating_sub(self.woke);
             self.woke = woke;
             self.take_in(&events, before);
-            self.executors.begin_waiting(&self.poll);
             self.begin_arrived();
             self.tick();
             self.begin_arrived();
@@ -54,6 +53,8 @@
         let (clients, others): (Vec<_>, Vec<_>) = events.iter().partition(|e| self.comes_first(e.key));
         clients.into_iter().for_each(|e| self.ready(e.key, e.readable, e.writable));
         self.executors.looked(before);
+        // At once: on little processor time all that is heeded first would make the look old again.
+        self.executors.begin_waiting(&self.poll);
         others.into_iter().for_each(|e| self.ready(e.key, e.readable, e.writable));
         // Whoever fell silent is judged by what is known, not by how long this process took to see it.
         self.heard_until = before;
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -175,6 +175,12 @@
         self.open(fits).flat_map(|p| &p.kinds).map(of).sum()
     }
 
+    /// All engines of the pools that fit, in no order.
+    pub(crate) fn all(&self, fits: impl Fn(u64) -> bool) -> Vec<usize> {
+        let rings = self.open(fits).flat_map(|p| p.rings(Part::All));
+        rings.flat_map(|ring| ring.places.iter().map(|(_, i)| *i)).collect()
+    }
+
     /// So many engines of a part of the pools that fit, the nearest from a point on.
     pub(crate) fn window(
         &self,
--- a/src/state/roster/tests.rs
+++ b/src/state/roster/tests.rs
@@ -58,5 +58,8 @@
         near.truncate(most);
         let near: Vec<usize> = near.into_iter().map(|(_, i)| i).collect();
         prop_assert_eq!(roster.window(Part::All, |_| true, from, most), near);
+        let mut all = roster.all(|_| true);
+        all.sort_unstable();
+        prop_assert_eq!(all, table.keys().copied().collect::<Vec<_>>());
     }
 }
