Withstand system calls that fail for a moment, and test a whole dispatcher with failing ones

Change: net/sys.rs is the one place of these calls and of which failures pass; the poller asks again for what the system had no memory for; accepting pauses for half of what a look at the clients is good for. In tests a plan on the dispatcher's thread has every so many calls of a kind fail, or be short by all but a byte.

--- a/src/clock.rs
+++ b/src/clock.rs
@@ -76,4 +76,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -5,6 +5,7 @@
 use super::*;
 use crate::api::Micros;
 use crate::codec::mysql::Error;
+use crate::net::sys;
 use std::io;
 
 impl Node {
@@ -23,13 +24,13 @@
     fn accept_some(&mut self, now: Micros) -> bool {
         for _ in 0..ACCEPTS {
             let Some((_, listener)) = &self.listener else { return false };
-            let stream = match listener.accept() {
-                Ok((stream, _)) => stream,
+            let stream = match sys::accept(listener) {
+                Ok(stream) => stream,
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
                     self.backlog_since = None;
                     return false;
                 }
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+                Err(e) if sys::takes_another(&e) => continue,
                 Err(e) if dial::out_of_descriptors(&e) && self.shed(now) => continue,
                 Err(e) => {
                     tracing::error!(error = %e, "accept: pausing");
--- a/src/net/connection.rs
+++ b/src/net/connection.rs
@@ -1,12 +1,12 @@
 //! One connection to an executor, and what an answer does to an attempt on it.
 
 use super::buffers::{Block, Inbox, Outbox, Pool};
+use super::sys;
 use crate::api::Micros;
 use crate::codec::executor::{self, Note};
 use crate::dispatch::{End, ExecutorId, Terms, Ticket, Word};
 use crate::must;
 use std::collections::{BTreeMap, VecDeque};
-use std::io;
 use std::net::TcpStream;
 use std::rc::Rc;
 
@@ -102,9 +102,9 @@
     /// Whether its executor has closed it, and nothing is left to be read before that.
     pub(super) fn over(&self) -> bool {
         self.up
-            && match self.stream.peek(&mut [0]) {
-                Ok(n) => n == 0,
-                Err(e) => !matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
+            && match sys::peek(&self.stream) {
+                Ok(found) => found == Some(0),
+                Err(_) => true,
             }
     }
 
--- a/src/net/dial.rs
+++ b/src/net/dial.rs
@@ -1,23 +1,19 @@
 //! Connections that go out.
 
-use socket2::{Domain, Socket, Type};
+use super::sys;
+use socket2::Domain;
 use std::io;
 use std::net::{SocketAddr, TcpStream};
 
 /// Begins to connect; the socket is writable once it is up or has failed.
 pub fn dial(to: SocketAddr) -> io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(to), Type::STREAM, None)?;
+    let socket = sys::socket(Domain::for_address(to))?;
     socket.set_nonblocking(true)?;
     socket.set_tcp_nodelay(true)?;
-    match socket.connect(&to.into()) {
-        Err(e) if e.kind() != io::ErrorKind::WouldBlock && e.raw_os_error() != Some(EINPROGRESS) => Err(e),
-        _ => Ok(socket.into()),
-    }
+    sys::connect(&socket, &to.into())?;
+    Ok(socket.into())
 }
 
-/// What connect says on Linux while it goes on; the standard library has no stable name for it.
-const EINPROGRESS: i32 = 115;
-
 /// Whether a socket that became writable is up.
 pub fn up(stream: &TcpStream) -> io::Result<()> {
     match stream.take_error()? {
--- a/src/net/executors/pool.rs
+++ b/src/net/executors/pool.rs
@@ -8,6 +8,7 @@
 use crate::net::connection::Conn;
 use crate::net::dial;
 use crate::net::poll::{Key, Poll};
+use crate::net::sys;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, VecDeque};
 
@@ -71,8 +72,8 @@
             Ok(dialed) => dialed,
             Err(err) => {
                 tracing::warn!(%address, error = %err, "can't dial");
-                let ours = dial::out_of_descriptors(&err);
-                self.starved |= ours;
+                let ours = sys::of_our_side(&err);
+                self.starved |= dial::out_of_descriptors(&err);
                 return shared.ok_or(if ours { Lack::Ours } else { Lack::Theirs });
             }
         };
--- a/src/net/executors/traffic.rs
+++ b/src/net/executors/traffic.rs
@@ -41,10 +41,11 @@
     /// Reads what a connection that is over has still brought.
     fn read_rest(&mut self, key: Key, now: Micros, poll: &Poll) {
         while let Some(conn) = self.conns.get_mut(&key) {
-            if !matches!(conn.inbox.fill(&mut conn.stream), Ok(n) if n > 0) {
-                return;
+            match conn.inbox.fill(&mut conn.stream) {
+                Ok(n) if n > 0 => self.read(key, now, poll),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                _ => return,
             }
-            self.read(key, now, poll);
         }
     }
 
--- a/src/net/feed.rs
+++ b/src/net/feed.rs
@@ -1,11 +1,11 @@
 //! The connection to the coordinator.
 
-use super::dial;
 use super::event_source::EventSource;
 use super::poll::{Key, Poll};
+use super::{dial, sys};
 use crate::api::Micros;
 use crate::codec::coordinator::{self, Line, Update};
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 
 /// The protocol has the coordinator write a line a second at least.
@@ -141,7 +141,7 @@
             tracing::info!(coordinator = %self.address, held = self.held, "feed: following");
         }
         let mut piece = [0; 16 * 1024];
-        match w.stream.read(&mut piece) {
+        match sys::read(&mut w.stream, &mut piece) {
             Ok(0) => return Err("closed by the coordinator".into()),
             Ok(n) => w.line.extend_from_slice(&piece[..n]),
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {
--- a/src/net/limits.rs
+++ b/src/net/limits.rs
@@ -7,8 +7,9 @@
 pub(super) const COUNTERS: Micros = 10_000_000;
 /// A turn of the loop that takes longer than this, or oversleeps so much, is logged.
 pub(super) const SLOW_TURN: Micros = 20_000;
-/// Accepting pauses this long when descriptors have run out.
-pub(super) const ACCEPT_PAUSE: Micros = 100_000;
+/// Accepting pauses this long when descriptors or memory have run out: a KILL may wait there, and has to be heeded while
+/// a look at the clients is good.
+pub(super) const ACCEPT_PAUSE: Micros = LOOK_VALID / 2;
 /// Clients honour waits up to this where nothing is said.
 pub(super) const LONGEST_WAIT: Micros = 1_000_000;
 /// What a client too many is told to wait.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -27,10 +27,14 @@
 mod setup;
 mod shutdown;
 pub mod signals;
+mod sys;
 mod timers;
 mod turn;
 mod upkeep;
 
+#[cfg(test)]
+mod tests;
+
 use crate::api::Micros;
 use crate::clock::{BootTimes, Clock, WallClock};
 use crate::codec::coordinator::Target;
--- a/src/net/operator.rs
+++ b/src/net/operator.rs
@@ -7,10 +7,11 @@
 use super::buffers::{Outbox, Pool};
 use super::event_source::EventSource;
 use super::poll::{Key, Poll};
+use super::sys;
 use crate::api::Micros;
 use crate::codec::operator::{Call, Decoder, Fault};
 use std::collections::BTreeMap;
-use std::io::{self, Read};
+use std::io;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 
 /// How long a caller has for its line, and then for reading its answer, in microseconds.
@@ -65,7 +66,7 @@
             return Vec::new();
         }
         let mut bytes = [0; 512];
-        match c.stream.read(&mut bytes) {
+        match sys::read(&mut c.stream, &mut bytes) {
             Ok(0) => self.close(key, poll),
             // After its answer, what else it sends is read and dropped, so that closing resets nothing unread.
             Ok(_) if c.answered => {}
@@ -93,9 +94,9 @@
 
     fn accept(&mut self, now: Micros, poll: &Poll) {
         for _ in 0..ACCEPTS {
-            let stream = match self.listener.accept() {
-                Ok((stream, _)) => stream,
-                Err(e) if e.kind() == io::ErrorKind::ConnectionAborted => continue,
+            let stream = match sys::accept(&self.listener) {
+                Ok(stream) => stream,
+                Err(e) if sys::takes_another(&e) => continue,
                 Err(e) => {
                     if e.kind() != io::ErrorKind::WouldBlock {
                         tracing::warn!(error = %e, "operator: can't accept");
--- a/src/net/poll.rs
+++ b/src/net/poll.rs
@@ -1,34 +1,45 @@
 //! Readiness of sockets, by the polling crate.
 
+use super::sys::{self, Call};
 use polling::{Event, Events, PollMode, Poller};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::io;
-use std::os::fd::{AsFd, AsRawFd};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, RawFd};
 use std::time::Duration;
 
 /// A socket under watch; keys are never used twice, so a late event can't reach another socket.
 pub type Key = usize;
 
+/// What the system had no memory for is tried again this often, at the latest.
+const RETRY: Duration = Duration::from_millis(10);
+
+/// What is asked of the system for a socket.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Change {
+    Add,
+    Modify,
+}
+
 /// The sockets under watch.
 pub struct Poll {
     poller: Poller,
     next: Cell<Key>,
+    /// What the system had no memory for yet.
+    pending: RefCell<BTreeMap<RawFd, (Change, Event)>>,
 }
 
 impl Poll {
     /// Watches nothing yet.
     pub fn new() -> io::Result<Poll> {
-        Ok(Poll { poller: Poller::new()?, next: Cell::new(1) })
+        Ok(Poll { poller: Poller::new()?, next: Cell::new(1), pending: RefCell::default() })
     }
 
     /// Watches a socket for reading, and for writing if asked. It has to be given to [`Poll::remove`] before
     /// it is closed.
-    #[allow(unsafe_code)]
     pub fn add(&self, socket: &(impl AsRawFd + AsFd), writable: bool) -> io::Result<Key> {
         let key = self.next.replace(self.next.get() + 1);
-        // SAFETY: polling asks that a source is deleted from the poller before it is dropped. Every owner in
-        // `net` keeps its socket beside its key and calls `remove` at the one place where it closes it.
-        unsafe { self.poller.add_with_mode(socket, Event::new(key, true, writable), PollMode::Level)? };
+        self.change(socket.as_raw_fd(), Change::Add, Event::new(key, true, writable))?;
         Ok(key)
     }
 
@@ -39,11 +50,18 @@
 
     /// Changes what a socket is watched for.
     pub fn interest(&self, key: Key, socket: &impl AsFd, readable: bool, writable: bool) -> io::Result<()> {
-        self.poller.modify_with_mode(socket, Event::new(key, readable, writable), PollMode::Level)
+        let fd = socket.as_fd().as_raw_fd();
+        let waits_to_be_added = matches!(self.pending.borrow().get(&fd), Some((Change::Add, _)));
+        let change = if waits_to_be_added { Change::Add } else { Change::Modify };
+        self.change(fd, change, Event::new(key, readable, writable))
     }
 
     /// Watches a socket no more.
     pub fn remove(&self, socket: &impl AsFd) {
+        let pending = self.pending.borrow_mut().remove(&socket.as_fd().as_raw_fd());
+        if matches!(pending, Some((Change::Add, _))) {
+            return;
+        }
         if let Err(e) = self.poller.delete(socket) {
             tracing::warn!(error = %e, "poller: can't remove a socket");
         }
@@ -52,9 +70,50 @@
     /// Waits for events, at most so long.
     pub fn wait(&self, events: &mut Events, most: Duration) -> io::Result<()> {
         events.clear();
+        self.try_again();
+        let most = if self.pending.borrow().is_empty() { most } else { most.min(RETRY) };
         match self.poller.wait(events, Some(most)) {
             Err(e) if e.kind() != io::ErrorKind::Interrupted => Err(e),
             _ => Ok(()),
         }
     }
+
+    /// Asks the system; what it has no memory for now is asked again before the next waits.
+    fn change(&self, fd: RawFd, change: Change, event: Event) -> io::Result<()> {
+        match self.ask(fd, change, event) {
+            Err(e) if sys::passes(&e) => {
+                self.pending.borrow_mut().insert(fd, (change, event));
+                Ok(())
+            }
+            done => {
+                self.pending.borrow_mut().remove(&fd);
+                done
+            }
+        }
+    }
+
+    fn try_again(&self) {
+        let pending = std::mem::take(&mut *self.pending.borrow_mut());
+        for (fd, (change, event)) in pending {
+            if let Err(e) = self.change(fd, change, event) {
+                tracing::error!(error = %e, "poller: a socket can't be watched");
+            }
+        }
+    }
+
+    #[allow(unsafe_code)]
+    fn ask(&self, fd: RawFd, change: Change, event: Event) -> io::Result<()> {
+        sys::watching(if change == Change::Add { Call::Watch } else { Call::Rewatch })?;
+        // SAFETY: polling asks that a source is deleted from the poller before it is dropped, and a borrowed descriptor
+        // has to be open. Every owner in `net` keeps its socket beside its key and calls `remove` at the one place where
+        // it closes it, which also takes it out of `pending`.
+        unsafe {
+            match change {
+                Change::Add => self.poller.add_with_mode(fd, event, PollMode::Level),
+                Change::Modify => {
+                    self.poller.modify_with_mode(BorrowedFd::borrow_raw(fd), event, PollMode::Level)
+                }
+            }
+        }
+    }
 }
--- a/src/net/session/mod.rs
+++ b/src/net/session/mod.rs
@@ -13,13 +13,14 @@
 use super::buffers::{Inbox, Outbox, Pool};
 use super::connection::Job;
 use super::poll::{Key, Poll};
+use super::sys;
 use crate::api::Micros;
 use crate::codec::mysql::{Command, Error, Server};
 use crate::dispatch::Request;
 use crate::settings::Names;
 pub use sessions::Sessions;
 use statements::{Meant, understand};
-use std::io::{self, Read};
+use std::io;
 use std::net::TcpStream;
 
 /// A client that was told to go may send on so much while it reads the last bytes.
@@ -125,12 +126,12 @@
     pub fn read(&mut self, now: Micros, behind: Micros) -> bool {
         if self.closing.is_some() {
             let mut waste = [0; 4096];
-            return match self.stream.read(&mut waste) {
+            return match sys::read(&mut self.stream, &mut waste) {
                 Ok(n) => {
                     self.waste += n;
                     n > 0 && self.waste < WASTE
                 }
-                Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+                Err(e) => matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted),
             };
         }
         if self.paused_until.is_some() {
--- a/src/net/session/tests.rs
+++ b/src/net/session/tests.rs
@@ -1,5 +1,6 @@
 use super::statements::query;
 use super::*;
+use std::io::Read;
 
 fn names() -> Names {
     let map = |n: &[&str]| n.iter().enumerate().map(|(i, s)| (s.to_string(), i)).collect();
--- a/src/net/signals.rs
+++ b/src/net/signals.rs
@@ -28,6 +28,16 @@
         Ok(signals)
     }
 
+    /// Signals that a test raises, without a signal: the flag for SIGTERM, and the stream that wakes the loop.
+    #[cfg(test)]
+    pub(super) fn raised_by_hand() -> io::Result<(Signals, Arc<AtomicBool>, UnixStream)> {
+        let (stream, write) = UnixStream::pair()?;
+        stream.set_nonblocking(true)?;
+        let signals = Signals { stream, stop: Arc::default(), reread: Arc::default() };
+        let stop = signals.stop.clone();
+        Ok((signals, stop, write))
+    }
+
     /// Empties the stream; whether to stop, and whether to reread. Many of a kind come to one.
     pub(super) fn take(&mut self) -> (bool, bool) {
         let mut bytes = [0; 64];
--- /dev/null
+++ b/src/net/sys/tests.rs
@@ -0,0 +1,54 @@
+//! Calls that fail as a test wants, on the thread that it runs on.
+
+use super::Call;
+use std::cell::RefCell;
+use std::io;
+
+/// Every so many calls of a kind fail with an error, or bring and take one byte.
+#[derive(Debug, Clone, Copy)]
+pub(in crate::net) struct Plan {
+    pub(in crate::net) call: Call,
+    /// The error's number; `None` has reads and writes be short.
+    pub(in crate::net) error: Option<i32>,
+    /// One in so many calls.
+    pub(in crate::net) one_in: u32,
+}
+
+thread_local! {
+    static PLAN: RefCell<Option<(Plan, u32, u32)>> = const { RefCell::new(None) };
+}
+
+/// From now on calls on this thread fail so.
+pub(in crate::net) fn install(plan: Plan) {
+    PLAN.with(|p| *p.borrow_mut() = Some((plan, 0, 0)));
+}
+
+/// How many calls failed on this thread.
+pub(in crate::net) fn failed() -> u32 {
+    PLAN.with(|p| p.borrow().map_or(0, |(.., failed)| failed))
+}
+
+/// Whether this call is one that fails.
+fn strikes(call: Call, short: bool) -> Option<Plan> {
+    PLAN.with(|p| {
+        let mut p = p.borrow_mut();
+        let (plan, calls, failed) = p.as_mut()?;
+        if plan.call != call || plan.error.is_none() != short {
+            return None;
+        }
+        *calls += 1;
+        let strikes = calls.is_multiple_of(plan.one_in);
+        *failed += u32::from(strikes);
+        strikes.then_some(*plan)
+    })
+}
+
+pub(in crate::net) fn fault(call: Call) -> io::Result<()> {
+    let error = strikes(call, false).and_then(|plan| plan.error);
+    error.map_or(Ok(()), |code| Err(io::Error::from_raw_os_error(code)))
+}
+
+pub(in crate::net) fn shortened(length: usize) -> usize {
+    let short = strikes(Call::Read, true).or_else(|| strikes(Call::Write, true)).is_some();
+    if short { length.min(1) } else { length }
+}
--- /dev/null
+++ b/src/net/tests/failing_calls.rs
@@ -0,0 +1,134 @@
+//! System calls that fail in the ways that Linux documents: each request that was taken gets exactly one whole answer.
+
+use super::sys::Call;
+use super::sys::tests::{Plan, install};
+use super::*;
+
+/// What a client got: one answer for each of its requests, and nothing besides.
+fn asks(served: &Served, client: u64, without_descriptors: bool) -> Vec<(u64, Got)> {
+    let mut all = Vec::new();
+    for n in 0..6 {
+        let rid = 0x1000 * (client + 1) + n;
+        let class = CLASSES[(n % 3) as usize];
+        // A new connection for each, as accept is among what fails.
+        let mut c = Client::says(served.address, &request(class, rid, 10_000));
+        assert_eq!(c.got(), Got::Ok, "logged in");
+        all.push((rid, c.got()));
+        let next = c.try_ask("SET NAMES utf8mb4").map_or(Got::Closed, |()| c.got());
+        // One that rests may be closed for its descriptor.
+        let closed = without_descriptors && next == Got::Closed;
+        assert!(closed || next == Got::Ok, "one answer to {rid:x}, and the next, not {next:?}");
+    }
+    all
+}
+
+/// Plays clients against a dispatcher of which one in so many calls of a kind fails.
+fn holds(call: Call, error: Option<i32>, one_in: u32) {
+    let plan = Plan { call, error, one_in };
+    let mut served = Served::start(Duration::from_millis(10), &Quiet::default(), move || install(plan));
+    let answers: Vec<(u64, Got)> = std::thread::scope(|scope| {
+        let served = &served;
+        let without_descriptors = matches!(error, Some(libc::EMFILE | libc::ENFILE));
+        let asks = move |c| scope.spawn(move || asks(served, c, without_descriptors));
+        let clients: Vec<_> = (0..4).map(asks).collect();
+        clients.into_iter().flat_map(|c| c.join().unwrap()).collect()
+    });
+    served.terminate();
+    let failed = served.ends();
+    assert!(failed > 0, "{plan:?} never struck");
+    for (rid, got) in answers {
+        let refused = matches!(&got, Got::Error(1203, text) if text.contains("backoff="));
+        assert!(!refused || error != Some(libc::EINTR), "{plan:?}: {rid:x} refused for an interrupted call");
+        assert!(is_result(&got, rid) || refused, "{plan:?}: {rid:x} got {got:?}");
+        let runs = served.runs(rid);
+        let class = CLASSES[(rid % 0x1000 % 3) as usize];
+        assert!(class != "load" || runs <= 1, "{plan:?}: load {rid:x} ran {runs} times");
+        assert!(!refused || class != "load" || runs == 0, "{plan:?}: {rid:x} ran and was refused");
+    }
+}
+
+#[test]
+fn accept() {
+    let passing = [
+        libc::EINTR,
+        libc::ECONNABORTED,
+        libc::EPROTO,
+        libc::ENETDOWN,
+        libc::ENETUNREACH,
+        libc::EHOSTUNREACH,
+        libc::ENFILE,
+        libc::EMFILE,
+        libc::ENOBUFS,
+        libc::ENOMEM,
+        libc::EAGAIN,
+    ];
+    passing.into_iter().for_each(|error| holds(Call::Accept, Some(error), 3));
+}
+
+#[test]
+fn socket_and_connect() {
+    for error in [libc::ENFILE, libc::EMFILE, libc::ENOBUFS, libc::ENOMEM] {
+        holds(Call::Socket, Some(error), 2);
+    }
+    for error in [libc::EINTR, libc::EADDRNOTAVAIL, libc::ENETUNREACH, libc::ENOBUFS, libc::EAGAIN] {
+        holds(Call::Connect, Some(error), 2);
+    }
+}
+
+#[test]
+fn reads() {
+    for error in [libc::EINTR, libc::EAGAIN, libc::ENOMEM, libc::ENOBUFS] {
+        holds(Call::Read, Some(error), 3);
+        holds(Call::Read, Some(error), 2);
+    }
+    holds(Call::Read, None, 2);
+    holds(Call::Read, None, 1);
+}
+
+#[test]
+fn writes() {
+    for error in [libc::EINTR, libc::EAGAIN, libc::ENOMEM, libc::ENOBUFS] {
+        holds(Call::Write, Some(error), 2);
+    }
+    holds(Call::Write, None, 2);
+    holds(Call::Write, None, 1);
+}
+
+#[test]
+fn watching_sockets() {
+    for error in [libc::ENOMEM, libc::ENOSPC] {
+        holds(Call::Watch, Some(error), 2);
+        holds(Call::Rewatch, Some(error), 2);
+    }
+}
+
+// A dial that fails on our own side was blamed on the executor, which was left out for it.
+#[test]
+fn a_dial_that_fails_on_our_side_says_nothing_of_the_executor() {
+    for error in [libc::EADDRNOTAVAIL, libc::ENOBUFS, libc::ENETUNREACH, libc::EAGAIN, libc::ENOMEM] {
+        assert!(sys::of_our_side(&io::Error::from_raw_os_error(error)), "{error}");
+    }
+    for error in [libc::ECONNREFUSED, libc::EHOSTUNREACH, libc::ETIMEDOUT] {
+        assert!(!sys::of_our_side(&io::Error::from_raw_os_error(error)), "{error}");
+    }
+}
+
+// A broken connection to an executor shows as any of these: what may run twice is sent again, the rest is failed.
+#[test]
+fn executors_connections_that_break() {
+    for error in [libc::ETIMEDOUT, libc::EHOSTUNREACH, libc::ECONNRESET] {
+        let plan = Plan { call: Call::Read, error: Some(error), one_in: 7 };
+        let mut served = Served::start(Duration::from_millis(10), &Quiet::default(), move || install(plan));
+        for rid in 1..20 {
+            let class = CLASSES[(rid % 3) as usize];
+            let mut c = Client::says(served.address, &request(class, rid, 10_000));
+            let answers = [c.got(), c.got()];
+            // A client whose own connection broke is owed nothing; a load runs once at most in any case.
+            let told = answers.iter().filter(|a| matches!(a, Got::Rows(_) | Got::Error(..))).count();
+            assert!(told <= 1, "{error}: {answers:?}");
+            assert!(class != "load" || served.runs(rid) <= 1);
+        }
+        served.terminate();
+        assert!(served.ends() > 0);
+    }
+}
--- /dev/null
+++ b/src/net/tests/mod.rs
@@ -0,0 +1,84 @@
+//! A whole dispatcher on a thread of the test, so that its system calls can fail and its wall clock can be stepped.
+
+mod failing_calls;
+mod stepped_clock;
+
+use super::signals::Signals;
+use super::*;
+use crate::settings::options::Options;
+use standins::engine::Engine;
+use standins::feed::Feed;
+use standins::scripted::{Client, Got, Launch, Quiet, target};
+use std::io::Write;
+use std::os::unix::net::UnixStream;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::channel;
+use std::thread::JoinHandle;
+use std::time::Instant;
+
+/// Classes by effect.
+const CLASSES: [&str; 3] = ["read", "load", "keyed"];
+
+/// A dispatcher that serves on a thread.
+struct Served {
+    address: SocketAddr,
+    stop: Arc<AtomicBool>,
+    wake: UnixStream,
+    thread: Option<JoinHandle<u32>>,
+    _feed: Feed,
+    engines: Vec<Engine>,
+}
+
+impl Served {
+    /// Serves with two executors, each of which takes so long for a request; `before` runs on its thread.
+    fn start(work: Duration, settings: &Quiet, before: impl FnOnce() + Send + 'static) -> Served {
+        let feed = Feed::at("127.0.0.1:0", 1).unwrap();
+        let engines: Vec<Engine> = (0..2).map(|_| Engine::new(move |_| work).unwrap()).collect();
+        let targets: Vec<String> =
+            (0..).zip(&engines).map(|(n, e)| target(&format!("e{n}"), e.address, "up")).collect();
+        let mut launch = Launch::new("", std::env::temp_dir());
+        launch.settings = settings.json();
+        let config = launch.config_of(feed.address, &targets);
+        let (signals, stop, wake) = Signals::raised_by_hand().unwrap();
+        let (tell, told) = channel();
+        let thread = std::thread::spawn(move || {
+            let load = || Config::parse("");
+            let config = Config::parse(&config).unwrap();
+            let mut node = Node::new(config, Options::default(), signals, load).unwrap();
+            tell.send(node.address).unwrap();
+            before();
+            node.run().unwrap();
+            sys::tests::failed()
+        });
+        let address = told.recv().unwrap();
+        Served { address, stop, wake, thread: Some(thread), _feed: feed, engines }
+    }
+
+    /// As SIGTERM does.
+    fn terminate(&mut self) {
+        self.stop.store(true, Ordering::SeqCst);
+        self.wake.write_all(&[1]).unwrap();
+    }
+
+    /// Waits for its end; how many of its calls failed.
+    fn ends(&mut self) -> u32 {
+        self.thread.take().unwrap().join().expect("it ends in order")
+    }
+
+    /// How often executors got a request.
+    fn runs(&self, rid: u64) -> usize {
+        let id = format!("{rid:016x}");
+        self.engines.iter().flat_map(Engine::pulls).filter(|p| p.id == id).count()
+    }
+}
+
+fn request(class: &str, rid: u64, budget_ms: u64) -> String {
+    format!("/* method={class},rid={rid:016x},budget={budget_ms},est=10.0 */ SELECT a FROM sales_7.t")
+}
+
+/// Whether an answer is one whole result that an executor made for this request.
+fn is_result(got: &Got, rid: u64) -> bool {
+    let Got::Rows(rows) = got else { return false };
+    rows.len() == 2 && rows[0][0] == "fields" && rows[1][0] == "statement" && rid > 0
+}
