Owe what a folder did not take until it does, and hold the cold budget for few and for long lists

Cause: bans and last good lists that could not be written (ENOSPC, EIO) were told once and then forgotten, so that the next process started without them; bans were renamed into place without a sync.

Change: net/bans_file.rs and the lists' thread try again until the write succeeds; bans are written as lists are (beside, synced, renamed, folder synced). Nothing else here keeps a file: crates/fleet has none.

The platform allows 3 root N + 3 under 30; the stricter bound stays.

--- a/src/membership/watcher/mod.rs
+++ b/src/membership/watcher/mod.rs
@@ -19,7 +19,7 @@
 use crate::api::Micros;
 use crate::clock::now;
 use crate::settings::hcl::Fault;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, Read as _};
 use std::os::unix::net::UnixStream;
 use std::sync::Arc;
@@ -84,7 +84,15 @@
         bell.set_nonblocking(true)?;
         let (tell, words) = sync_channel(WORDS);
         let (tasks, asked) = channel();
-        let worker = Worker { followed, rules, tell, bell, folders: BTreeSet::new(), notify: None };
+        let worker = Worker {
+            followed,
+            rules,
+            tell,
+            bell,
+            folders: BTreeSet::new(),
+            notify: None,
+            unkept: BTreeMap::new(),
+        };
         let own = tasks.clone();
         thread::Builder::new().name("motor-lists".into()).spawn(move || worker.run(&own, &asked))?;
         Ok(Watcher { wake, words, tasks })
--- a/src/membership/watcher/worker.rs
+++ b/src/membership/watcher/worker.rs
@@ -6,7 +6,7 @@
 use crate::membership::list::List;
 use crate::settings::options::Safeguard;
 use notify::{RecursiveMode, Watcher as _};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::Write as _;
 use std::os::unix::net::UnixStream;
 use std::path::PathBuf;
@@ -19,6 +19,9 @@
 /// The thread looks at the clock this often at least.
 const LONGEST_WAIT: Duration = Duration::from_secs(60);
 
+/// A list that could not be kept is tried again this often: what is kept is owed to the next start.
+const KEEP_AGAIN: Duration = Duration::from_millis(500);
+
 /// What the thread is asked to do.
 pub(super) enum Task {
     Look,
@@ -34,6 +37,8 @@
     /// The folders under watch.
     pub(super) folders: BTreeSet<PathBuf>,
     pub(super) notify: Option<notify::RecommendedWatcher>,
+    /// Last good lists that could not be written yet.
+    pub(super) unkept: BTreeMap<Arc<str>, Arc<List>>,
 }
 
 impl Worker {
@@ -43,10 +48,11 @@
         let mut last = Micros::MIN;
         loop {
             let due = self.followed.iter().map(|f| f.due).min().unwrap_or(Micros::MAX);
-            let wait = Duration::from_micros(due.saturating_sub(now())).min(LONGEST_WAIT);
+            let longest = if self.unkept.is_empty() { LONGEST_WAIT } else { KEEP_AGAIN };
+            let wait = Duration::from_micros(due.saturating_sub(now())).min(longest);
             match asked.recv_timeout(wait) {
                 Ok(Task::Stop) | Err(RecvTimeoutError::Disconnected) => return,
-                Ok(Task::Keep(source, list)) => self.keep(source, &list),
+                Ok(Task::Keep(source, list)) => self.keep(source, list),
                 Ok(Task::Look) => {
                     let since = Duration::from_micros(now().saturating_sub(last));
                     thread::sleep(GAP.saturating_sub(since));
@@ -56,6 +62,9 @@
                 Err(RecvTimeoutError::Timeout) => {}
             }
             last = now();
+            for (source, list) in std::mem::take(&mut self.unkept) {
+                self.keep_again(source, list);
+            }
             for i in 0..self.followed.len() {
                 if !self.look(i, last) {
                     return;
@@ -86,13 +95,21 @@
         true
     }
 
-    fn keep(&mut self, source: Arc<str>, list: &List) {
-        let Some(folder) = &self.rules.last_good else { return };
-        if let Err(e) = keep::save(&keep::path(folder, &source), list) {
-            self.hand(source, Word::NotKept(e.to_string()), now());
+    /// Keeps a list as the last good one; what can't be written now is tried again, and told once.
+    fn keep(&mut self, source: Arc<str>, list: Arc<List>) {
+        if let Some(error) = self.keep_again(source.clone(), list) {
+            self.hand(source, Word::NotKept(error), now());
         }
     }
 
+    /// Tries to keep a list, and remembers it if that fails; the error then.
+    fn keep_again(&mut self, source: Arc<str>, list: Arc<List>) -> Option<String> {
+        let folder = self.rules.last_good.as_ref()?;
+        let error = keep::save(&keep::path(folder, &source), &list).err()?;
+        self.unkept.insert(source, list);
+        Some(error.to_string())
+    }
+
     fn watch(&mut self, tasks: &Sender<Task>, pending: &Arc<AtomicBool>) {
         if self.rules.left_out(Safeguard::Notify) {
             return;
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -5,7 +5,6 @@
 use crate::api::Micros;
 use crate::codec::operator::{self as ops, Call, Fault, Readiness};
 use crate::dispatch::News;
-use crate::operator::bans::Bans;
 use std::io;
 
 impl Node {
@@ -106,7 +105,7 @@
         if let Some(target) = self.targets.get(id).cloned() {
             self.relist(now, News::Changes, &[target]);
         }
-        save_bans(&self.bans_file, &self.bans, &self.name);
+        self.bans_file.save(&self.bans);
     }
 
     pub(super) fn dump(&self, now: Micros) -> String {
@@ -140,45 +139,3 @@
         keys.into_iter().for_each(|key| self.send_away(key, now));
     }
 }
-
-/// A dispatcher's name as a part of a file name.
-pub(super) fn file_name(name: &str) -> String {
-    let safe: String =
-        name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
-    if safe.is_empty() { "dispatcher".into() } else { safe }
-}
-
-/// The bans that the process before this one handed over, if its file is there and can be used.
-pub(super) fn handed_over(path: &std::path::Path, name: &str) -> Bans {
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
-        Err(e) if e.kind() == io::ErrorKind::NotFound => return Bans::default(),
-        Err(e) => {
-            tracing::warn!(file = %path.display(), error = %e, "bans: hand-over file ignored");
-            return Bans::default();
-        }
-    };
-    match Bans::decode(&text, name) {
-        Ok(bans) => {
-            if !bans.is_empty() {
-                let ids: Vec<&str> = bans.ids().collect();
-                tracing::warn!(file = %path.display(), offline = ?ids, "bans: handed over");
-            }
-            bans
-        }
-        Err(e) => {
-            tracing::warn!(file = %path.display(), error = %e, "bans: hand-over file ignored");
-            Bans::default()
-        }
-    }
-}
-
-/// Writes the bans for the next process: whole or not at all, by a file renamed over the old.
-fn save_bans(path: &std::path::Path, bans: &Bans, name: &str) {
-    let part = path.with_extension(format!("part{}", std::process::id()));
-    let written = std::fs::write(&part, bans.encode(name)).and_then(|()| std::fs::rename(&part, path));
-    if let Err(e) = written {
-        let _ = std::fs::remove_file(&part);
-        tracing::error!(file = %path.display(), error = %e, "bans: can't hand over; the next process starts without");
-    }
-}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The dispatcher on real sockets: one loop, clients on one side, executors and the coordinator on the other.
 
 mod accept;
+mod bans_file;
 mod buffers;
 mod calls;
 mod clients;
@@ -44,6 +45,7 @@
 use crate::settings::Names;
 use crate::settings::config::{Config, ConfigError};
 use crate::storm::Storm;
+use bans_file::BansFile;
 use buffers::Pool;
 use control::ControlLink;
 use descriptors::Descriptors;
@@ -63,7 +65,6 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::{SocketAddr, TcpListener};
-use std::path::PathBuf;
 use std::time::Duration;
 
 /// A request that was read and has not begun.
@@ -133,9 +134,7 @@
     figures: Figures,
     bans: Bans,
     /// Where bans are handed to the next process.
-    bans_file: PathBuf,
-    /// This dispatcher's name, the same in the next process.
-    name: String,
+    bans_file: BansFile,
     /// Where clients connect; the listener is closed while leaving, and bound here again on `JOIN`.
     address: SocketAddr,
     /// The last that the list said of each executor on it, by uid.
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -1,5 +1,6 @@
 //! How a dispatcher is set up.
 
+use super::bans_file::BansFile;
 use super::buffers::Pool;
 use super::control::ControlLink;
 use super::descriptors::Descriptors;
@@ -14,7 +15,7 @@
 use super::session::Sessions;
 use super::shutdown::Shutdown;
 use super::signals::Signals;
-use super::{Node, calls, listen};
+use super::{Node, listen};
 use crate::api::Micros;
 use crate::clock::{BootTimes, Clock, WallClock};
 use crate::dispatch::{Dispatch, News};
@@ -79,9 +80,8 @@
         };
         let figures = Figures::new();
         names.classes.keys().for_each(|c| figures.class(c));
-        let bans_file =
-            std::env::temp_dir().join(format!("ottercroft-{}.bans", calls::file_name(&config.name)));
-        let bans = calls::handed_over(&bans_file, &config.name);
+        let bans_file = BansFile::of(&std::env::temp_dir(), &config.name);
+        let bans = bans_file.handed_over();
         let mut clock = Clock::default();
         let now = clock.now();
         let in_flight = match (&options.peers, classes) {
@@ -137,7 +137,6 @@
             figures,
             bans,
             bans_file,
-            name: config.name.clone(),
             address,
             targets: BTreeMap::new(),
             onlined: BTreeMap::new(),
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -168,6 +168,7 @@
         if self.clients_at <= now {
             self.clients_at = now + CLIENTS;
             self.wall.observe(now, clock::unix());
+            self.bans_file.try_again(&self.bans);
             self.look_after_clients(now);
             self.send_all_away(now);
             self.watch_storm(now);
--- a/tests/cold_sum/count.rs
+++ b/tests/cold_sum/count.rs
@@ -32,7 +32,8 @@
         self.cold.multiple * capacity * self.cold.fall as f64 / 1e6 / self.mean_work
     }
 
-    /// The most that may come in that window: chance counts for 2 x root of N + 2.
+    /// The most that may come in that window: chance counts for 2 x root of N + 2, also where N is under 30 and the term
+    /// of the platform allows more.
     pub fn most(&self, at: Micros) -> f64 {
         let n = self.budget(at);
         n + 2.0 * n.sqrt() + 2.0
--- a/tests/cold_sum/main.rs
+++ b/tests/cold_sum/main.rs
@@ -40,6 +40,16 @@
 
 const RAMP: Micros = 14 * S;
 
+#[test]
+fn one() {
+    fleet_of(1, 12, RAMP);
+}
+
+#[test]
+fn two() {
+    fleet_of(2, 12, RAMP);
+}
+
 #[test]
 fn three() {
     fleet_of(3, 12, RAMP);
@@ -65,6 +75,16 @@
     fleet_of(300, 1, RAMP / 2);
 }
 
+// Lists as long as a large fleet has, of which each dispatcher looks at a part: what is saved for a cold executor by all
+// that look at it seldom must not come together.
+#[test]
+fn three_hundred_with_a_long_list() {
+    let scene = Scene::busy(300);
+    let rule = count::Rule { cold_engines: 200, ..scene.rule };
+    let long = Scene { rule, warm_engines: 200, played: 4_500 * MS, rate: 50.0, ..scene };
+    holds("long list", &long, 1, 0.05);
+}
+
 #[test]
 fn a_thousand() {
     fleet_of(1000, 1, 4_500 * MS);
--- a/tests/motor_lists/trouble.rs
+++ b/tests/motor_lists/trouble.rs
@@ -48,6 +48,30 @@
     assert!(d.logs("motor list in force").contains("left=2"));
 }
 
+// The folder of last good lists fails for a while: a list that could not be kept was told once and then forgotten, and
+// the next start had none.
+#[test]
+fn a_list_that_can_not_be_kept_is_kept_once_its_folder_is_there() {
+    let (e1, mut place) = (Executor::new(), place());
+    let kept = place.dir.join("kept");
+    std::fs::write(&kept, "a file where the folder has to be").unwrap();
+    place.tops = format!(" precedence = [\"salas\"]\n last_good = {kept:?}");
+    place.put(&list(&[("e1", e1.address, "")]));
+    let (mut d, _coordinator) = place.launch().dispatcher(&[]);
+    d.logs("no last good copy kept");
+    std::fs::remove_file(&kept).unwrap();
+    std::fs::create_dir(&kept).unwrap();
+    awaited("the kept list", || kept.join("salas.last-good").exists());
+    drop(d);
+    std::fs::write(&place.list, "room \"a\" {").unwrap();
+    let (d, _coordinator) = place.launch().dispatcher(&[]);
+    let mut client = Client::asks(d.address, &read(1));
+    let mut peer = e1.accept();
+    let pull = peer.command().unwrap();
+    peer.page(&pull[1], "OK pages=1", ROW);
+    assert_eq!(client.got(), rows());
+}
+
 // A start with a broken file goes on with the last good list; with neither it serves and refuses with a time to
 // come back, or ends, as the settings say. A damaged copy is no list.
 #[test]
