--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -6,6 +6,7 @@
 mod figures;
 mod learned;
 mod query;
+mod ring;
 mod roster;
 mod rule;
 mod table;
@@ -14,6 +15,7 @@
 pub(crate) use engine::*;
 pub(crate) use learned::*;
 pub(crate) use query::*;
+pub(crate) use ring::*;
 pub(crate) use roster::*;
 pub(crate) use rule::*;
 
--- a/src/state/roster.rs
+++ b/src/state/roster.rs
@@ -4,47 +4,6 @@
 use super::*;
 use std::collections::BTreeSet;
 
-/// Engines in the order of points that are the same at all gateways.
-#[derive(Debug, Default)]
-struct Ring {
-    places: Vec<(u64, usize)>,
-}
-
-impl Ring {
-    fn insert(&mut self, place: (u64, usize)) {
-        if let Err(at) = self.places.binary_search(&place) {
-            self.places.insert(at, place);
-        }
-    }
-
-    fn remove(&mut self, place: (u64, usize)) {
-        if let Ok(at) = self.places.binary_search(&place) {
-            self.places.remove(at);
-        }
-    }
-
-    fn len(&self) -> usize {
-        self.places.len()
-    }
-
-    /// So many engines from a point on, round the ring, each with its distance from there.
-    fn window(&self, point: u64, most: usize) -> impl Iterator<Item = (u64, usize)> + '_ {
-        let begin = self.places.partition_point(|(p, _)| *p < point);
-        let (before, after) = self.places.split_at(begin);
-        after.iter().chain(before).take(most).map(move |(p, i)| (p.wrapping_sub(point), *i))
-    }
-}
-
-/// The listed engines that are open to the same classes.
-#[derive(Debug, Default)]
-struct PoolRings {
-    /// Those at their full capacity, and those that have started lately.
-    warm: Ring,
-    cold: Ring,
-    /// How many there are of each kind of machine.
-    kinds: BTreeMap<KindId, usize>,
-}
-
 /// Where an engine stands in the rings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Place {
@@ -54,17 +13,6 @@
     cold_since: Option<Micros>,
 }
 
-/// Which part of the engines a window is taken from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Part {
-    /// At their full capacity.
-    Warm,
-    /// Started lately.
-    Cold,
-    /// Both.
-    All,
-}
-
 /// The cold engines of one kind: how many, and their starts added up.
 #[derive(Debug, Default)]
 struct ColdKind {
@@ -85,19 +33,6 @@
     pub(crate) active: BTreeSet<usize>,
 }
 
-/// An engine's point on the rings, the same at all gateways.
-fn point(engine: EngineId) -> u64 {
-    mixed(u64::from(engine))
-}
-
-/// A number spread over all values of its type (the finalizer of SplitMix64).
-pub(crate) fn mixed(number: u64) -> u64 {
-    let mut z = number.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    z ^ (z >> 31)
-}
-
 impl Roster {
     /// An engine stands elsewhere now, or nowhere.
     pub(crate) fn moves(&mut self, i: usize, engine: EngineId, from: Option<Place>, to: Option<Place>) {
@@ -197,18 +132,6 @@
     }
 }
 
-impl PoolRings {
-    fn ring(&mut self, cold: bool) -> &mut Ring {
-        if cold { &mut self.cold } else { &mut self.warm }
-    }
-
-    fn rings(&self, part: Part) -> impl Iterator<Item = &Ring> {
-        let warm = (part != Part::Cold).then_some(&self.warm);
-        let cold = (part != Part::Warm).then_some(&self.cold);
-        warm.into_iter().chain(cold)
-    }
-}
-
 impl Gateway {
     fn place_of(&self, e: &Engine) -> Option<Place> {
         let cold = e.cold_since.filter(|t| self.s.cold.fall > 0 && self.now < t + self.s.cold.ramp);
