Hold that a request on a connection too many is refused, not only closed

Need: a request that was read and closed with no answer is lost, on new connections too; nothing tested it where all places are taken. Twenty clients more than are served write login and request before they are accepted, with room for four to linger: each gets its refusal.

--- a/tests/clients/crowds.rs
+++ b/tests/clients/crowds.rs
@@ -51,3 +51,30 @@
     assert_eq!(peer.line(), "KILL 00000000000000d2");
     assert!(matches!(client.got(), Got::Error(1105, _)), "it may have run");
 }
+
+// All places are taken by requests that run, and more clients come than may linger, each with its request written before it
+// is accepted: what was read has an answer, on a connection that is new, too.
+#[test]
+fn a_request_on_a_connection_too_many_is_refused_and_not_only_closed() {
+    let executor = Executor::new();
+    let mut launch = launch();
+    launch.settings = Quiet::default().json();
+    launch.sockets = 64;
+    let (d, _coordinator) = launch.dispatcher(&[("e1", executor.address)]);
+    // As many as a dispatcher with these descriptors serves.
+    let mut busy: Vec<Client> =
+        (0x10..0x2c).map(|n| Client::asks(d.address, &request("read", &format!("{n:x}")))).collect();
+    d.stands_still();
+    let mut more: Vec<Client> =
+        (0x30..0x44).map(|n| Client::writes(d.address, &request("read", &format!("{n:x}")))).collect();
+    more.iter().for_each(|client| arrived(&client.stream));
+    d.goes_on();
+    for client in &mut more {
+        // The greeting is a packet of its own kind; behind it comes the refusal.
+        let mut all = Vec::new();
+        let ended = std::io::Read::read_to_end(&mut client.stream, &mut all);
+        assert!(all.windows(8).any(|w| w == b"backoff="), "{ended:?} after {} bytes", all.len());
+    }
+    assert_eq!(busy.len(), 28);
+    drop(busy.pop());
+}
