Test that an interrupted connect goes on

Need: with the mend of EINTR at connect taken out no test failed, as the request was served by another attempt. The new one fails without it.

--- a/src/net/tests/failing_calls.rs
+++ b/src/net/tests/failing_calls.rs
@@ -132,3 +132,14 @@
         assert!(served.ends() > 0);
     }
 }
+
+// A connect that was interrupted goes on by itself, and was taken as failed: the request went elsewhere, and the executor
+// was blamed.
+#[test]
+fn an_interrupted_connect_goes_on() {
+    install(Plan { call: Call::Connect, error: Some(libc::EINTR), one_in: 1 });
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let stream = dial::dial(listener.local_addr().unwrap()).expect("a connection that is coming up");
+    let (accepted, _) = listener.accept().unwrap();
+    assert_eq!(accepted.peer_addr().unwrap(), stream.local_addr().unwrap());
+}
