Reproduce requests lost of a hot key, and log how each came and why it ended

Missed there: when a request was read, on which connection, how long after the one before of its key, why it ended. Change: 'request read' and 'request refused' (debug), 'request failed' (info), reasons of all ends beside the counters, and 'client left' tells how the request came; standins get a client that spaces the requests of a key as the protocol has it.

--- a/crates/standins/src/scripted/client.rs
+++ b/crates/standins/src/scripted/client.rs
@@ -3,7 +3,7 @@
 use super::*;
 
 /// What a client got.
-#[derive(Debug, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub enum Got {
     /// OK without rows.
     Ok,
@@ -88,7 +88,7 @@
         self.stream.write_all(&query(sql))
     }
 
-    fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
+    pub(super) fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
         let mut head = [0; 4];
         self.stream.read_exact(&mut head).ok()?;
         let mut body = vec![0; u32::from_le_bytes([head[0], head[1], head[2], 0]) as usize];
--- a/crates/standins/src/scripted/mod.rs
+++ b/crates/standins/src/scripted/mod.rs
@@ -4,11 +4,13 @@
 mod faults;
 mod launch;
 mod settings;
+mod spaced;
 
 pub use client::*;
 pub use faults::*;
 pub use launch::*;
 pub use settings::*;
+pub use spaced::*;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- a/src/api/action.rs
+++ b/src/api/action.rs
@@ -1,6 +1,6 @@
 //! What a gateway wants done.
 
-use super::{EngineId, Micros, QueryId};
+use super::{EndReason, EngineId, Micros, QueryId};
 
 /// What a gateway wants done, in this order and at once.
 #[derive(Debug, Clone, PartialEq)]
@@ -36,11 +36,15 @@
         query: QueryId,
         /// When to come back.
         retry_after: Option<Micros>,
+        /// Why, for the log.
+        reason: EndReason,
     },
     /// Final answer: failed, with no promise.
     Fail {
         /// The request.
         query: QueryId,
+        /// Why, for the log.
+        reason: EndReason,
     },
     /// Probe an engine.
     Probe {
--- /dev/null
+++ b/src/api/end_reason.rs
@@ -0,0 +1,102 @@
+//! Why a request ended, as logs and counters name it.
+
+use std::fmt::{self, Display};
+
+/// Why a request ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum EndReason {
+    /// It was served.
+    Served,
+    /// A rule refused it on arrival: it costs too much now, or its tenant is over its share.
+    OverLimit,
+    /// What waits before it in its key's line takes longer than its client waits.
+    LineTooLong,
+    /// It waited in its key's line until hardly any time was left.
+    LineTimedOut,
+    /// No engine may take it.
+    NoEngine,
+    /// Its last attempt failed, and no further one may be made.
+    NoFurtherAttempt,
+    /// It was past its aim, and the engines are overloaded.
+    Overloaded,
+    /// Its time is over.
+    Deadline,
+    /// This dispatcher ends before it could be served.
+    Stopping,
+    /// Too many requests were open.
+    TooManyOpen,
+    /// Answered with the word of others: of the fleet, of a policy, or of a retry storm's limits.
+    Elsewhere,
+    /// The right to act on it was lost.
+    LeaseLost,
+}
+
+impl EndReason {
+    /// All of them, in order.
+    pub const ALL: [EndReason; 12] = [
+        EndReason::Served,
+        EndReason::OverLimit,
+        EndReason::LineTooLong,
+        EndReason::LineTimedOut,
+        EndReason::NoEngine,
+        EndReason::NoFurtherAttempt,
+        EndReason::Overloaded,
+        EndReason::Deadline,
+        EndReason::Stopping,
+        EndReason::TooManyOpen,
+        EndReason::Elsewhere,
+        EndReason::LeaseLost,
+    ];
+
+    /// Its name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            EndReason::Served => "served",
+            EndReason::OverLimit => "over_limit",
+            EndReason::LineTooLong => "line_too_long",
+            EndReason::LineTimedOut => "line_timed_out",
+            EndReason::NoEngine => "no_engine",
+            EndReason::NoFurtherAttempt => "no_further_attempt",
+            EndReason::Overloaded => "overloaded",
+            EndReason::Deadline => "deadline",
+            EndReason::Stopping => "stopping",
+            EndReason::TooManyOpen => "too_many_open",
+            EndReason::Elsewhere => "elsewhere",
+            EndReason::LeaseLost => "lease_lost",
+        }
+    }
+}
+
+impl Display for EndReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
+
+/// How many requests ended for each reason.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct EndCounts([u64; EndReason::ALL.len()]);
+
+impl EndCounts {
+    /// Counts one.
+    pub fn add(&mut self, reason: EndReason) {
+        self.0[reason as usize] += 1;
+    }
+
+    /// How many ended for a reason.
+    pub fn of(&self, reason: EndReason) -> u64 {
+        self.0[reason as usize]
+    }
+}
+
+impl Display for EndCounts {
+    /// Those that ever happened, as `name:count` with commas.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut separator = "";
+        for reason in EndReason::ALL.into_iter().filter(|r| self.of(*r) > 0) {
+            write!(f, "{separator}{reason}:{}", self.of(reason))?;
+            separator = ",";
+        }
+        Ok(())
+    }
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -4,12 +4,14 @@
 //! stay with the host. All times and spans are whole microseconds.
 
 mod action;
+mod end_reason;
 mod engines;
 mod event;
 mod settings;
 mod validation;
 
 pub use action::Action;
+pub use end_reason::{EndCounts, EndReason};
 pub use engines::{Entry, ListKind, Readiness, Report};
 pub use event::{Arrival, Bill, Event, Finished, Note, Outcome};
 pub use settings::{Budget, Class, ColdRule, Effect, Group, Kind, Reports, Settings, Shortage, Tenant};
--- /dev/null
+++ b/src/arrivals/key_spacing/tests.rs
@@ -0,0 +1,52 @@
+use super::*;
+
+const KEY: u64 = 7;
+const MS: Micros = 1_000;
+const START: Micros = 1_000_000 * MS;
+
+fn at(ms: Micros) -> Occurrence {
+    Occurrence::at(START + ms * MS)
+}
+
+/// When each request of the key may have been wanted, in milliseconds from the start; each tells when it came, and whether that
+/// was on a new connection.
+fn wanted(requests: &[(Micros, bool)]) -> Vec<Micros> {
+    let mut spacing = KeySpacing::default();
+    let spaced = requests.iter().map(|(ms, new)| spacing.came(KEY, at(*ms), *new));
+    spaced.map(|s| (s.wanted_since - START) / MS).collect()
+}
+
+#[test]
+fn a_run_at_just_the_spacing_may_have_been_wanted_when_it_began() {
+    assert_eq!(wanted(&[(0, true), (250, true), (500, false), (560, false)]), [0, 0, 0, 0]);
+    assert_eq!(wanted(&[(0, false), (60, false), (120, false)]), [0, 0, 0]);
+}
+
+#[test]
+fn whoever_came_later_than_the_spacing_was_not_held_back() {
+    assert_eq!(wanted(&[(0, true), (301, true), (400, false)]), [0, 301, 301]);
+    assert_eq!(wanted(&[(0, false), (111, false), (222, true)]), [0, 111, 222]);
+}
+
+#[test]
+fn the_slack_of_the_protocol_counts_as_held_back() {
+    assert_eq!(wanted(&[(0, true), (300, false), (410, false)]), [0, 0, 0]);
+}
+
+#[test]
+fn other_keys_hold_nothing_back() {
+    let mut spacing = KeySpacing::default();
+    spacing.came(KEY, at(0), true);
+    let other = spacing.came(KEY + 1, at(100), true);
+    assert_eq!(other, Spaced { after_previous: None, wanted_since: START + 100 * MS });
+}
+
+// What was read late may have come sooner after the one before, and may have been held back.
+#[test]
+fn a_late_look_counts_at_its_worst() {
+    let mut spacing = KeySpacing::default();
+    spacing.came(KEY, at(0), false);
+    let late = Occurrence::between(START + 90 * MS, START + 900 * MS);
+    let spaced = spacing.came(KEY, late, false);
+    assert_eq!(spaced, Spaced { after_previous: Some(90 * MS), wanted_since: START });
+}
--- a/src/bin/ottercroft-adapter/wire/actions.rs
+++ b/src/bin/ottercroft-adapter/wire/actions.rs
@@ -68,10 +68,10 @@
             Out::Assign { who, call: hex(query), node: *engine, timeout: timeout.map(seconds) }
         }
         Action::Cancel { query, attempt } => Out::Recall { who, call: hex(query), go: *attempt },
-        Action::Refuse { query, retry_after } => {
+        Action::Refuse { query, retry_after, .. } => {
             Out::Refuse { who, call: hex(query), hold_off: retry_after.map(seconds) }
         }
-        Action::Fail { query } => Out::Surrender { who, call: hex(query) },
+        Action::Fail { query, .. } => Out::Surrender { who, call: hex(query) },
         Action::Probe { engine } => Out::Probe { who, node: *engine },
         Action::Watch => Out::Track { who, enable: true },
         Action::Unwatch => Out::Track { who, enable: false },
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -53,7 +53,7 @@
             }
             let harmless = self.s.classes[class].effect == Effect::Safe;
             if past && self.models[class].pressure > GIVE_UP_PRESSURE && harmless {
-                self.end(id, SECOND);
+                self.end(id, SECOND, EndReason::Overloaded);
                 continue;
             }
             let (q, p) = (&self.queries[&id], self.priority(&self.queries[&id]));
@@ -126,7 +126,7 @@
         let q = &self.queries[&id];
         let open = !q.done && !q.streaming && q.out() == 0;
         if open && !self.send(id, false) {
-            self.end(id, SECOND);
+            self.end(id, SECOND, EndReason::NoFurtherAttempt);
         }
         self.forget(id);
     }
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -19,7 +19,7 @@
         let key = q.key;
         self.queries.insert(a.query, q);
         if let Err(wait) = admitted {
-            return self.end(a.query, wait);
+            return self.end(a.query, wait, EndReason::OverLimit);
         }
         key.into_iter().for_each(|k| self.keys.entry(k).or_default().waiting.push_back(a.query));
         self.start(a.query);
@@ -32,10 +32,16 @@
         q.attempts.is_empty() && (held || self.now.saturating_add(run) > self.ends)
     }
 
+    /// Why a hopeless request ends: this gateway does, or its time.
+    fn hopeless_reason(&self) -> EndReason {
+        if self.ends < Micros::MAX { EndReason::Stopping } else { EndReason::LineTimedOut }
+    }
+
     /// First attempt, once it is the query's turn; it waits for probes at most `ASK_WAIT`.
     fn start(&mut self, id: QueryId) {
         if self.hopeless(id) {
-            return self.end(id, SECOND);
+            let reason = self.hopeless_reason();
+            return self.end(id, SECOND, reason);
         }
         let (asked_until, deadline) = (self.queries[&id].asked_until, self.queries[&id].deadline);
         let ask = asked_until.map_or(self.now + 2 * ASK_WAIT < deadline, |t| self.now < t);
@@ -43,7 +49,7 @@
             return;
         }
         if !ask || self.now >= self.queries[&id].asked_until.unwrap_or(0) {
-            self.end(id, SECOND);
+            self.end(id, SECOND, EndReason::NoEngine);
         } else if asked_until.is_none() {
             self.asking.push(id);
             self.actions.push(Action::Wake { token: 1, after: ASK_WAIT });
@@ -64,13 +70,14 @@
     }
 
     /// The one place that ends a request: refused where that is harmless, else failed.
-    pub(super) fn end(&mut self, id: QueryId, wait: Micros) {
+    pub(super) fn end(&mut self, id: QueryId, wait: Micros, reason: EndReason) {
         let Some(q) = self.queries.get(&id).filter(|q| !q.done) else { return };
         let effect = self.s.classes[q.class].effect;
         let free = matches!(effect, Effect::Safe | Effect::Keyed { group: Group::All, .. });
         let retry_after = self.s.max_retry_after.map(|most| wait.clamp(TICK, most.max(TICK)));
-        let refuse = Action::Refuse { query: id, retry_after };
-        self.actions.push(if free || q.never_ran() { refuse } else { Action::Fail { query: id } });
+        let refuse = Action::Refuse { query: id, retry_after, reason };
+        let fail = Action::Fail { query: id, reason };
+        self.actions.push(if free || q.never_ran() { refuse } else { fail });
         self.close(id);
     }
 
@@ -112,7 +119,8 @@
         for k in Vec::from_iter(self.keys.keys().copied()) {
             for id in Vec::from_iter(self.keys[&k].waiting.iter().copied()) {
                 let over = self.queries.contains_key(&id) && self.hopeless(id);
-                over.then(|| self.end(id, SECOND));
+                let reason = self.hopeless_reason();
+                over.then(|| self.end(id, SECOND, reason));
             }
             self.next_in_line(k);
         }
--- a/src/dispatch/actions.rs
+++ b/src/dispatch/actions.rs
@@ -84,12 +84,13 @@
                     self.forget(query);
                 }
             }
-            Action::Refuse { query, retry_after } => {
-                self.answer(query, Answer::Refused(retry_after.map_or(BACKOFF_MS, |t| t.div_ceil(1000))));
+            Action::Refuse { query, retry_after, reason } => {
+                let backoff_ms = retry_after.map_or(BACKOFF_MS, |t| t.div_ceil(1000));
+                self.answer(now, query, Answer::Refused(backoff_ms), reason);
                 self.forget(query);
             }
-            Action::Fail { query } => {
-                self.answer(query, Answer::Failed);
+            Action::Fail { query, reason } => {
+                self.answer(now, query, Answer::Failed, reason);
                 self.forget(query);
             }
             Action::Probe { engine } => {
--- a/src/dispatch/ends.rs
+++ b/src/dispatch/ends.rs
@@ -2,7 +2,7 @@
 
 use super::open::Open;
 use super::{Answer, BACKOFF_MS, Dispatch, Load, Order, Ticket};
-use crate::api::{Event, Finished, Micros, Outcome};
+use crate::api::{EndReason, Event, Finished, Micros, Outcome};
 use crate::must;
 use std::cmp::Reverse;
 
@@ -16,7 +16,7 @@
         }
         while let Some((at, id)) = self.deadlines.first().copied().filter(|(t, _)| *t <= now) {
             self.deadlines.remove(&(at, id));
-            orders.append(&mut self.expire(now, id, true));
+            orders.append(&mut self.expire(now, id, EndReason::Deadline));
         }
         orders
     }
@@ -29,17 +29,17 @@
     /// Gives every request that is open its answer now: refused where that is harmless, else failed.
     pub fn give_up(&mut self, now: Micros) -> Vec<Order<R>> {
         let waiting: Vec<u64> = self.open.iter().filter(|(_, o)| !o.closed).map(|(id, _)| *id).collect();
-        waiting.into_iter().flat_map(|id| self.close(now, id)).collect()
+        waiting.into_iter().flat_map(|id| self.close(now, id, EndReason::Stopping)).collect()
     }
 
     /// The right to act on a request is lost: what is out of it is called off, and its client told.
     pub fn let_go(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
-        self.expire(now, id, false)
+        self.expire(now, id, EndReason::LeaseLost)
     }
 
-    /// What is out of a request is given up and has timed out; `over` if the request's own time is, so that nothing of
-    /// it begins again.
-    fn expire(&mut self, now: Micros, id: u64, over: bool) -> Vec<Order<R>> {
+    /// What is out of a request is given up and has timed out. Where its own time is over, nothing of it begins again.
+    fn expire(&mut self, now: Micros, id: u64, reason: EndReason) -> Vec<Order<R>> {
+        let over = reason == EndReason::Deadline;
         let Some(open) = self.open.get(&id) else { return Vec::new() };
         let out: Vec<u32> = open.all_out().collect();
         let mut orders = Vec::new();
@@ -54,18 +54,19 @@
                 orders.append(&mut self.run(now, event));
             }
         }
-        orders.append(&mut self.close(now, id));
+        orders.append(&mut self.close(now, id, reason));
         self.forget(id);
         orders.append(&mut self.orders);
         orders
     }
 
     /// Ends a request whose answer the decisions did not give.
-    fn close(&mut self, now: Micros, id: u64) -> Vec<Order<R>> {
+    fn close(&mut self, now: Micros, id: u64, reason: EndReason) -> Vec<Order<R>> {
         let Some(open) = self.open.get(&id).filter(|o| !o.closed) else { return Vec::new() };
         let harmless = open.safe || open.never_ran();
         self.held.remove(&id);
-        self.answer(id, if harmless { Answer::Refused(BACKOFF_MS) } else { Answer::Failed });
+        let answer = if harmless { Answer::Refused(BACKOFF_MS) } else { Answer::Failed };
+        self.answer(now, id, answer, reason);
         let orders = self.run(now, Event::HungUp { query: id });
         self.forget(id);
         orders
@@ -98,12 +99,14 @@
     }
 
     /// The one place that gives a final answer.
-    pub(super) fn answer(&mut self, id: u64, answer: Answer<R>) {
+    pub(super) fn answer(&mut self, now: Micros, id: u64, answer: Answer<R>, reason: EndReason) {
         let Some(open) = self.open.get_mut(&id) else { return };
         if !must!(!open.closed, "a second answer") {
             return;
         }
         open.closed = true;
+        open.log_end(now, id, &answer, reason);
+        self.tally.ends.add(reason);
         match &answer {
             Answer::Served(_) => self.tally.served += 1,
             Answer::Refused(_) => self.tally.refused += 1,
--- a/src/dispatch/intake.rs
+++ b/src/dispatch/intake.rs
@@ -3,7 +3,7 @@
 use super::open::Open;
 use super::request::{arrival, grace};
 use super::{Answer, BACKOFF_MS, Class, Dispatch, Order, Request, on_sockets};
-use crate::api::{Event, Micros, Settings, SettingsError};
+use crate::api::{EndReason, Event, Micros, Settings, SettingsError};
 use crate::must;
 
 impl<R> Dispatch<R> {
@@ -23,10 +23,12 @@
 
     /// Takes a request in and refuses it in the same breath, before any decision: it never ran, so that refusing
     /// is harmless. Errors are those of [`Dispatch::pick`].
-    pub fn turn_away(&mut self, request: &Request) -> Result<(), &'static str> {
+    pub fn turn_away(&mut self, request: &Request, reason: EndReason) -> Result<(), &'static str> {
         self.acceptable(request)?;
         self.tally.taken += 1;
         self.tally.refused += 1;
+        self.tally.ends.add(reason);
+        tracing::debug!(request = format_args!("{:016x}", request.id), %reason, "request refused on arrival");
         Ok(())
     }
 
@@ -107,9 +109,9 @@
     /// alone, and once: for an id that is not held it does nothing. The answer has to be true by itself: refused
     /// only where it never ran or may run twice. What is given to a request past its deadline still counts if
     /// [`Dispatch::tick`] has not refused it yet.
-    pub fn answer_held(&mut self, id: u64, answer: Answer<R>) -> Vec<Order<R>> {
+    pub fn answer_held(&mut self, now: Micros, id: u64, answer: Answer<R>) -> Vec<Order<R>> {
         if self.held.remove(&id).is_some() && self.open.get(&id).is_some_and(|o| !o.closed) {
-            self.answer(id, answer);
+            self.answer(now, id, answer, EndReason::Elsewhere);
             self.forget(id);
         }
         std::mem::take(&mut self.orders)
@@ -136,7 +138,7 @@
         self.deadlines.insert((open.deadline, request.id));
         self.open.insert(request.id, open);
         if full {
-            self.answer(request.id, Answer::Refused(BACKOFF_MS));
+            self.answer(now, request.id, Answer::Refused(BACKOFF_MS), EndReason::TooManyOpen);
             self.forget(request.id);
         }
         Ok(full)
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -25,10 +25,11 @@
 pub use crate::codec::coordinator::executor_id;
 pub use exchange::{Answer, Echo, End, Load, Order, Report, Terms, Word};
 pub use fleet::{ExecutorId, Fleet, Member, News, Standing};
+pub use open::Progress;
 pub use request::{Request, Ticket};
 
 use crate::Gateway;
-use crate::api::{self, Effect, Group, Micros, Settings, SettingsError};
+use crate::api::{self, Effect, EndCounts, Group, Micros, Settings, SettingsError};
 use lru::LruCache;
 use open::Open;
 use std::cmp::Reverse;
@@ -68,6 +69,8 @@
     pub never_sent: u64,
     /// Probes sent.
     pub probes: u64,
+    /// Final answers by reason.
+    pub ends: EndCounts,
 }
 
 /// A further attempt may begin by this part of the budget's window after it was decided: long beside a connection
--- a/src/dispatch/open.rs
+++ b/src/dispatch/open.rs
@@ -1,7 +1,7 @@
 //! Requests that are open, and their attempts.
 
-use super::{Dispatch, Ticket};
-use crate::api::{EngineId, Micros, Outcome};
+use super::{Answer, Dispatch, Ticket};
+use crate::api::{EndReason, EngineId, Micros, Outcome};
 
 #[derive(Debug)]
 pub(super) struct Attempt {
@@ -40,6 +40,33 @@
         self.closed && self.attempts.iter().all(|a| a.outcome.is_some())
     }
 
+    /// How far it has come.
+    pub(super) fn progress(&self, now: Micros) -> Progress {
+        Progress {
+            waited_ms: now.saturating_sub(self.arrived) / 1_000,
+            left_ms: self.deadline.saturating_sub(now) / 1_000,
+            attempts: self.before + self.attempts.len(),
+            out: self.all_out().count(),
+        }
+    }
+
+    /// Logs its final answer: one that says nothing of what ran is worth a line at any time.
+    pub(super) fn log_end(&self, now: Micros, id: u64, answer: &Answer<R>, reason: EndReason) {
+        let Progress { waited_ms, left_ms, attempts, out } = self.progress(now);
+        let request = format_args!("{id:016x}");
+        match answer {
+            Answer::Failed => {
+                tracing::info!(request, %reason, waited_ms, left_ms, attempts, out, "request failed");
+            }
+            Answer::Refused(backoff_ms) => {
+                tracing::debug!(request, %reason, waited_ms, left_ms, attempts, out, backoff_ms, "request refused");
+            }
+            Answer::Served(_) => {
+                tracing::debug!(request, waited_ms, left_ms, attempts, out, "request served");
+            }
+        }
+    }
+
     /// No attempt can have run.
     pub(super) fn never_ran(&self) -> bool {
         self.attempts.iter().all(|a| !a.begun || a.outcome.is_some_and(Outcome::never_ran))
@@ -57,7 +84,25 @@
     }
 }
 
+/// How far a request has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Progress {
+    /// How long ago it was taken, in milliseconds.
+    pub waited_ms: u64,
+    /// How long it is until its deadline here.
+    pub left_ms: u64,
+    /// Attempts so far, those of dispatchers before this one too.
+    pub attempts: usize,
+    /// Attempts that are out.
+    pub out: usize,
+}
+
 impl<R> Dispatch<R> {
+    /// How far a request has come that is open.
+    pub fn progress(&self, now: Micros, id: u64) -> Option<Progress> {
+        self.open.get(&id).filter(|o| !o.closed).map(|o| o.progress(now))
+    }
+
     /// An attempt that is out.
     pub(super) fn out(&mut self, t: Ticket) -> Option<&mut Attempt> {
         let attempt = self.open.get_mut(&t.request)?.attempts.get_mut(t.attempt as usize)?;
--- a/src/dispatch/reports.rs
+++ b/src/dispatch/reports.rs
@@ -1,7 +1,7 @@
 //! What the network's reports come to.
 
 use super::{Answer, Dispatch, Echo, End, Load, Order, Report, Ticket, Word};
-use crate::api::{self, Event, Micros, Outcome};
+use crate::api::{self, EndReason, Event, Micros, Outcome};
 use crate::must;
 
 impl<R> Dispatch<R> {
@@ -38,10 +38,6 @@
                     (o.closed, o.left) = (true, true);
                     self.held.remove(&id);
                     self.tally.left += 1;
-                    let (waited, left) = (now.saturating_sub(o.arrived), o.deadline.saturating_sub(now));
-                    let (waited, left) = (waited / 1000, left / 1000);
-                    let request = format_args!("{id:016x}");
-                    tracing::info!(request, waited_ms = waited, left_ms = left, "client left");
                     self.withdraw(id);
                     let mut orders = self.run(now, Event::HungUp { query: id });
                     self.forget(id);
@@ -58,7 +54,9 @@
         let outcome = match end {
             End::Served(result) => {
                 match self.open.get_mut(&t.request) {
-                    Some(o) if !o.closed => self.answer(t.request, Answer::Served(result)),
+                    Some(o) if !o.closed => {
+                        self.answer(now, t.request, Answer::Served(result), EndReason::Served);
+                    }
                     Some(o) if o.left && self.follows => o.late = Some(result),
                     _ => {}
                 }
--- a/src/dispatch/tests/held.rs
+++ b/src/dispatch/tests/held.rs
@@ -16,7 +16,7 @@
     let due = hold(&mut d, 2_000, 1);
     assert!(answers(&d.tick(due - 1)).is_empty() && d.waiting() == 1);
     assert_eq!(answers(&d.tick(due)), [&Answer::Refused(BACKOFF_MS)]);
-    assert!(d.admit(due, 1).is_empty() && d.answer_held(1, Answer::Served(())).is_empty());
+    assert!(d.admit(due, 1).is_empty() && d.answer_held(due, 1, Answer::Served(())).is_empty());
     assert!(answers(&d.tick(due + BUDGET)).is_empty());
     let Tally { taken, refused, served, attempts, .. } = d.tally;
     assert_eq!((taken, refused, served, attempts), (1, 1, 0, 0));
@@ -34,5 +34,5 @@
     let due = hold(&mut d, due, 2);
     let orders = d.admit(due - 1, 2);
     assert!(matches!(orders[..], [Order::Start { terms, .. }] if terms.until <= due));
-    assert!(d.admit(due - 1, 2).is_empty() && d.answer_held(2, Answer::Failed).is_empty());
+    assert!(d.admit(due - 1, 2).is_empty() && d.answer_held(due, 2, Answer::Failed).is_empty());
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! - [`api`] is the interface: settings, events, actions and ids.
 //! - [`control`] holds every decision.
+//! - [`arrivals`] bounds when a request came and since when its client has waited.
 //! - [`dispatch`] is the facade that a real dispatcher sees: pick, report, tick.
 //! - [`codec`] holds the codecs of its protocols.
 //! - [`clock`] is time: spans on the monotonic clock, and what the wall clock is still needed for.
@@ -18,6 +19,7 @@
 //! - [`operator`] are the operators' figures and bans, [`invariant`] counts what must not happen.
 
 pub mod api;
+pub mod arrivals;
 pub mod cli;
 pub mod clock;
 pub mod codec;
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -37,7 +37,7 @@
             Call::Dump => format!("+OK figures\n{}.", self.dump(now)),
             Call::Leave => {
                 if self.leaving.is_none() {
-                    tracing::warn!(clients = self.sessions.by_key.len(), open = self.jobs.len(), "LEAVE");
+                    tracing::warn!(clients = self.sessions.by_key.len(), open = self.open.len(), "LEAVE");
                     self.leaving = Some(now);
                     // A front that asks the client port is told no.
                     self.stop_accepting(now);
@@ -111,7 +111,7 @@
     pub(super) fn dump(&self, now: Micros) -> String {
         let f = &self.figures;
         f.forwards.inc_by(self.executors.wire.forwards.saturating_sub(f.forwards.get()));
-        f.outstanding.set(self.jobs.len() as i64);
+        f.outstanding.set(self.open.len() as i64);
         let (listed, avoided) = self.dispatch.avoided(now);
         f.discovered.set(listed as i64);
         f.ejected.set(avoided as i64);
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -1,15 +1,10 @@
-//! Clients: what they ask, and who has to go.
+//! Clients: what is read from them, and who has to go.
 
-use super::executors::Job;
 use super::poll::Key;
-use super::session::Asked;
 use super::*;
 use crate::api::Micros;
 use crate::codec::mysql::Error;
-use crate::dispatch::{Answer, Report};
-use crate::operator::figures::Disposition;
-use crate::storm::{self, Verdict};
-use crate::takeover::Gate;
+use crate::dispatch::Report;
 
 impl Node {
     pub(super) fn read(&mut self, key: Key, now: Micros) {
@@ -53,110 +48,6 @@
         }
     }
 
-    /// Takes what the client wants, until a request is open or nothing is left.
-    pub(super) fn advance(&mut self, key: Key, now: Micros) {
-        while let Some(s) = self.sessions.by_key.get_mut(&key) {
-            match s.next(&self.names, now) {
-                None => break,
-                Some(Asked::Close) => return self.hang_up(key, now),
-                Some(Asked::Kill(id)) => self.kill(key, id, now),
-                Some(Asked::Request(mut request, job)) => {
-                    let id = request.id;
-                    if s.overruns() {
-                        return self.overrun(key, now);
-                    }
-                    if self.jobs.contains_key(&id) {
-                        s.at_fault(&Error::new(1105, "HY000", "a request with this rid is open"), now);
-                        continue;
-                    }
-                    s.open = Some(id);
-                    let came = s.came();
-                    self.cap(&mut request);
-                    self.jobs.insert(id, (key, job));
-                    self.arrived.push_back(Arrived { client: key, request, came });
-                }
-            }
-        }
-        self.flush(key);
-    }
-
-    /// Requests that were read begin, in order, unless their clients have gone meanwhile. Once this has taken so long
-    /// that more clients may have gone, the rest waits for another look at them.
-    pub(super) fn begin_arrived(&mut self) {
-        while let Some(Arrived { client, mut request, came }) = self.arrived.pop_front() {
-            let now = self.clock.now();
-            request.budget = request.budget.saturating_sub(now.saturating_sub(came));
-            let waits = self.sessions.by_key.get(&client).is_some_and(|s| s.open == Some(request.id));
-            if let Some((_, job)) = self.jobs.get(&request.id).filter(|_| waits).cloned() {
-                self.begin(client, request, job, now);
-            }
-            if !self.executors.may_begin() {
-                return;
-            }
-        }
-    }
-
-    /// Requests that were read and can't begin any more are refused: they never ran.
-    pub(super) fn refuse_arrived(&mut self, now: Micros) {
-        while let Some(Arrived { client, request, .. }) = self.arrived.pop_front() {
-            let waits = self.sessions.by_key.get(&client).is_some_and(|s| s.open == Some(request.id));
-            if let Some((_, job)) = self.jobs.get(&request.id).filter(|_| waits).cloned() {
-                self.turn_away(client, &request, &job, CLIENT_BACKOFF, now);
-            }
-        }
-    }
-
-    /// Refuses a request before any decision.
-    fn turn_away(&mut self, key: Key, request: &Request, job: &Job, wait: Micros, now: Micros) {
-        self.jobs.remove(&request.id);
-        match self.dispatch.turn_away(request) {
-            Ok(()) => {
-                self.figures.ended(&job.kind, Disposition::Declined);
-                if let Some(s) = self.sessions.by_key.get_mut(&key) {
-                    s.answer(&Answer::Refused(wait.div_ceil(1_000)));
-                }
-            }
-            Err(e) => self.not_taken(key, e, now),
-        }
-        self.advance(key, now);
-    }
-
-    fn begin(&mut self, key: Key, request: Request, job: Job, now: Micros) {
-        let id = request.id;
-        let storm = self.storm.as_mut().map(|s| s.ask(now, asker(&job), request.repeated));
-        if let Some(Verdict::Refuse(wait)) = storm {
-            return self.turn_away(key, &request, &job, wait, now);
-        }
-        let taken = match self.gate(now, &request, &job) {
-            Gate::Go => self.dispatch.pick(now, &request),
-            Gate::Hold => self.dispatch.hold(now, &request),
-            Gate::Answer(reply) => {
-                let held = self.dispatch.hold(now, &request);
-                held.map(|mut orders| {
-                    orders.extend(self.dispatch.answer_held(id, self.answer_of(reply)));
-                    orders
-                })
-            }
-        };
-        match taken {
-            Ok(orders) => self.settle(orders),
-            Err(e) => {
-                self.jobs.remove(&id);
-                self.end_in_flight_unasked(now, id);
-                self.not_taken(key, e, now);
-                self.advance(key, now);
-            }
-        }
-    }
-
-    /// A request that can't be one is its client's mistake.
-    fn not_taken(&mut self, key: Key, why: &'static str, now: Micros) {
-        if let Some(s) = self.sessions.by_key.get_mut(&key) {
-            s.open = None;
-            s.at_fault(&Error::new(1105, "HY000", why), now);
-        }
-    }
-
     /// KILL QUERY: the client of that request has left; its session goes on.
     pub(super) fn kill(&mut self, from: Key, id: u32, now: Micros) {
         let target = self.sessions.by_id.get(&id).copied();
@@ -178,7 +69,9 @@
     }
 
     pub(super) fn left(&mut self, request: u64, now: Micros) {
-        self.jobs.remove(&request);
+        if let Some(open) = self.open.remove(&request) {
+            self.log_left(request, &open, now);
+        }
         let orders = self.dispatch.report(now, Report::Left(request));
         self.settle(orders);
         self.client_left(now, request);
@@ -211,11 +104,3 @@
         }
     }
 }
-
-/// Who asks, as far as a request tells: repeats bring the same statement under a new id.
-pub(super) fn asker(job: &Job) -> storm::Asker {
-    use std::hash::{DefaultHasher, Hash, Hasher};
-    let mut hasher = DefaultHasher::new();
-    (&*job.kind, &*job.statement).hash(&mut hasher);
-    hasher.finish()
-}
--- a/src/net/in_flight/moves.rs
+++ b/src/net/in_flight/moves.rs
@@ -5,6 +5,7 @@
 use crate::net::Node;
 use crate::net::executors::{Job, Rows};
 use crate::net::poll::Key;
+use crate::net::requests::OpenRequest;
 use crate::takeover::Move;
 use fleet::ledger::Record;
 
@@ -43,7 +44,7 @@
                 Move::Admit(rid) => self.admit_recorded(now, rid),
                 Move::Answer(rid, reply) => {
                     let answer = self.answer_of(reply);
-                    self.dispatch.answer_held(rid, answer)
+                    self.dispatch.answer_held(now, rid, answer)
                 }
                 Move::Adopt(record) => self.adopt(now, &record),
                 Move::LetGo(rid) => self.dispatch.let_go(now, rid),
@@ -71,7 +72,8 @@
             group: record.group,
             repeated: true,
         };
-        self.jobs.insert(record.rid, (NOBODY, Job { kind, statement: statement.into(), token: None }));
+        let job = Job { kind, statement: statement.into(), token: None };
+        self.open.insert(record.rid, OpenRequest { client: NOBODY, job, arrival: None });
         let under = self.rules.as_ref().filter(|r| r.part.number() != record.policy);
         let under = under.and_then(|r| r.under(record.policy));
         match self.dispatch.adopt(now, &request, record.tried.len(), under) {
@@ -82,7 +84,7 @@
                     error = e,
                     "fleet: not taken over"
                 );
-                self.jobs.remove(&record.rid);
+                self.open.remove(&record.rid);
                 self.end_in_flight_unasked(now, record.rid);
                 Vec::new()
             }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -23,6 +23,7 @@
 mod policy_calls;
 mod policy_status;
 pub mod poll;
+mod requests;
 mod rules;
 mod session;
 mod setup;
@@ -37,6 +38,7 @@
 mod tests;
 
 use crate::api::Micros;
+use crate::arrivals::{KeySpacing, Occurrence, Spaced};
 use crate::clock::{BootTimes, Clock, WallClock};
 use crate::codec::coordinator::Target;
 use crate::dispatch::{Dispatch, Request};
@@ -50,13 +52,14 @@
 use control::ControlLink;
 use descriptors::Descriptors;
 use event_source::EventSource;
-use executors::{Executors, Job, Rows};
+use executors::{Executors, Rows};
 use feed::Feed;
 use in_flight::InFlight;
 use limits::*;
 use lists::Lists;
 use operator::Operators;
 use poll::{Key, Poll};
+use requests::{Arrived, OpenRequest};
 use rules::Rules;
 use session::Sessions;
 use setup::context;
@@ -67,14 +70,6 @@
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
-/// A request that was read and has not begun.
-struct Arrived {
-    client: Key,
-    request: Request,
-    /// When its last byte may have come, at the earliest.
-    came: Micros,
-}
-
 /// A dispatcher that is set up and has not begun to serve.
 pub struct Node {
     poll: Poll,
@@ -97,7 +92,9 @@
     control: Option<ControlLink>,
     /// What all admit requests by, where our settings say that it is agreed on.
     rules: Option<Rules>,
-    jobs: BTreeMap<u64, (Key, Job)>,
+    /// Requests that have no answer yet, by id.
+    open: BTreeMap<u64, OpenRequest>,
+    key_spacing: KeySpacing,
     /// Requests that were read and have not begun, in order.
     arrived: VecDeque<Arrived>,
     listener: Option<(Key, TcpListener)>,
--- a/src/net/orders.rs
+++ b/src/net/orders.rs
@@ -1,9 +1,9 @@
 //! What the decisions want, carried out; and what they are told of executors.
 
-use super::Node;
-use super::clients::asker;
 use super::executors::{Executors, Rows};
 use super::lists::{self, Lists};
+use super::requests::asker;
+use super::{Node, OpenRequest};
 use crate::api::Micros;
 use crate::clock;
 use crate::codec::coordinator::{State, Target, Update};
@@ -31,10 +31,9 @@
         match order {
             Order::Start { ticket, executor, terms } => {
                 // The client may have left since this was decided: then nothing goes out, and that is told.
-                let Some((_, job)) = self.jobs.get(&ticket.request) else {
+                let Some(job) = self.open.get(&ticket.request).map(|o| o.job.clone()) else {
                     return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent, None));
                 };
-                let job = job.clone();
                 if !self.may_send(now, ticket, executor) {
                     return self.executors.reports.push_back(Report::Ended(ticket, End::NeverSent, None));
                 }
@@ -46,7 +45,7 @@
             Order::Past(request, served, never_ran) => self.past(now, request, served, never_ran),
             Order::Probe(executor) => self.executors.probe(executor, now, &self.poll),
             Order::Answer(request, mut answer) => {
-                let Some((key, job)) = self.jobs.remove(&request) else { return };
+                let Some(OpenRequest { client: key, job, .. }) = self.open.remove(&request) else { return };
                 self.end_in_flight(now, request, &answer);
                 self.figures.ended(
                     &job.kind,
--- a/src/net/policy.rs
+++ b/src/net/policy.rs
@@ -74,8 +74,8 @@
     fn hold_for_policy(&mut self, rid: u64, request: Option<Request>) {
         let Some(rules) = &mut self.rules else { return };
         // Those whose clients have left go: as many wait as are open, and no more.
-        if rules.held.len() > self.jobs.len() + 1_024 {
-            rules.held.retain(|h| self.jobs.contains_key(&h.rid));
+        if rules.held.len() > self.open.len() + 1_024 {
+            rules.held.retain(|h| self.open.contains_key(&h.rid));
         }
         rules.tally[0] += 1;
         rules.held.push_back(Held { rid, request });
@@ -91,7 +91,7 @@
             Some(Door::Refuse) => {
                 let answer = self.no_policy();
                 let answer = self.answer_of(answer);
-                self.dispatch.answer_held(rid, answer)
+                self.dispatch.answer_held(now, rid, answer)
             }
             door => {
                 if let Some(Door::Admit(number)) = door {
@@ -178,13 +178,12 @@
         }
         let held = self.rules.as_mut().map(|r| std::mem::take(&mut r.held));
         for Held { rid, request } in held.unwrap_or_default() {
-            let Some((_, job)) = self.jobs.get(&rid) else { continue };
-            let job = job.clone();
+            let Some(job) = self.open.get(&rid).map(|o| o.job.clone()) else { continue };
             let orders = match (door, request) {
                 (Some(Door::Refuse), _) => {
                     let answer = self.no_policy();
                     let answer = self.answer_of(answer);
-                    self.dispatch.answer_held(rid, answer)
+                    self.dispatch.answer_held(now, rid, answer)
                 }
                 (_, None) => self.admit_recorded(now, rid),
                 (_, Some(request)) => match self.gate(now, &request, &job) {
@@ -192,7 +191,7 @@
                     Gate::Hold => Vec::new(),
                     Gate::Answer(reply) => {
                         let answer = self.answer_of(reply);
-                        self.dispatch.answer_held(rid, answer)
+                        self.dispatch.answer_held(now, rid, answer)
                     }
                 },
             };
--- a/src/net/session/mod.rs
+++ b/src/net/session/mod.rs
@@ -64,6 +64,8 @@
     part_since: Option<Micros>,
     /// Whether it ever brought a request or command whole, beside its login.
     asked: bool,
+    /// Whether it ever brought a request.
+    used: bool,
     /// Errors of its own in a row, and until when it is not read for them.
     errors: u32,
     paused_until: Option<Micros>,
@@ -108,6 +110,7 @@
             came: now,
             part_since: None,
             asked: false,
+            used: false,
             errors: 0,
             paused_until: None,
             closing: None,
@@ -163,6 +166,11 @@
         true
     }
 
+    /// A request of it is taken; whether that is its first.
+    pub fn takes_request(&mut self) -> bool {
+        !std::mem::replace(&mut self.used, true)
+    }
+
     /// What a client may not do while its request is open: send another. A farewell is none.
     pub fn overruns(&self) -> bool {
         let bytes = self.inbox.bytes();
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -17,6 +17,7 @@
 use super::signals::Signals;
 use super::{Node, listen};
 use crate::api::Micros;
+use crate::arrivals::KeySpacing;
 use crate::clock::{BootTimes, Clock, WallClock};
 use crate::dispatch::{Dispatch, News};
 use crate::membership::check::Catalog;
@@ -108,7 +109,8 @@
             in_flight,
             control,
             rules,
-            jobs: BTreeMap::new(),
+            open: BTreeMap::new(),
+            key_spacing: KeySpacing::default(),
             arrived: VecDeque::new(),
             listener: Some((listener_key, listener)),
             paused: None,
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -70,6 +70,7 @@
             broken = invariant::broken(),
             "counters"
         );
+        tracing::info!(reasons = %t.ends, "request ends");
         self.count_in_flight();
         if let Some(s) = &self.storm {
             let t = s.tally;
--- a/tests/any_settings/decisions.rs
+++ b/tests/any_settings/decisions.rs
@@ -39,12 +39,12 @@
                     *fate = Some((soon, Outcome::Cancelled));
                 }
             }
-            Action::Refuse { query, retry_after } => {
+            Action::Refuse { query, retry_after, .. } => {
                 let told = self.world.referee.plan.retry_after == Some(true);
                 assert!(told || retry_after.is_none(), "advice that nobody hears");
                 self.world.referee.refuse(now, query);
             }
-            Action::Fail { query } => self.world.referee.fail(now, query),
+            Action::Fail { query, .. } => self.world.referee.fail(now, query),
             Action::Probe { engine } => self.world.probe(engine),
             Action::Terms { priority, memory_mb, .. } => {
                 assert!(priority <= 3 && memory_mb.is_finite() && memory_mb >= 0.0);
--- a/tests/rules/checks.rs
+++ b/tests/rules/checks.rs
@@ -19,7 +19,7 @@
         match a {
             Action::Wake { token, after } => self.timers.push((now + after, token)),
             Action::Send { query, engine, .. } => self.check_send(query, engine),
-            Action::Refuse { query, retry_after } => {
+            Action::Refuse { query, retry_after, .. } => {
                 assert!(
                     retry_after.is_none() || self.s.max_retry_after.is_some(),
                     "advice that nobody hears"
@@ -32,7 +32,7 @@
                 }
                 self.end(query);
             }
-            Action::Fail { query } => self.end(query),
+            Action::Fail { query, .. } => self.end(query),
             Action::Cancel { query, attempt } => {
                 assert!(self.s.cancel, "cancelled where that is not allowed");
                 assert!(
