Count arrivals and SIGTERM from when they may have come, whatever their turn did first

Seen before, with tests beside tests/slow_turns: a request that came in one turn and was read in the next, after a reread of 1.1 s, was passed on with 14,646 ms where 13,798 were left, on a new connection with 14,692 of 13,845; with SIGTERM in a turn held for 0.8 s a load that hangs was answered 3.9 s after the signal, 0.2 s after the earliest kill. Lines at fault: 'now - behind' in Session::read and accept.rs, with the now of the socket's turn; stop() with the now of its handling. Change: one type, arrivals::Occurrence, has the earliest and latest moment; limits count from the first, granted times from the second; a turn has one found_since. Once given up, what still comes is refused as it comes. Answers that are due are given between two sockets, not at the turn's end. Measured: the four tests fail before (seen) and pass now, with endings, clients, stories and unit tests.

--- a/src/dispatch/ends.rs
+++ b/src/dispatch/ends.rs
@@ -14,6 +14,13 @@
             self.wakes.pop();
             orders.append(&mut self.run(now, Event::Timer { token }));
         }
+        orders.append(&mut self.expire_due(now));
+        orders
+    }
+
+    /// Answers the requests whose time is over; all else that is due waits for [`Dispatch::tick`].
+    pub fn expire_due(&mut self, now: Micros) -> Vec<Order<R>> {
+        let mut orders = Vec::new();
         while let Some((at, id)) = self.deadlines.first().copied().filter(|(t, _)| *t <= now) {
             self.deadlines.remove(&(at, id));
             orders.append(&mut self.expire(now, id, EndReason::Deadline));
--- a/src/dispatch/tests/ends.rs
+++ b/src/dispatch/tests/ends.rs
@@ -24,3 +24,18 @@
         assert!(d.open.is_empty() && d.deadlines.is_empty());
     }
 }
+
+// In the middle of a long turn only answers that are due are given; timers wait for the turn's end.
+#[test]
+fn what_is_due_is_answered_without_its_timers() {
+    let mut d = dispatch();
+    let mut keyed = request(1, BUDGET);
+    keyed.key = Some(9);
+    d.pick(2_000, &keyed).unwrap();
+    let due = d.next_due().expect("a timer");
+    let deadline = d.open[&1].deadline;
+    assert!(due < deadline && d.expire_due(deadline - 1).is_empty());
+    let orders = d.expire_due(deadline);
+    assert_eq!(answers(&orders), [&Answer::Refused(BACKOFF_MS)], "no byte of it was written");
+    assert_eq!(d.next_due(), Some(due), "its timers still wait");
+}
--- a/src/net/accept.rs
+++ b/src/net/accept.rs
@@ -17,7 +17,7 @@
                 return;
             }
         }
-        self.backlog_since.get_or_insert(now);
+        self.backlog_since.get_or_insert(self.found_since);
     }
 
     /// Takes some in; whether there may be more.
@@ -44,8 +44,9 @@
             (0u32..).zip(&mut scramble).for_each(|(i, b)| *b = 33 + (id.rotate_left(i) % 90) as u8);
             let full = self.sessions.served() >= self.descriptors.clients && !self.evict(now);
             // What it wrote may have come as long ago as it can have waited here.
-            let waits_since = self.backlog_since.unwrap_or(now).min(now.saturating_sub(self.behind));
-            match Session::new(stream, &self.poll, &self.pool, id, &scramble, waits_since, now) {
+            let noticed = self.noticed(now);
+            let came = self.backlog_since.map_or(noticed, |since| noticed.since(since));
+            match Session::new(stream, &self.poll, &self.pool, id, &scramble, came) {
                 Ok(mut s) => {
                     if full {
                         self.refused_clients += 1;
@@ -73,7 +74,7 @@
         if let Some((_, listener)) = self.listener.take() {
             self.poll.remove(&listener);
             self.paused = Some(listener);
-            self.backlog_since.get_or_insert(now.saturating_sub(self.behind));
+            self.backlog_since.get_or_insert(self.found_since);
             self.accept_at = Some(now + ACCEPT_PAUSE);
         }
     }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -8,10 +8,10 @@
 
 impl Node {
     pub(super) fn read(&mut self, key: Key, now: Micros) {
-        let behind = self.behind;
+        let noticed = self.noticed(now);
         let Some(s) = self.sessions.by_key.get_mut(&key) else { return };
         // Whatever came is read to its end before any of it counts: behind a request may lie that its client has gone.
-        if !s.read(now, behind) || !s.read_on() || s.leaves() {
+        if !s.read(noticed) || !s.read_on() || s.leaves() {
             return self.hang_up(key, now);
         }
         if s.open.is_some() && s.overruns() {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -107,9 +107,10 @@
     limits: Shutdown,
     next_id: u32,
     accept_at: Option<Micros>,
-    /// When the sockets were last looked at, and how long before that what was found there may have come.
+    /// When the sockets were last looked at.
     woke: Micros,
-    behind: Micros,
+    /// What was found there came no sooner than this: it was not there at the look before.
+    found_since: Micros,
     /// All that executors and the coordinator said up to this moment has been heeded.
     heard_until: Micros,
     /// Since when connections may wait unaccepted: the listener was left before it was empty.
@@ -117,7 +118,8 @@
     sweep_at: Micros,
     clients_at: Micros,
     counters_at: Micros,
-    stopping: Option<Micros>,
+    /// When SIGTERM came, once it was heeded.
+    stopping: Option<Occurrence>,
     given_up: bool,
     refused_clients: u64,
     /// Idle clients closed for others to come in.
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -55,7 +55,7 @@
                         continue;
                     }
                     s.open = Some(id);
-                    let came = Occurrence::between(s.came(), now);
+                    let came = s.came();
                     let on_new_connection = s.takes_request();
                     self.cap(&mut request);
                     self.take_in_request(key, request, job, came, on_new_connection);
@@ -68,12 +68,17 @@
     /// Requests that were read begin, in order, unless their clients have gone meanwhile. Once this has taken so long
     /// that more clients may have gone, the rest waits for another look at them.
     pub(super) fn begin_arrived(&mut self) {
+        if self.given_up {
+            let now = self.clock.now();
+            return self.refuse_arrived(now);
+        }
         while let Some(Arrived { client, mut request, arrival }) = self.arrived.pop_front() {
             let now = self.clock.now();
             request.budget = request.budget.saturating_sub(now.saturating_sub(arrival.came.earliest));
             if let Some(job) = self.awaited(client, request.id) {
                 self.begin(client, request, job, now);
             }
+            self.answer_due();
             if !self.executors.may_begin() {
                 return;
             }
--- a/src/net/session/mod.rs
+++ b/src/net/session/mod.rs
@@ -15,6 +15,7 @@
 use super::poll::{Key, Poll};
 use super::sys;
 use crate::api::Micros;
+use crate::arrivals::Occurrence;
 use crate::codec::mysql::{Command, Error, Server};
 use crate::dispatch::Request;
 use crate::settings::Names;
@@ -58,8 +59,8 @@
     opened: Micros,
     /// Since when bytes may wait in the socket that were not read; `None` while it is watched for them.
     unread_since: Option<Micros>,
-    /// When the bytes that were read last may have come, at the earliest.
-    came: Micros,
+    /// When the bytes that were read last came.
+    came: Occurrence,
     /// Since when its next message has been here in part.
     part_since: Option<Micros>,
     /// Whether it ever brought a request or command whole, beside its login.
@@ -78,15 +79,14 @@
 }
 
 impl Session {
-    /// Takes a connection in that may have waited since a time, and greets.
+    /// Takes a connection in, and greets; it came at some time until now.
     pub fn new(
         stream: TcpStream,
         poll: &Poll,
         pool: &Pool,
         id: u32,
         scramble: &[u8; 20],
-        waits_since: Micros,
-        now: Micros,
+        came: Occurrence,
     ) -> io::Result<Session> {
         stream.set_nonblocking(true)?;
         stream.set_nodelay(true)?;
@@ -104,10 +104,10 @@
             inbox,
             outbox,
             open: None,
-            touched: now,
-            opened: now,
-            unread_since: Some(waits_since),
-            came: now,
+            touched: came.latest,
+            opened: came.latest,
+            unread_since: Some(came.earliest),
+            came,
             part_since: None,
             asked: false,
             used: false,
@@ -120,13 +120,13 @@
         })
     }
 
-    /// When the last byte of what was read may have come, at the earliest: a request's time counts from there.
-    pub fn came(&self) -> Micros {
+    /// When the last byte of what was read came: a request's time counts from there.
+    pub fn came(&self) -> Occurrence {
         self.came
     }
 
-    /// Reads once; what a watched socket has may have come so long ago. False once the client is gone.
-    pub fn read(&mut self, now: Micros, behind: Micros) -> bool {
+    /// Reads once; `noticed` is when what a watched socket has came. False once the client is gone.
+    pub fn read(&mut self, noticed: Occurrence) -> bool {
         if self.closing.is_some() {
             let mut waste = [0; 4096];
             return match sys::read(&mut self.stream, &mut waste) {
@@ -140,9 +140,8 @@
         if self.paused_until.is_some() {
             return true;
         }
-        self.touched = now;
-        let watched_since = now.saturating_sub(behind);
-        self.came = self.unread_since.take().map_or(watched_since, |since| since.min(watched_since));
+        self.touched = noticed.latest;
+        self.came = self.unread_since.take().map_or(noticed, |since| noticed.since(since));
         if self.inbox.full() {
             return false;
         }
@@ -226,7 +225,7 @@
         }
         self.error(error);
         self.paused_until = Some(now + (PAUSE << self.errors));
-        self.unread_since = Some(now);
+        self.unread_since = Some(self.came.earliest);
     }
 
     /// Closes it.
--- a/src/net/session/tests.rs
+++ b/src/net/session/tests.rs
@@ -30,7 +30,7 @@
     let at = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
     let mut client = TcpStream::connect(at.local_addr().unwrap()).unwrap();
     client.set_read_timeout(Some(std::time::Duration::from_secs(20))).unwrap();
-    let mut s = Session::new(at.accept().unwrap().0, poll, pool, 7, &[33; 20], 1, 1).unwrap();
+    let mut s = Session::new(at.accept().unwrap().0, poll, pool, 7, &[33; 20], Occurrence::at(1)).unwrap();
     assert!(s.flush(poll));
     let mut head = [0; 4];
     client.read_exact(&mut head).unwrap();
@@ -54,7 +54,10 @@
     let crossing = b"\x2e\0\0\0\x03/* method=lookup,rid=9b1f03aa5c7e2d41,budget=1 */";
     client.write_all(crossing).unwrap();
     while !s.unread() {}
-    assert!(s.read(3, 0) && s.next(&names(), 3).is_none(), "it is read, and nothing comes of it");
+    assert!(
+        s.read(Occurrence::at(3)) && s.next(&names(), 3).is_none(),
+        "it is read, and nothing comes of it"
+    );
     assert!(!s.unread() && !s.has_crossed(2) && s.has_crossed(200_000));
     s.close(&poll);
     assert_eq!(client.read(&mut [0]).unwrap(), 0, "no reset");
@@ -68,9 +71,9 @@
     let (mut s, mut client) = connected(&poll, &pool);
     client.write_all(b"\x05\0\0").unwrap();
     while !s.unread() {}
-    assert!(s.read(2, 0) && s.read_on(), "still there");
+    assert!(s.read(Occurrence::at(2)) && s.read_on(), "still there");
     client.write_all(b"\0\x03SET").unwrap();
     client.shutdown(std::net::Shutdown::Write).unwrap();
     while !s.unread() {}
-    assert!(s.read(3, 0) && !s.read_on(), "gone");
+    assert!(s.read(Occurrence::at(3)) && !s.read_on(), "gone");
 }
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -123,7 +123,7 @@
             accept_at: None,
             // The listener is there since before this.
             woke: now,
-            behind: 0,
+            found_since: now,
             heard_until: now,
             backlog_since: Some(now),
             sweep_at: now + SWEEP,
--- a/src/net/shutdown.rs
+++ b/src/net/shutdown.rs
@@ -4,6 +4,7 @@
 use super::session::Session;
 use super::{Node, TAKES_ON};
 use crate::api::Micros;
+use crate::arrivals::Occurrence;
 use crate::invariant;
 use crate::settings::config::Config;
 
@@ -128,18 +129,24 @@
         }
     }
 
-    pub(super) fn stop(&mut self, now: Micros) {
+    /// SIGTERM was noticed. The platform's kill counts from when it came, so what is open is given up by its earliest moment;
+    /// new requests may come for a while after it, so they are taken until that has passed since its latest.
+    pub(super) fn stop(&mut self, came: Occurrence) {
         if self.stopping.is_none() {
-            tracing::info!(open = self.dispatch.waiting(), "SIGTERM");
-            self.stopping = Some(now);
-            self.dispatch.ends_at(now + self.limits.gives_up);
+            let late_ms = (came.latest - came.earliest) / 1_000;
+            tracing::info!(open = self.dispatch.waiting(), late_ms, "SIGTERM");
+            self.stopping = Some(came);
+            self.dispatch.ends_at(came.earliest + self.limits.gives_up);
         }
     }
 
     /// Whether the dispatcher is at its end; on the way there it takes less and less.
     pub(super) fn over(&mut self, now: Micros) -> bool {
-        let Some(since) = self.stopping else { return false };
-        if now < since + TAKES_ON {
+        let Some(told) = self.stopping else { return false };
+        if now >= told.earliest + self.limits.gives_up {
+            self.give_up(now);
+        }
+        if now < told.latest + TAKES_ON {
             return false;
         }
         if self.listener.is_some() || self.paused.is_some() {
@@ -149,16 +156,17 @@
             all.into_iter().for_each(|key| self.read(key, now));
             self.begin_arrived();
         }
-        if now >= since + self.limits.gives_up && !self.given_up {
-            self.given_up = true;
+        self.let_go(now);
+        self.sessions.by_key.is_empty() || now >= told.earliest + self.limits.ends
+    }
+
+    /// Answers all that is open, once; what still comes is refused as it comes.
+    fn give_up(&mut self, now: Micros) {
+        if !std::mem::replace(&mut self.given_up, true) {
             let orders = self.dispatch.give_up(now);
             self.settle(orders);
-        }
-        if self.given_up {
             self.refuse_arrived(now);
         }
-        self.let_go(now);
-        self.sessions.by_key.is_empty() || now >= since + self.limits.ends
     }
 
     /// Ends the connections of clients that rest. One that asked in this very moment is read first, and answered.
--- a/src/net/turn.rs
+++ b/src/net/turn.rs
@@ -23,7 +23,8 @@
             let woke = self.clock.now();
             // What came while this process did not look came at any time since it last did.
             let late = (woke - before).saturating_sub(wait);
-            self.behind = late + before.saturating_sub(self.woke);
+            let worked_before = before.saturating_sub(self.woke);
+            self.found_since = woke.saturating_sub(late + worked_before);
             self.woke = woke;
             self.take_in(&events, before);
             self.begin_arrived();
@@ -51,15 +52,30 @@
             self.backlog_since = None;
         }
         let (clients, others): (Vec<_>, Vec<_>) = events.iter().partition(|e| self.comes_first(e.key));
-        clients.into_iter().for_each(|e| self.ready(e.key, e.readable, e.writable));
+        clients.into_iter().for_each(|e| self.ready_in_time(e));
         self.executors.looked(before);
         // At once: on little processor time all that is heeded first would make the look old again.
         self.executors.begin_waiting(&self.poll);
-        others.into_iter().for_each(|e| self.ready(e.key, e.readable, e.writable));
+        others.into_iter().for_each(|e| self.ready_in_time(e));
         // Whoever fell silent is judged by what is known, not by how long this process took to see it.
         self.heard_until = before;
     }
 
+    /// Heeds one socket. Answers that are due wait for this one at most, not for all that is ready in the turn.
+    fn ready_in_time(&mut self, event: polling::Event) {
+        self.ready(event.key, event.readable, event.writable);
+        self.answer_due();
+    }
+
+    /// Answers the requests whose time is over.
+    pub(super) fn answer_due(&mut self) {
+        let now = self.clock.now();
+        let orders = self.dispatch.expire_due(now);
+        if !orders.is_empty() {
+            self.settle(orders);
+        }
+    }
+
     /// Whether a key is of the signals, the clients' listener or a client.
     fn comes_first(&self, key: Key) -> bool {
         let listens = self.listener.as_ref().is_some_and(|(k, _)| *k == key);
@@ -87,6 +103,11 @@
         due.flatten().fold(own, Micros::min)
     }
 
+    /// When something came that is noticed now. Whatever this turn did before it noticed does not count for it.
+    pub(super) fn noticed(&self, now: Micros) -> Occurrence {
+        Occurrence::between(self.found_since, now)
+    }
+
     fn ready(&mut self, key: Key, readable: bool, writable: bool) {
         let now = self.clock.now();
         if self.listener.as_ref().is_some_and(|(k, _)| *k == key) {
@@ -97,7 +118,7 @@
                 self.reread(now);
             }
             if stop {
-                self.stop(now);
+                self.stop(self.noticed(now));
             }
         } else if self.operators.as_ref().is_some_and(|o| o.owns(key)) {
             let lines = self.operators.as_mut().map(|o| o.ready(key, now, &self.poll)).unwrap_or_default();
--- a/tests/slow_turns/deadlines.rs
+++ b/tests/slow_turns/deadlines.rs
@@ -53,3 +53,40 @@
     answer(&mut peer, &pull);
     assert_eq!(client.got(), row());
 }
+
+// It came during one turn, and the next did something else that took long before it read the request.
+#[test]
+fn counts_what_the_turn_did_before_it_was_read() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut peer = with_idle_connection(&d, &executor);
+    let mut client = resting(&d);
+    let turn = LongTurn::begin(&d, || ());
+    let next = turn.holds_up_the_next(&d);
+    let asked = Instant::now();
+    client.ask(&request("read", 0xa1, ""));
+    arrived(&client.stream);
+    turn.end_after(Duration::from_millis(50));
+    next.end_after(Duration::from_millis(1_100));
+    let pull = peer.command().expect("a pull");
+    within_what_is_left(&pull, asked);
+    answer(&mut peer, &pull);
+    assert_eq!(client.got(), row());
+}
+
+// The same on a connection that nobody has accepted yet, with its login ahead of it.
+#[test]
+fn counts_what_the_turn_did_before_it_was_accepted() {
+    let executor = Executor::new();
+    let (d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut peer = with_idle_connection(&d, &executor);
+    let turn = LongTurn::begin(&d, || ());
+    let next = turn.holds_up_the_next(&d);
+    let asked = Instant::now();
+    let client = Client::writes(d.address, &request("read", 0xa1, ""));
+    arrived(&client.stream);
+    turn.end_after(Duration::from_millis(50));
+    next.end_after(Duration::from_millis(1_100));
+    let pull = peer.command().expect("a pull");
+    within_what_is_left(&pull, asked);
+}
--- a/tests/slow_turns/long_turn.rs
+++ b/tests/slow_turns/long_turn.rs
@@ -3,7 +3,7 @@
 use standins::scripted::*;
 use std::fs::{File, OpenOptions};
 use std::io::Write;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::Command;
 use std::time::Duration;
 
@@ -14,20 +14,41 @@
     config: String,
 }
 
+/// A turn that will be held up in its middle once the one before has ended.
+pub struct NextTurn {
+    file: PathBuf,
+    config: String,
+}
+
+/// Puts a pipe in the place of the configuration; one that is open already stays open.
+fn pipe_instead_of(file: &Path) {
+    let path = PathBuf::from(format!("{}.pipe", file.display()));
+    let _ = std::fs::remove_file(&path);
+    assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo").success());
+    std::fs::rename(&path, file).expect("the pipe in place of the configuration");
+}
+
+/// Opens a pipe once the program has opened it for reading.
+fn opened(file: &Path) -> File {
+    OpenOptions::new().write(true).open(file).expect("a pipe that is read")
+}
+
 impl LongTurn {
     /// Holds the program still, has `before` bring what the turn begins with, and holds up the turn.
     pub fn begin(d: &Dispatcher, before: impl FnOnce()) -> LongTurn {
-        let path = PathBuf::from(format!("{}.pipe", d.file.display()));
-        let _ = std::fs::remove_file(&path);
-        assert!(Command::new("mkfifo").arg(&path).status().expect("mkfifo").success());
-        std::fs::rename(&path, &d.file).expect("the pipe in place of the configuration");
+        pipe_instead_of(&d.file);
         d.stands_still();
         before();
         d.signal("HUP");
         d.goes_on();
-        // Opens once the program has opened it for reading.
-        let pipe = OpenOptions::new().write(true).open(&d.file).expect("a pipe that is read");
-        LongTurn { pipe, config: d.config.clone() }
+        LongTurn { pipe: opened(&d.file), config: d.config.clone() }
+    }
+
+    /// Has the next turn begin with a SIGHUP that holds it up too, before whatever comes from now on.
+    pub fn holds_up_the_next(&self, d: &Dispatcher) -> NextTurn {
+        pipe_instead_of(&d.file);
+        d.signal("HUP");
+        NextTurn { file: d.file.clone(), config: d.config.clone() }
     }
 
     /// Lets so much time pass, then lets the turn go on.
@@ -36,3 +57,10 @@
         self.pipe.write_all(self.config.as_bytes()).expect("a configuration that is read");
     }
 }
+
+impl NextTurn {
+    /// Once the turn before has ended: holds up this one for so long, then lets it go on.
+    pub fn end_after(self, span: Duration) {
+        LongTurn { pipe: opened(&self.file), config: self.config }.end_after(span);
+    }
+}
--- a/tests/slow_turns/shutdown.rs
+++ b/tests/slow_turns/shutdown.rs
@@ -1,7 +1,7 @@
 //! SIGTERM while turns take long: what was read has its answer before the end.
 
 use super::*;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 // Requests that were read in a turn that lasts past the dispatcher's own time: they never began, and nothing but their
 // clients' sessions knew of them.
@@ -27,3 +27,42 @@
     }
     assert!(d.ends());
 }
+
+/// The platform kills no sooner than this after SIGTERM: the longest deadline counts as 3 s, and 0.7 s more.
+const KILLED_AFTER: Duration = Duration::from_millis(3_700);
+
+// The platform counts from the signal, whenever it is heeded.
+#[test]
+fn a_signal_in_a_long_turn_counts_from_when_it_came() {
+    let executor = Executor::new();
+    let (mut d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut client = resting(&d);
+    client.ask(&request("load", 0xa1, ""));
+    let mut hangs = executor.accept();
+    assert_eq!(hangs.command().expect("a pull")[1], format!("{:016x}", 0xa1));
+    let turn = LongTurn::begin(&d, || ());
+    let told = Instant::now();
+    d.signal("TERM");
+    turn.end_after(Duration::from_millis(800));
+    assert!(matches!(client.got(), Got::Error(1105, _)));
+    assert!(told.elapsed() < KILLED_AFTER, "answered {:?} after the signal", told.elapsed());
+    assert!(d.ends());
+}
+
+// As long as new requests may come, each is answered, however late the signal was heeded.
+#[test]
+fn a_signal_in_a_long_turn_leaves_the_time_for_what_still_comes() {
+    let executor = Executor::new();
+    let (mut d, _coordinator) = dispatcher(0.1, &[&executor]);
+    let mut early = resting(&d);
+    let turn = LongTurn::begin(&d, || ());
+    d.signal("TERM");
+    // Longer than what is begun could still be seen to its end.
+    turn.end_after(Duration::from_millis(3_300));
+    early.ask(&request("load", 0xa1, ""));
+    let mut late = Client::asks(d.address, &request("load", 0xa2, ""));
+    for client in [&mut early, &mut late] {
+        assert!(matches!(client.got(), Got::Error(1203, _)), "refused, as it never ran");
+    }
+    assert!(d.ends());
+}
