Reckon with the time that a client may have held a request back, and bound lines and ticks

Cause as in docs/incidents: a client spaces its requests of one key (60 ms, 250 ms after one on a new connection), and its time runs meanwhile; the whole budget was given from the read. Lines at fault: begin_arrived in net, hopeless and check_lines in control/requests.rs. Change: arrivals::KeySpacing bounds since when a request may have been wanted (since the run of requests at just the spacing began), a quarter of the budget is always left; such a request joins a line only if it can be reached in its time. A tick looks at 512 that wait and 512 that are out, rested keys and a changed end at once.

--- a/crates/lab/src/scale/list.rs
+++ b/crates/lab/src/scale/list.rs
@@ -94,6 +94,7 @@
         memory_mb: Some(100.0),
         group: query % 50,
         repeated: false,
+        held_back: false,
     };
     let mut times = Vec::new();
     for query in 0..OPEN {
--- a/examples/decision_cost.rs
+++ b/examples/decision_cost.rs
@@ -76,6 +76,7 @@
                 memory_mb: Some(100.0),
                 group: query % 50,
                 repeated: false,
+                held_back: false,
             }),
             &mut actions,
         );
@@ -99,6 +100,44 @@
     Ok([arrival, ticks[4]])
 }
 
+/// Keys with a line each.
+const KEYS: u64 = 50;
+
+/// Median of a tick with so many queries in the lines of some keys, the first of each out at an engine that hangs.
+fn measure_lines(waiting: u64) -> Result<Duration, SettingsError> {
+    let mut settings = settings();
+    (settings.classes[0].keep_order, settings.classes[0].effect) = (true, Effect::Unsafe);
+    let mut gateway = Gateway::new(settings, 42)?;
+    let (mut now, mut actions) = (1_000_000, Vec::new());
+    let entries = (1..=8).map(|engine| Entry { engine, rating: 1.0, ..Entry::default() }).collect();
+    gateway.handle(now, Event::List { kind: ListKind::Restored, entries }, &mut actions);
+    for query in 0..waiting {
+        now += 10;
+        let arrival = Arrival {
+            query,
+            class: 0,
+            tenant: None,
+            key: Some(query % KEYS),
+            grace: 20_000_000,
+            estimate_s: Some(0.2),
+            memory_mb: Some(100.0),
+            group: query % KEYS,
+            repeated: false,
+            held_back: false,
+        };
+        gateway.handle(now, Event::Arrival(arrival), &mut actions);
+    }
+    let mut ticks = Vec::new();
+    for _ in 0..9 {
+        now += 50_000;
+        let start = Instant::now();
+        gateway.handle(now, Event::Timer { token: 0 }, &mut actions);
+        ticks.push(start.elapsed());
+    }
+    ticks.sort();
+    Ok(ticks[4])
+}
+
 fn main() -> Result<(), SettingsError> {
     println!("engines  cold%   open  arrival_us  tick_us");
     for engines in [8, 60, 240, 960, 3_200] {
@@ -107,5 +146,9 @@
             println!("{engines:7} {cold:6} {open:6} {arrival:11.1} {tick:8.1}");
         }
     }
+    println!("in_lines  tick_us");
+    for waiting in [100, 1_000, 5_000, 20_000] {
+        println!("{waiting:8} {:8.1}", measure_lines(waiting)?.as_secs_f64() * 1e6);
+    }
     Ok(())
 }
--- a/examples/one_gateway.rs
+++ b/examples/one_gateway.rs
@@ -60,6 +60,7 @@
         memory_mb: Some(640.0),
         group: 7,
         repeated: false,
+        held_back: false,
     };
     let gone = engines.clone().map(|e| Entry { readiness: Readiness::Left, ..e });
     let list = |kind, entries: &[Entry]| Event::List { kind, entries: entries.to_vec() };
--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -71,6 +71,8 @@
     pub group: u64,
     /// The client says that it tried before.
     pub repeated: bool,
+    /// Its client may have held it back before it sent it: its grace is reckoned at the worst.
+    pub held_back: bool,
 }
 
 /// An attempt that is over.
--- a/src/arrivals/key_spacing.rs
+++ b/src/arrivals/key_spacing.rs
@@ -17,6 +17,9 @@
 const SPACING_AFTER_NEW_CONNECTION: Micros = 250_000;
 /// All times of the protocol are longer by this.
 const SLACK: Micros = 50_000;
+/// This part of a budget is left to a request however long the run is that it belongs to: a client that asks at just the
+/// spacing by itself, and holds nothing back, is served too.
+const LEAST_LEFT_PART: Micros = 4;
 /// Keys remembered. One matters for as long as the spacing lasts, which is less than any busy second brings keys.
 const KEYS: NonZeroUsize = NonZeroUsize::new(8192).unwrap();
 
@@ -38,6 +41,14 @@
     pub wanted_since: Micros,
 }
 
+impl Spaced {
+    /// How long the client may have held it back, at the most.
+    pub fn held_back(&self, came: Occurrence, budget: Micros) -> Micros {
+        let most = budget - budget / LEAST_LEFT_PART;
+        came.earliest.saturating_sub(self.wanted_since).min(most)
+    }
+}
+
 /// The last request of each key of late.
 pub struct KeySpacing(LruCache<u64, Last>);
 
--- a/src/arrivals/key_spacing/tests.rs
+++ b/src/arrivals/key_spacing/tests.rs
@@ -50,3 +50,15 @@
     let spaced = spacing.came(KEY, late, false);
     assert_eq!(spaced, Spaced { after_previous: Some(90 * MS), wanted_since: START });
 }
+
+// However long the run is, a quarter of the budget is left.
+#[test]
+fn something_is_always_left_of_a_budget() {
+    let mut spacing = KeySpacing::default();
+    let held_back = (0..100).map(|n| {
+        let came = at(n * 250);
+        spacing.came(KEY, came, true).held_back(came, 4_000 * MS) / MS
+    });
+    let expected = (0..100).map(|n| (n * 250).min(3_000));
+    assert!(held_back.eq(expected));
+}
--- a/src/bin/ottercroft-adapter/wire/events.rs
+++ b/src/bin/ottercroft-adapter/wire/events.rs
@@ -96,6 +96,7 @@
                 memory_mb: m.est_memory_mb.filter(|e| e.is_finite() && *e > 0.0),
                 group: m.tables.unwrap_or(0),
                 repeated: bits & 2 != 0,
+                held_back: false,
             })
         }
         "ACK_FIRST" => {
--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -38,13 +38,23 @@
         }
     }
 
-    /// Bad plans, priorities and queries past their aim, for all that is out.
+    /// The attempts that are looked at in a tick: all that are out, or a bounded number, beginning where the tick before
+    /// ended.
+    fn attempts_to_check(&mut self) -> Vec<(QueryId, u32)> {
+        let active = self.roster.active.iter().flat_map(|i| self.engines[*i].out.iter());
+        let mut all: Vec<(QueryId, u32)> = active.copied().collect();
+        if all.len() > CHECKED {
+            let begin = self.attempts_checked % all.len();
+            all.rotate_left(begin);
+            all.truncate(CHECKED);
+            self.attempts_checked = begin + CHECKED;
+        }
+        all
+    }
+
+    /// Bad plans, priorities and queries past their aim, for what is out.
     pub(super) fn check_attempts(&mut self) {
-        let all: Vec<(QueryId, u32)> = {
-            let active = self.roster.active.iter().flat_map(|i| self.engines[*i].out.iter());
-            active.copied().collect()
-        };
-        for (id, n) in all {
+        for (id, n) in self.attempts_to_check() {
             let Some(q) = self.queries.get(&id).filter(|q| !q.done && !q.streaming) else { continue };
             let (class, past) = (q.class, self.now > q.aim);
             if past && !q.late {
@@ -106,10 +116,8 @@
         self.reported(f.engine, f.report);
         let Some(i) = self.settle(id, n, outcome) else { return };
         let key = self.queries[&id].key;
-        if let (Some(k), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (key, outcome) {
-            let rest = self.now + self.s.key_quiet.unwrap_or(0);
-            let line = self.keys.entry(k).or_default();
-            line.rest_until = line.rest_until.max(rest);
+        if let (Some(key), Outcome::Timeout | Outcome::Reset | Outcome::Cancelled) = (key, outcome) {
+            self.rest_key(key);
         }
         self.judge(i, outcome);
         if outcome == Outcome::Ok {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -9,6 +9,7 @@
 mod draw;
 mod guards;
 mod health;
+mod lines;
 mod pressure;
 mod requests;
 mod rules;
--- a/src/control/requests.rs
+++ b/src/control/requests.rs
@@ -1,4 +1,4 @@
-//! A request's way: arrival, its turn in line for a key, the wait for probes, its end.
+//! A request's way: arrival, the wait for probes, its end.
 
 use super::*;
 
@@ -16,31 +16,19 @@
         let (homes, c) = (self.homes(a.class, a.group), &self.s.classes[a.class]);
         let aim = c.aim + (c.aim_stretch * cost / f64::from(c.threads) * 1e6) as Micros;
         let q = Query::new(&a, self.now, cost, aim, homes, c, self.s.max_attempts);
-        let key = q.key;
         self.queries.insert(a.query, q);
         if let Err(wait) = admitted {
             return self.end(a.query, wait, EndReason::OverLimit);
         }
-        key.into_iter().for_each(|k| self.keys.entry(k).or_default().waiting.push_back(a.query));
-        self.start(a.query);
-    }
-
-    /// In line for its key with too little time left, or with more to run than is left: asked on arrival too.
-    fn hopeless(&self, id: QueryId) -> bool {
-        let (q, run) = (&self.queries[&id], (self.expected(&self.queries[&id]) * 1e6) as Micros);
-        let held = q.key.is_some() && !self.has_turn(id) && self.now + run.max(HELD_MARGIN) > q.deadline;
-        q.attempts.is_empty() && (held || self.now.saturating_add(run) > self.ends)
-    }
-
-    /// Why a hopeless request ends: this gateway does, or its time.
-    fn hopeless_reason(&self) -> EndReason {
-        if self.ends < Micros::MAX { EndReason::Stopping } else { EndReason::LineTimedOut }
+        match self.join_line(a.query, a.held_back) {
+            Ok(()) => self.start(a.query),
+            Err(wait) => self.end(a.query, wait, EndReason::LineTooLong),
+        }
     }
 
     /// First attempt, once it is the query's turn; it waits for probes at most `ASK_WAIT`.
-    fn start(&mut self, id: QueryId) {
-        if self.hopeless(id) {
-            let reason = self.hopeless_reason();
+    pub(super) fn start(&mut self, id: QueryId) {
+        if let Some(reason) = self.hopeless(id) {
             return self.end(id, SECOND, reason);
         }
         let (asked_until, deadline) = (self.queries[&id].asked_until, self.queries[&id].deadline);
@@ -93,37 +81,8 @@
     /// Drops a request once it is over and none of its attempts is out.
     pub(super) fn forget(&mut self, id: QueryId) {
         let over = self.queries.get(&id).is_some_and(|q| q.done && q.out() == 0);
-        if let Some(k) = over.then(|| self.queries.remove(&id)).flatten().and_then(|q| q.key) {
-            self.keys.entry(k).or_default().waiting.retain(|w| *w != id);
-            self.next_in_line(k);
-        }
-    }
-
-    /// Whoever ends within is passed by in the same round, however long the line.
-    fn next_in_line(&mut self, key: u64) {
-        if std::mem::replace(&mut self.moves_on, true) {
-            return;
-        }
-        let mut tried = None;
-        while let Some(id) = self.keys.get(&key).and_then(|l| l.waiting.front().copied()) {
-            if tried.replace(id) == Some(id) || !self.queries[&id].attempts.is_empty() {
-                break;
-            }
-            self.start(id);
-        }
-        self.moves_on = false;
-    }
-
-    /// Rested keys go on; queries held in line are given up before their clients leave.
-    pub(super) fn check_lines(&mut self) {
-        for k in Vec::from_iter(self.keys.keys().copied()) {
-            for id in Vec::from_iter(self.keys[&k].waiting.iter().copied()) {
-                let over = self.queries.contains_key(&id) && self.hopeless(id);
-                let reason = self.hopeless_reason();
-                over.then(|| self.end(id, SECOND, reason));
-            }
-            self.next_in_line(k);
+        if let Some(q) = over.then(|| self.queries.remove(&id)).flatten() {
+            self.leave_line(id, &q);
         }
-        self.keys.retain(|_, l| !l.waiting.is_empty() || self.now < l.rest_until);
     }
 }
--- a/src/dispatch/request.rs
+++ b/src/dispatch/request.rs
@@ -51,6 +51,8 @@
     pub group: u64,
     /// The client says that it asked before.
     pub repeated: bool,
+    /// Its client may have held it back before it sent it, and its budget is reckoned at the worst.
+    pub held_back: bool,
 }
 
 /// How long a request may take here, so that its answer is seen before its client leaves.
@@ -70,5 +72,6 @@
         memory_mb: told(request.memory_mb, MOST_MEMORY_MB),
         group: request.group,
         repeated: request.repeated,
+        held_back: request.held_back,
     })
 }
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -38,6 +38,7 @@
         memory_mb: None,
         group: 0,
         repeated: false,
+        held_back: false,
     }
 }
 
--- a/src/net/in_flight/moves.rs
+++ b/src/net/in_flight/moves.rs
@@ -71,6 +71,7 @@
             memory_mb: record.memory_mb,
             group: record.group,
             repeated: true,
+            held_back: false,
         };
         let job = Job { kind, statement: statement.into(), token: None };
         self.open.insert(record.rid, OpenRequest { client: NOBODY, job, arrival: None });
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -74,7 +74,8 @@
         }
         while let Some(Arrived { client, mut request, arrival }) = self.arrived.pop_front() {
             let now = self.clock.now();
-            request.budget = request.budget.saturating_sub(now.saturating_sub(arrival.came.earliest));
+            request.held_back = arrival.held_back(request.budget) > 0;
+            request.budget = arrival.left_of(request.budget, now);
             if let Some(job) = self.awaited(client, request.id) {
                 self.begin(client, request, job, now);
             }
@@ -207,6 +208,17 @@
 }
 
 impl Arrival {
+    /// What is left of a budget that its client has waited on since it wanted to send the request.
+    fn left_of(&self, budget: Micros, now: Micros) -> Micros {
+        let here = now.saturating_sub(self.came.earliest);
+        budget.saturating_sub(here).saturating_sub(self.held_back(budget))
+    }
+
+    /// How long its client may have held it back.
+    fn held_back(&self, budget: Micros) -> Micros {
+        self.spaced.map_or(0, |s| s.held_back(self.came, budget))
+    }
+
     /// How much later it was read than its last byte may have come, in milliseconds.
     fn late_ms(&self) -> u64 {
         (self.came.latest - self.came.earliest) / 1_000
@@ -217,7 +229,7 @@
         self.spaced.and_then(|s| s.after_previous).map(|t| t / 1_000)
     }
 
-    /// How long its client may have held it back.
+    /// The same without regard to its budget, in milliseconds.
     fn maybe_held_back_ms(&self) -> Option<u64> {
         self.spaced.map(|s| (self.came.earliest - s.wanted_since) / 1_000)
     }
--- a/src/net/session/statements.rs
+++ b/src/net/session/statements.rs
@@ -120,6 +120,7 @@
         memory_mb: number("space")?,
         group: statement::table_group(s.text).unwrap_or(0),
         repeated: number("try")?.is_some_and(|n| n > 1.0),
+        held_back: false,
     };
     let token =
         get("token").map(|t| opaque(t).ok_or_else(|| wrong("token", "not a short word"))).transpose()?;
--- a/src/state/figures.rs
+++ b/src/state/figures.rs
@@ -6,6 +6,7 @@
     /// It ends at this time: what could not be seen to its end by then is not begun.
     pub fn ends_at(&mut self, at: Micros) {
         self.ends = at;
+        self.ends_changed = true;
     }
 
     /// Engines on the list, and of these those that take nothing new now: leaving, silent or ejected.
--- a/src/state/mod.rs
+++ b/src/state/mod.rs
@@ -24,7 +24,7 @@
 use rand_core::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::cell::Cell;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::num::NonZeroUsize;
 
 /// One query gateway: what it was told, what it learned and what is open.
@@ -53,6 +53,11 @@
     pub(crate) index: BTreeMap<EngineId, usize>,
     pub(crate) queries: BTreeMap<QueryId, Query>,
     pub(crate) keys: BTreeMap<u64, KeyLine>,
+    /// When keys have rested, and the key whose line is looked at next.
+    pub(crate) rests: BTreeSet<(Micros, u64)>,
+    pub(crate) checked_from: u64,
+    /// Attempts that ticks have looked at, where there are more than one looks at.
+    pub(crate) attempts_checked: usize,
     pub(crate) taken: VecDeque<Micros>,
     pub(crate) further: VecDeque<Micros>,
     pub(crate) thread_mb: Mean,
@@ -73,8 +78,9 @@
     /// A key's line is moving on.
     pub(crate) moves_on: bool,
     pub(crate) loaded: bool,
-    /// When it ends; far off while it does not.
+    /// When it ends; far off while it does not. Whether that has changed since the lines were looked at.
     pub(crate) ends: Micros,
+    pub(crate) ends_changed: bool,
     pub(crate) actions: Vec<Action>,
 }
 
@@ -106,6 +112,9 @@
             index: BTreeMap::new(),
             queries: BTreeMap::new(),
             keys: BTreeMap::new(),
+            rests: BTreeSet::new(),
+            checked_from: 0,
+            attempts_checked: 0,
             taken: VecDeque::new(),
             further: VecDeque::new(),
             thread_mb: Mean::default(),
@@ -121,6 +130,7 @@
             asking: Vec::new(),
             loaded: false,
             ends: Micros::MAX,
+            ends_changed: false,
             actions: Vec::new(),
             s,
         }
--- a/src/state/query.rs
+++ b/src/state/query.rs
@@ -20,6 +20,8 @@
     pub(crate) attempts: Vec<Attempt>,
     /// Until when it waits for probes.
     pub(crate) asked_until: Option<Micros>,
+    /// What it was expected to take when it joined its key's line.
+    pub(crate) run: Micros,
     pub(crate) done: bool,
     pub(crate) streaming: bool,
     pub(crate) late: bool,
@@ -114,5 +116,7 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct KeyLine {
     pub(crate) waiting: VecDeque<QueryId>,
+    /// What all that wait were expected to take when they joined.
+    pub(crate) work: Micros,
     pub(crate) rest_until: Micros,
 }
--- a/tests/any_settings/decisions.rs
+++ b/tests/any_settings/decisions.rs
@@ -133,6 +133,7 @@
                 memory_mb: r.memory_mb,
                 group: r.group,
                 repeated: false,
+                held_back: false,
             }));
         }
     }
--- a/tests/any_settings/facade.rs
+++ b/tests/any_settings/facade.rs
@@ -168,6 +168,7 @@
                 memory_mb: wild.or(r.memory_mb),
                 group: r.group,
                 repeated: false,
+                held_back: false,
             };
             let orders = self.dispatch.pick(now, &request).expect("a request like its class");
             self.act(orders);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -76,6 +76,7 @@
         memory_mb: Some(100.0),
         group: 1,
         repeated: false,
+        held_back: false,
     }
 }
 
--- a/tests/control/requests.rs
+++ b/tests/control/requests.rs
@@ -112,3 +112,57 @@
     actions.extend(rig.pass(300 * MS));
     assert!(actions.iter().filter(|a| refused(std::slice::from_ref(a)).is_some()).count() >= 5_000);
 }
+
+/// A keyed class that must not run twice, in which each query is expected to take a second.
+fn ordered() -> Rig {
+    let mut s = settings();
+    (s.classes[0].keep_order, s.classes[0].effect) = (true, Effect::Unsafe);
+    Rig::new(s, 2)
+}
+
+// The operators' incident of 2026-12-02: each request of a hot key that its client had held back joined a line that it could
+// not be reached in, and was held to its last moment.
+#[test]
+fn what_was_held_back_joins_no_line_that_takes_longer_than_its_time() {
+    let mut rig = ordered();
+    let keyed = |held_back| Arrival { key: Some(5), grace: 4 * S, held_back, ..arrival(0, 0, 1.0) };
+    let (head, sent) = rig.arrive_as(keyed(false));
+    let engine = sent_to(&sent).expect("the first is sent");
+    for _ in 0..3 {
+        assert!(rig.arrive_as(keyed(true)).1.is_empty(), "three more seconds fit into four");
+    }
+    let (_, told) = rig.arrive_as(keyed(true));
+    let wait = refused(&told).expect("the fourth is refused at once").expect("and told when to come back");
+    assert_eq!(wait, S, "when it would be reached in its time");
+    assert!(rig.arrive_as(keyed(false)).1.is_empty(), "one that came as it was wanted waits for its chance");
+    // The line moves on, so that there is time again.
+    rig.finish(head, 0, engine, Outcome::Ok, 1.0);
+    rig.pass(S);
+    let (_, told) = rig.arrive_as(Arrival { grace: 8 * S, ..keyed(true) });
+    assert_eq!(refused(&told), None);
+}
+
+// Each tick walked all lines of all keys and all attempts: 24.6 ms with 20,000 in line.
+#[test]
+fn a_tick_looks_at_a_bounded_part_of_what_waits() {
+    const WAITING: usize = 5_000;
+    const MOST_EACH_TICK: usize = 1_100;
+    let mut rig = ordered();
+    let keyed = |n: usize| Arrival { key: Some(n as u64 % 50), grace: 4 * S, ..arrival(0, 0, 0.1) };
+    let mut refused_so_far = 0;
+    for n in 0..WAITING {
+        rig.arrive_as(keyed(n));
+    }
+    // All of them are too late at once.
+    rig.pass(3_700 * MS);
+    for tick in 0.. {
+        assert!(tick < 40, "all are given up in the end");
+        let told = rig.pass(100 * MS);
+        let now = told.iter().filter(|a| refused(std::slice::from_ref(a)).is_some()).count();
+        assert!(now <= MOST_EACH_TICK, "{now} in one tick");
+        refused_so_far += now;
+        if refused_so_far == WAITING - 50 {
+            return;
+        }
+    }
+}
