--- a/crates/lab/src/soak/rules/drained.rs
+++ b/crates/lab/src/soak/rules/drained.rs
@@ -7,8 +7,8 @@
 pub fn check(records: &Records) -> Findings {
     let mut findings = Findings::default();
     for drain in &records.drains {
+        findings.checked += 1;
         for attempt in records.attempts.iter().filter(|a| a.executor == drain.executor && a.at > drain.at) {
-            findings.checked += 1;
             let process = records.requests.iter().find(|r| r.rid == attempt.rid).map(|r| r.process);
             let Some(process) = process else { continue };
             let limit = drain.at + records.drain_grace + SLACK;
--- a/src/arrivals/key_spacing.rs
+++ b/src/arrivals/key_spacing.rs
@@ -70,10 +70,12 @@
 }
 
 impl Last {
-    /// Whether the next one came so soon that its client may have waited for the spacing.
+    /// Whether the next one came so soon that its client may have waited for the spacing. One that certainly came sooner than
+    /// any spacing is of clients that keep none, and hold nothing back.
     fn may_hold_back(&self, next: Occurrence) -> bool {
         let spacing = if self.on_new_connection { SPACING_AFTER_NEW_CONNECTION } else { SPACING };
-        next.least_after(self.came) <= spacing + SLACK
+        let is_spaced = next.most_after(self.came) >= SPACING - SLACK;
+        is_spaced && next.least_after(self.came) <= spacing + SLACK
     }
 }
 
--- a/src/arrivals/key_spacing/tests.rs
+++ b/src/arrivals/key_spacing/tests.rs
@@ -62,3 +62,9 @@
     let expected = (0..100).map(|n| (n * 250).min(3_000));
     assert!(held_back.eq(expected));
 }
+
+// Several clients that know nothing of each other may ask for one key at once.
+#[test]
+fn clients_that_keep_no_spacing_hold_nothing_back() {
+    assert_eq!(wanted(&[(0, false), (5, false), (9, true), (12, false)]), [0, 5, 9, 12]);
+}
--- a/src/arrivals/occurrence.rs
+++ b/src/arrivals/occurrence.rs
@@ -28,6 +28,11 @@
         Occurrence { earliest: self.earliest.min(moment), ..self }
     }
 
+    /// The longest time that can lie between an earlier occurrence and this one.
+    pub fn most_after(self, earlier: Occurrence) -> Micros {
+        self.latest.saturating_sub(earlier.earliest)
+    }
+
     /// The shortest time that can lie between an earlier occurrence and this one.
     pub fn least_after(self, earlier: Occurrence) -> Micros {
         self.earliest.saturating_sub(earlier.latest)
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -94,6 +94,8 @@
     window: Option<Micros>,
     /// The longest budget that can be meant.
     most_budget: Micros,
+    /// Requests of a key run in order, and their clients space them.
+    keeps_order: bool,
 }
 
 /// The dispatcher's decisions, and what is open.
@@ -127,6 +129,7 @@
             safe: matches!(c.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }),
             window: if let Effect::Keyed { window, .. } = c.effect { Some(window) } else { None },
             most_budget: c.deadline + SLACK,
+            keeps_order: c.keep_order,
         };
         let classes = settings.classes.iter().map(class).collect();
         let most_attempts = settings.max_attempts as usize;
@@ -147,6 +150,11 @@
         })
     }
 
+    /// Whether requests of a class run in the order of their key.
+    pub fn keeps_order(&self, class: usize) -> bool {
+        self.classes.get(class).is_some_and(|c| c.keeps_order)
+    }
+
     /// Requests whose clients still wait.
     pub fn waiting(&self) -> usize {
         self.open.values().filter(|o| !o.closed).count()
--- a/src/net/requests.rs
+++ b/src/net/requests.rs
@@ -169,7 +169,8 @@
         came: Occurrence,
         on_new_connection: bool,
     ) {
-        let spaced = request.key.map(|key| self.key_spacing.came(key, came, on_new_connection));
+        let key = request.key.filter(|_| self.dispatch.keeps_order(request.class));
+        let spaced = key.map(|key| self.key_spacing.came(key, came, on_new_connection));
         let arrival = Arrival { came, on_new_connection, spaced };
         tracing::debug!(
             request = format_args!("{:016x}", request.id),
