--- a/src/control/attempts.rs
+++ b/src/control/attempts.rs
@@ -38,8 +38,8 @@
         }
     }
 
-    /// The attempts that are looked at in a tick: all that are out, or a bounded number, beginning where the tick before
-    /// ended.
+    /// The attempts that are looked at in a tick: all that are out, or a bounded number, beginning where
+    /// the tick before ended.
     fn attempts_to_check(&mut self) -> Vec<(QueryId, u32)> {
         let active = self.roster.active.iter().flat_map(|i| self.engines[*i].out.iter());
         let mut all: Vec<(QueryId, u32)> = active.copied().collect();
--- a/src/control/constants.rs
+++ b/src/control/constants.rs
@@ -133,6 +133,6 @@
 pub(super) const GIVE_UP_PRESSURE: f64 = 0.5;
 /// One in line for its key is given up once less than this, or than it takes, is left: two ticks and a half.
 pub(super) const HELD_MARGIN: Micros = 250_000;
-/// Queries in line, and attempts that are out, that a tick looks at: several times what a usual gateway has, and under a
-/// millisecond's work.
+/// Queries in line, and attempts that are out, that a tick looks at: several times what a usual gateway
+/// has, and under a millisecond's work.
 pub(super) const CHECKED: usize = 512;
--- a/src/control/lines.rs
+++ b/src/control/lines.rs
@@ -1,15 +1,17 @@
 //! Lines: requests of a key run in order, one at a time, and wait for their turn.
 //!
-//! A request whose client may have held it back joins a line only if it is expected to be reached in its time. A tick looks at
-//! a bounded part of what waits, beginning where the one before ended; whoever it does not come to has its deadline.
+//! A request whose client may have held it back joins a line only if it is expected to be reached in its
+//! time. A tick looks at a bounded part of what waits, beginning where the one before ended; whoever it
+//! does not come to has its deadline.
 
 use super::*;
 use std::collections::BTreeSet;
 
 impl Gateway {
-    /// A request that has arrived goes to the end of its key's line. One that its client may have held back does so only if
-    /// it can be reached in its time, else it is told how much longer that takes: how long its client still waits is not
-    /// known well, and its next requests come sooner if this one has its answer.
+    /// A request that has arrived goes to the end of its key's line. One that its client may have held back
+    /// does so only if it can be reached in its time, else it is told how much longer that takes: how long
+    /// its client still waits is not known well, and its next requests come sooner if this one has its
+    /// answer.
     pub(super) fn join_line(&mut self, id: QueryId, held_back: bool) -> Result<(), Micros> {
         let q = &self.queries[&id];
         let Some(key) = q.key else { return Ok(()) };
@@ -69,7 +71,8 @@
         (self.expected(q) * 1e6) as Micros
     }
 
-    /// In line for its key with too little time left, or with more to run than is left of this gateway's time.
+    /// In line for its key with too little time left, or with more to run than is left of this gateway's
+    /// time.
     pub(super) fn hopeless(&self, id: QueryId) -> Option<EndReason> {
         let q = &self.queries[&id];
         let run = self.expected_run(q);
@@ -83,7 +86,8 @@
         (held && self.now + run.max(HELD_MARGIN) > q.deadline).then_some(EndReason::LineTimedOut)
     }
 
-    /// The first in line begins, if it may. Whoever ends within is passed by in the same round, however long the line.
+    /// The first in line begins, if it may. Whoever ends within is passed by in the same round, however
+    /// long the line.
     pub(super) fn next_in_line(&mut self, key: u64) {
         if std::mem::replace(&mut self.moves_on, true) {
             return;
@@ -115,7 +119,8 @@
         }
     }
 
-    /// Keys that have rested, and those whose turn it is to be looked at, until so many queries wait in their lines.
+    /// Keys that have rested, and those whose turn it is to be looked at, until so many queries wait in
+    /// their lines.
     fn lines_to_check(&mut self, most: usize) -> BTreeSet<u64> {
         let mut keys = BTreeSet::new();
         while let Some((at, key)) = self.rests.first().copied().filter(|(t, _)| *t <= self.now) {
