Eject an executor only for a connection that failed, not for a client that left

Callers saw: a client that hung up while the connection for its request was being established took a healthy executor out of the draw for 1 to 8 s; a crowd of them could take a fleet away piece by piece.

Cause: AttemptEnd::NeverSent was said for failed connects, withdrawals, a start that came too late, changes of the list and a missing lease alike, and all became Outcome::ConnectFailed, which ejects. A deadline that found an attempt unwritten did the same.

Change: NeverSentReason and CloseReason are typed where they arise; only a connect that failed or timed out counts. A connect that fails when nothing waits for it any more is an event of its own, so that an unreachable executor is ejected as before, also if all its clients leave first. Nothing ran in any of the cases, so retries and the key's quiet period stay as they were (unit tests for each reason).

--- a/src/api/event.rs
+++ b/src/api/event.rs
@@ -19,7 +19,7 @@
     Reset,
     /// Cancelled by the dispatcher. It may have run.
     Cancelled,
-    /// Never sent.
+    /// Never sent, for a reason that is unrelated to the executor.
     NotSent,
 }
 
@@ -145,6 +145,11 @@
         /// The message.
         content: String,
     },
+    /// A connection to an executor could not be established, and no attempt or probe waited for it any more.
+    ConnectFailed {
+        /// The executor.
+        executor: ExecutorId,
+    },
     /// A probe finished.
     ProbeFinished {
         /// The executor.
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -120,6 +120,7 @@
             Event::Timer { token: TICK_TIMER } => self.tick(),
             Event::Timer { token: PROBE_WAIT_TIMER } => self.resume_after_probes(),
             Event::Timer { .. } | Event::Gossip { .. } => {}
+            Event::ConnectFailed { executor } => self.handle_connect_failed(executor),
             Event::ProbeFinished { executor, outcome, report, .. } => {
                 self.handle_probe_finished(executor, outcome, report);
             }
--- a/src/balancer/outlier_detection.rs
+++ b/src/balancer/outlier_detection.rs
@@ -172,6 +172,13 @@
         }
     }
 
+    /// Ejects an executor to which a connection failed that no attempt or probe waited for any more.
+    pub(super) fn handle_connect_failed(&mut self, executor: ExecutorId) {
+        if let Some(index) = self.executors.position(executor) {
+            self.eject(index, EjectionReason::ConnectFailed);
+        }
+    }
+
     /// Handles the end of a probe. A response resumes requests that wait for probes; a missing one ejects the
     /// executor.
     pub(super) fn handle_probe_finished(
--- a/src/dispatch/completion.rs
+++ b/src/dispatch/completion.rs
@@ -77,10 +77,10 @@
     }
 
     /// The outcome of an attempt that is stopped here. One that is stopped at the deadline before its first byte was
-    /// written never ran.
+    /// written never ran, which says nothing about its executor: the network reports a failed connection by itself.
     fn outcome_of_stopped(&mut self, attempt_id: AttemptId, reason: EndReason) -> Outcome {
         let never_begun = self.outstanding(attempt_id).is_some_and(|attempt| !attempt.begun);
-        if reason == EndReason::Deadline && never_begun { Outcome::ConnectFailed } else { Outcome::Timeout }
+        if reason == EndReason::Deadline && never_begun { Outcome::NotSent } else { Outcome::Timeout }
     }
 
     /// Ends a request that the balancer has not answered.
--- a/src/dispatch/interface.rs
+++ b/src/dispatch/interface.rs
@@ -14,8 +14,8 @@
     NotRun,
     /// The executor reported an error; it may have run.
     Error,
-    /// It was not sent completely. The balancer treats this as a failed connection, which ejects the executor.
-    NeverSent,
+    /// No byte of it was written.
+    NeverSent(NeverSentReason),
     /// Its connection was lost before the executor sent anything on it; it may have run.
     ConnectionLost,
     /// Its connection became unusable: a malformed or truncated response, no messages, or a reset after messages.
@@ -23,6 +23,23 @@
     ConnectionUnusable,
 }
 
+/// Why no byte of an attempt was written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NeverSentReason {
+    /// No connection to the executor could be established. The only reason that counts against the executor.
+    ConnectFailed,
+    /// Its request was answered, or its client disconnected.
+    RequestClosed,
+    /// The time by which it had to begin passed.
+    StartExpired,
+    /// Its executor drains, was removed, restarted, or has another address.
+    ExecutorChanged,
+    /// Its executor is not in the network's list.
+    ExecutorUnlisted,
+    /// This dispatcher holds no lease that permits it.
+    LeaseMissing,
+}
+
 /// How a probe ended.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub enum ProbeOutcome {
@@ -49,6 +66,8 @@
     AttemptProgressed(AttemptId, AttemptProgress),
     /// A probe finished; with the time since it was sent, in microseconds.
     ProbeFinished(ExecutorId, ProbeOutcome, Micros),
+    /// A connection to an executor could not be established, and no attempt or probe waited for it any more.
+    ConnectFailed(ExecutorId),
     /// The client of a request disconnected.
     ClientDisconnected(u64),
 }
--- a/src/dispatch/mod.rs
+++ b/src/dispatch/mod.rs
@@ -31,7 +31,7 @@
 pub use client_request::{AttemptId, Request};
 pub use counters::Counters;
 pub use endpoints::{ExecutorState, FleetCapacity, ListedExecutor, WatchEvent};
-pub use interface::{Answer, AttemptEnd, AttemptTerms, Command, NetworkEvent, ProbeOutcome};
+pub use interface::{Answer, AttemptEnd, AttemptTerms, Command, NetworkEvent, NeverSentReason, ProbeOutcome};
 pub use pending_request::Progress;
 pub use submission::SubmitError;
 
--- a/src/dispatch/network_events.rs
+++ b/src/dispatch/network_events.rs
@@ -1,7 +1,8 @@
 //! Handling of the network's events.
 
 use super::{
-    Answer, AttemptEnd, AttemptId, AttemptProgress, Command, Dispatch, LoadReport, NetworkEvent, ProbeOutcome,
+    Answer, AttemptEnd, AttemptId, AttemptProgress, Command, Dispatch, LoadReport, NetworkEvent,
+    NeverSentReason, ProbeOutcome,
 };
 use crate::api::{EndReason, Event, ExecutorId, Micros, Outcome};
 use crate::check_invariant;
@@ -21,6 +22,7 @@
             NetworkEvent::ProbeFinished(executor, outcome, latency) => {
                 self.probe_finished(now, executor, outcome, latency)
             }
+            NetworkEvent::ConnectFailed(executor) => self.run(now, Event::ConnectFailed { executor }),
             NetworkEvent::ClientDisconnected(request) => self.client_disconnected(now, request),
         }
     }
@@ -98,9 +100,9 @@
             AttemptEnd::Rejected => Outcome::Rejected,
             AttemptEnd::NotRun => Outcome::NotSent,
             AttemptEnd::Error => Outcome::Error,
-            AttemptEnd::NeverSent => {
+            AttemptEnd::NeverSent(reason) => {
                 self.counters.never_sent += 1;
-                Outcome::ConnectFailed
+                outcome_of_never_sent(reason)
             }
             AttemptEnd::ConnectionLost => {
                 self.count_lost(id);
@@ -132,3 +134,15 @@
         tracing::info!(request, attempt = id.attempt, "attempt lost with its connection");
     }
 }
+
+/// The outcome of an attempt of which no byte was written: only a failed connection says something about the executor.
+fn outcome_of_never_sent(reason: NeverSentReason) -> Outcome {
+    match reason {
+        NeverSentReason::ConnectFailed => Outcome::ConnectFailed,
+        NeverSentReason::RequestClosed
+        | NeverSentReason::StartExpired
+        | NeverSentReason::ExecutorChanged
+        | NeverSentReason::ExecutorUnlisted
+        | NeverSentReason::LeaseMissing => Outcome::NotSent,
+    }
+}
--- a/src/dispatch/tests/mod.rs
+++ b/src/dispatch/tests/mod.rs
@@ -5,6 +5,7 @@
 mod completion;
 mod endpoints;
 mod held_requests;
+mod never_sent;
 mod submission;
 
 const SETTINGS: &str = r#"{"balancers":1,"kinds":["k"],"domain":{"kindCores":[8],"parallelism":[1]},
--- a/src/net/commands.rs
+++ b/src/net/commands.rs
@@ -4,7 +4,9 @@
 use super::clients::request_intake::{OpenRequest, request_fingerprint};
 use super::executors::Rows;
 use crate::api::Micros;
-use crate::dispatch::{Answer, AttemptEnd, AttemptId, AttemptTerms, Command, ExecutorId, NetworkEvent};
+use crate::dispatch::{
+    Answer, AttemptEnd, AttemptId, AttemptTerms, Command, ExecutorId, NetworkEvent, NeverSentReason,
+};
 use crate::net::event_loop::poll::Key;
 use crate::operator::metrics::Disposition;
 use std::collections::VecDeque;
@@ -31,7 +33,9 @@
                 self.start_attempt(now, attempt_id, executor, terms);
             }
             Command::StopAttempt(attempt_id) => self.executors.stop(attempt_id, now, &self.poll),
-            Command::WithdrawAttempt(attempt_id) => self.executors.withdraw(attempt_id, now, &self.poll),
+            Command::WithdrawAttempt(attempt_id) => {
+                self.executors.withdraw(attempt_id, NeverSentReason::RequestClosed, now, &self.poll);
+            }
             Command::SetPriority(attempt_id, priority) => {
                 self.executors.set_priority(attempt_id, priority, now, &self.poll);
             }
@@ -54,16 +58,16 @@
     ) {
         let open = self.requests.open.get(&attempt_id.request);
         let Some(job) = open.map(|request| request.job.clone()) else {
-            return self.report_never_sent(attempt_id);
+            return self.report_never_sent(attempt_id, NeverSentReason::RequestClosed);
         };
         if !self.lease_allows_send(now, attempt_id, executor) {
-            return self.report_never_sent(attempt_id);
+            return self.report_never_sent(attempt_id, NeverSentReason::LeaseMissing);
         }
         self.executors.start(attempt_id, executor, job, terms, now, &self.poll);
     }
 
-    fn report_never_sent(&mut self, attempt_id: AttemptId) {
-        let event = NetworkEvent::AttemptEnded(attempt_id, AttemptEnd::NeverSent, None);
+    fn report_never_sent(&mut self, attempt_id: AttemptId, reason: NeverSentReason) {
+        let event = NetworkEvent::AttemptEnded(attempt_id, AttemptEnd::NeverSent(reason), None);
         self.executors.events.push_back(event);
     }
 
--- a/src/net/executors/attempts.rs
+++ b/src/net/executors/attempts.rs
@@ -4,7 +4,9 @@
 use super::{Executors, Job, PROBE_SLACK, TimerEvent};
 use crate::api::Micros;
 use crate::check_invariant;
-use crate::dispatch::{AttemptEnd, AttemptId, AttemptTerms, ExecutorId, NetworkEvent, ProbeOutcome};
+use crate::dispatch::{
+    AttemptEnd, AttemptId, AttemptTerms, ExecutorId, NetworkEvent, NeverSentReason, ProbeOutcome,
+};
 use crate::net::event_loop::poll::{Key, Poll};
 use crate::net::executors::answers::Stream;
 use crate::net::executors::connection::Outgoing;
@@ -29,12 +31,8 @@
         let max_streams = if t.attempt < ISOLATED_FROM_ATTEMPT { self.transport.streams_per_conn } else { 1 };
         let key = match self.connection(to, now, poll, |c| c.accepts(id, max_streams, now)) {
             Ok(key) => key,
-            Err(reason) => {
-                let end = if reason == ConnectionUnavailable::LimitReached {
-                    AttemptEnd::NotRun
-                } else {
-                    AttemptEnd::NeverSent
-                };
+            Err(unavailable) => {
+                let end = unavailable.attempt_end();
                 return self.events.push_back(NetworkEvent::AttemptEnded(t, end, None));
             }
         };
@@ -66,8 +64,9 @@
         self.write(key, now, poll);
     }
 
-    /// Withdraws an attempt if no byte of it was written, and reports that it was never sent; otherwise it continues.
-    pub fn withdraw(&mut self, t: AttemptId, now: Micros, poll: &Poll) {
+    /// Withdraws an attempt if no byte of it was written, and reports that it was never sent for this reason; otherwise it
+    /// continues.
+    pub fn withdraw(&mut self, t: AttemptId, reason: NeverSentReason, now: Micros, poll: &Poll) {
         let Some(key) = self.attempt_connections.get(&t).copied() else { return };
         let Some(connection) = self.connections.get_mut(&key).filter(|c| c.streams.contains_key(&t.request))
         else {
@@ -76,7 +75,7 @@
         if connection.withdraw_unwritten(t.request) {
             connection.streams.remove(&t.request);
             self.attempt_connections.remove(&t);
-            self.events.push_back(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent, None));
+            self.events.push_back(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent(reason), None));
             self.write(key, now, poll);
         }
     }
@@ -103,11 +102,11 @@
     pub fn probe(&mut self, to: ExecutorId, now: Micros, poll: &Poll) {
         let key = match self.connection(to, now, poll, |c| !c.draining && !c.is_overdue(now)) {
             Ok(key) => key,
-            Err(reason) => {
-                let probe_outcome = if reason == ConnectionUnavailable::LimitReached {
-                    ProbeOutcome::Unknown
-                } else {
+            Err(unavailable) => {
+                let probe_outcome = if unavailable == ConnectionUnavailable::ConnectFailed {
                     ProbeOutcome::Unreachable
+                } else {
+                    ProbeOutcome::Unknown
                 };
                 return self.events.push_back(NetworkEvent::ProbeFinished(to, probe_outcome, 0));
             }
--- a/src/net/executors/connection_pool.rs
+++ b/src/net/executors/connection_pool.rs
@@ -1,10 +1,12 @@
 //! The connection pool: selects, opens and closes connections.
 
+use super::close_reason::CloseReason;
 use super::{Executors, TimerEvent};
 use crate::api::Micros;
 use crate::codec::coordinator::State;
-use crate::dispatch::{AttemptEnd, ExecutorId, NetworkEvent, ProbeOutcome};
+use crate::dispatch::{AttemptEnd, ExecutorId, NetworkEvent, NeverSentReason, ProbeOutcome};
 use crate::net::event_loop::poll::{Key, Poll};
+use crate::net::executors::answers::{Rows, Stream};
 use crate::net::executors::connection::Connection;
 use crate::net::sockets::dial;
 use crate::net::sockets::system_calls;
@@ -24,12 +26,50 @@
 /// Why no connection is available.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum ConnectionUnavailable {
-    /// The executor is not listed, or can't be connected to.
-    ExecutorUnreachable,
+    /// The executor is not listed.
+    ExecutorUnlisted,
+    /// The executor has no address, or can't be connected to.
+    ConnectFailed,
     /// All connections that this dispatcher may have are in use, which is no fault of the executor.
     LimitReached,
 }
 
+impl ConnectionUnavailable {
+    /// How an attempt ends for which no connection is available.
+    pub(super) fn attempt_end(self) -> AttemptEnd<Rows> {
+        match self {
+            ConnectionUnavailable::ExecutorUnlisted => {
+                AttemptEnd::NeverSent(NeverSentReason::ExecutorUnlisted)
+            }
+            ConnectionUnavailable::ConnectFailed => AttemptEnd::NeverSent(NeverSentReason::ConnectFailed),
+            ConnectionUnavailable::LimitReached => AttemptEnd::NotRun,
+        }
+    }
+}
+
+impl Connection {
+    /// Whether closing it for this reason shows that its executor can't be connected to.
+    fn connect_failed(&self, why: &CloseReason) -> bool {
+        !self.connected && !self.draining && why.is_connect_failure()
+    }
+
+    /// How an outstanding attempt ends when the connection is closed.
+    fn attempt_end(&self, stream: &Stream, why: &CloseReason) -> AttemptEnd<Rows> {
+        let answered = self.last_message_at > self.connected_at;
+        match (stream.written, self.connected) {
+            (true, _) if answered => AttemptEnd::ConnectionUnusable,
+            (true, _) => AttemptEnd::ConnectionLost,
+            // The connection was established, so the executor is reachable; the attempt just did not run.
+            (false, true) => AttemptEnd::NotRun,
+            (false, false) if self.connect_failed(why) => {
+                AttemptEnd::NeverSent(NeverSentReason::ConnectFailed)
+            }
+            (false, false) if why.is_local() => AttemptEnd::NotRun,
+            (false, false) => AttemptEnd::NeverSent(NeverSentReason::ExecutorChanged),
+        }
+    }
+}
+
 impl Executors {
     /// Returns a connection to an executor that `fits`: an unused one, a new one, or a shared one if no more may be opened.
     pub(super) fn connection(
@@ -45,7 +85,7 @@
             Some((key, _)) => Some(key),
             None => None,
         };
-        let listed = self.executors.get(&executor).ok_or(ConnectionUnavailable::ExecutorUnreachable)?;
+        let listed = self.executors.get(&executor).ok_or(ConnectionUnavailable::ExecutorUnlisted)?;
         let at_limit = self.connections.len() >= self.max_connections;
         if let Some(key) = shared
             && (at_limit || listed.connections.len() >= self.connections_per_executor())
@@ -53,7 +93,7 @@
             return Ok(key);
         }
         let Some(address) = listed.address else {
-            return shared.ok_or(ConnectionUnavailable::ExecutorUnreachable);
+            return shared.ok_or(ConnectionUnavailable::ConnectFailed);
         };
         if at_limit {
             self.close_idle_connection(executor, poll)?;
@@ -73,7 +113,7 @@
         fits: impl Fn(&Connection) -> bool,
     ) -> Result<Option<(Key, usize)>, ConnectionUnavailable> {
         loop {
-            let listed = self.executors.get(&executor).ok_or(ConnectionUnavailable::ExecutorUnreachable)?;
+            let listed = self.executors.get(&executor).ok_or(ConnectionUnavailable::ExecutorUnlisted)?;
             let open = listed.connections.iter().filter_map(|key| Some((*key, self.connections.get(key)?)));
             let best = open
                 .filter(|(_, connection)| fits(connection))
@@ -84,7 +124,7 @@
             if !connection.closed_by_executor() {
                 return Ok(Some((key, connection.streams.len())));
             }
-            self.close(key, poll, "closed by the executor");
+            self.close(key, poll, &CloseReason::ClosedByExecutor);
         }
     }
 
@@ -110,7 +150,7 @@
             );
             return Err(ConnectionUnavailable::LimitReached);
         };
-        self.close(key, poll, "closed to make room for another connection");
+        self.close(key, poll, &CloseReason::MakeRoom);
         Ok(())
     }
 
@@ -130,7 +170,7 @@
             if system_calls::is_local_failure(&error) {
                 ConnectionUnavailable::LimitReached
             } else {
-                ConnectionUnavailable::ExecutorUnreachable
+                ConnectionUnavailable::ConnectFailed
             }
         })?;
         self.counters.dials += 1;
@@ -144,7 +184,7 @@
     }
 
     /// Closes a connection and ends everything outstanding on it.
-    pub(super) fn close(&mut self, key: Key, poll: &Poll, why: &str) {
+    pub(super) fn close(&mut self, key: Key, poll: &Poll, why: &CloseReason) {
         let Some(connection) = self.connections.remove(&key) else { return };
         poll.remove(&connection.stream);
         if let Some(e) = self.executors.get_mut(&connection.executor) {
@@ -155,25 +195,21 @@
                     executor = e.uid,
                     attempts = streams,
                     probes,
-                    reason = why,
+                    reason = %why,
                     "executor connection lost"
                 );
             }
         }
-        let answered = connection.last_message_at > connection.connected_at;
-        for s in connection.streams.into_values() {
-            self.attempt_connections.remove(&s.attempt_id);
-            let end = match (s.written, connection.connected) {
-                (true, _) if answered => AttemptEnd::ConnectionUnusable,
-                (true, _) => AttemptEnd::ConnectionLost,
-                // The connection was established, so the executor is reachable; the attempt just did not run.
-                (false, true) => AttemptEnd::NotRun,
-                (false, false) => AttemptEnd::NeverSent,
-            };
-            self.events.push_back(NetworkEvent::AttemptEnded(s.attempt_id, end, None));
+        let connect_failed = connection.connect_failed(why);
+        if connect_failed && connection.streams.is_empty() && connection.probes.is_empty() {
+            self.events.push_back(NetworkEvent::ConnectFailed(connection.executor));
+        }
+        for stream in connection.streams.values() {
+            self.attempt_connections.remove(&stream.attempt_id);
+            let end = connection.attempt_end(stream, why);
+            self.events.push_back(NetworkEvent::AttemptEnded(stream.attempt_id, end, None));
         }
-        let probe_outcome =
-            if connection.connected { ProbeOutcome::Unknown } else { ProbeOutcome::Unreachable };
+        let probe_outcome = if connect_failed { ProbeOutcome::Unreachable } else { ProbeOutcome::Unknown };
         for _ in connection.probes {
             self.events.push_back(NetworkEvent::ProbeFinished(connection.executor, probe_outcome, 0));
         }
@@ -185,7 +221,7 @@
         let idle_limit = idle_timeout - (idle_timeout / IDLE_MARGIN_FRACTION).min(IDLE_MARGIN);
         let expired = |c: &Connection| c.is_idle() && (c.draining || now > c.last_used_at + idle_limit);
         let closed: Vec<Key> = self.connections.iter().filter(|(_, c)| expired(c)).map(|(k, _)| *k).collect();
-        closed.into_iter().for_each(|key| self.close(key, poll, "idle timeout"));
+        closed.into_iter().for_each(|key| self.close(key, poll, &CloseReason::IdleTimeout));
         self.connections.values_mut().for_each(|c| c.ended_ids.retain(|_, t| now < *t + ENDED_IDS_KEPT));
         if !std::mem::take(&mut self.removed_pending) {
             return;
--- a/src/net/executors/endpoint_updates.rs
+++ b/src/net/executors/endpoint_updates.rs
@@ -1,9 +1,10 @@
 //! Applies watch events of the endpoint list, and ends the affected connections and attempts.
 
+use super::close_reason::CloseReason;
 use super::{Executor, Executors};
 use crate::api::Micros;
 use crate::codec::coordinator::{State, Target};
-use crate::dispatch::{AttemptEnd, ExecutorId, NetworkEvent, executor_id};
+use crate::dispatch::{AttemptEnd, ExecutorId, NetworkEvent, NeverSentReason, executor_id};
 use crate::net::event_loop::poll::{Key, Poll};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -63,7 +64,7 @@
             let Some(connection) = self.connections.get_mut(&key) else { continue };
             connection.draining |= moved;
             if connection.connected_at < boot_time && boot_time <= now {
-                self.close(key, poll, "its executor restarted");
+                self.close(key, poll, &CloseReason::ExecutorRestarted);
             }
         }
         if t.state != State::Up {
@@ -87,7 +88,7 @@
             let Some(connection) = self.connections.get_mut(&key) else { continue };
             connection.draining = true;
             if connection.is_idle() || !connection.connected {
-                self.close(key, poll, "another executor has its address now");
+                self.close(key, poll, &CloseReason::AddressReassigned);
             }
         }
     }
@@ -100,7 +101,7 @@
             let Some(connection) = self.connections.get_mut(&key) else { continue };
             connection.draining |= state == State::Removed;
             if connection.draining && connection.is_idle() {
-                self.close(key, poll, "its executor was removed");
+                self.close(key, poll, &CloseReason::ExecutorRemoved);
             }
         }
     }
@@ -120,7 +121,8 @@
                 && let Some(s) = connection.streams.remove(&id)
             {
                 self.attempt_connections.remove(&s.attempt_id);
-                self.events.push_back(NetworkEvent::AttemptEnded(s.attempt_id, AttemptEnd::NeverSent, None));
+                let end = AttemptEnd::NeverSent(NeverSentReason::ExecutorChanged);
+                self.events.push_back(NetworkEvent::AttemptEnded(s.attempt_id, end, None));
             }
         }
     }
--- a/src/net/executors/mod.rs
+++ b/src/net/executors/mod.rs
@@ -9,6 +9,7 @@
 //! - `attempts`: attempts and probes that the dispatch module requests.
 //! - `connection_pool`: selects, opens and closes connections.
 //! - `connection`: one connection.
+//! - `close_reason`: why a connection is closed.
 //! - `reading`, `answers`: reads from executors, and applies answers to attempts.
 //! - `writing`: writes to executors; the only place where an attempt starts.
 //! - `client_poll`: the poll of clients that has to precede the start of an attempt.
@@ -17,6 +18,7 @@
 mod answers;
 mod attempts;
 mod client_poll;
+mod close_reason;
 pub(super) mod connection;
 mod connection_pool;
 mod endpoint_updates;
--- a/src/net/executors/reading.rs
+++ b/src/net/executors/reading.rs
@@ -1,6 +1,7 @@
 //! Reads from executors.
 
 use super::answers::{AnswerEffect, apply_answer};
+use super::close_reason::CloseReason;
 use super::connection::Outgoing;
 use super::{Executors, PARTIAL_ANSWER_TIMEOUT, TimerEvent};
 use crate::api::Micros;
@@ -18,7 +19,7 @@
             match dial::check_connected(&connection.stream) {
                 Ok(()) => connection.connection_established(now),
                 Err(e) if e.kind() == io::ErrorKind::NotConnected => return,
-                Err(e) => return self.close(key, poll, &e.to_string()),
+                Err(e) => return self.close(key, poll, &CloseReason::Failed(e)),
             }
         }
         if readable && !self.receive(key, now, poll) {
@@ -34,7 +35,7 @@
         let Some(connection) = self.connections.get_mut(&key) else { return false };
         match connection.inbox.fill(&mut connection.stream) {
             Ok(0) => {
-                self.close(key, poll, "closed by the executor");
+                self.close(key, poll, &CloseReason::ClosedByExecutor);
                 false
             }
             Ok(_) => {
@@ -47,7 +48,7 @@
             }
             Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => true,
             Err(e) => {
-                self.close(key, poll, &e.to_string());
+                self.close(key, poll, &CloseReason::Failed(e));
                 false
             }
         }
@@ -94,7 +95,7 @@
     /// Counts a malformed message and closes its connection.
     fn close_malformed(&mut self, key: Key, poll: &Poll, reason: &str) {
         self.counters.bad_lines += 1;
-        self.close(key, poll, reason);
+        self.close(key, poll, &CloseReason::Malformed(reason.to_string()));
     }
 
     /// Processes an answer to a probe; it is ignored if the probe is not outstanding.
--- a/src/net/executors/tests.rs
+++ b/src/net/executors/tests.rs
@@ -1,11 +1,13 @@
 use super::*;
 use crate::clock::Clock;
 use crate::codec::coordinator::Target;
-use crate::dispatch::{AttemptEnd, AttemptTerms, LoadReport};
+use crate::dispatch::{AttemptEnd, AttemptTerms, LoadReport, NeverSentReason};
 use crate::net::event_loop::event_source::EventSource;
 use crate::net::event_loop::poll::Poll;
 use std::net::TcpListener;
 
+mod never_sent;
+
 const TRANSPORT: Transport = Transport {
     max_open_requests: 9,
     streams_per_conn: 1,
@@ -51,7 +53,7 @@
     assert!(e.events.is_empty());
     update_endpoint(&mut e, &at, State::Draining, 0, 3, &poll);
     assert!(
-        matches!(e.events.pop_front(), Some(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent, _)) if t == attempt_id)
+        matches!(e.events.pop_front(), Some(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent(NeverSentReason::ExecutorChanged), _)) if t == attempt_id)
     );
     let key = *e.connections.keys().next().unwrap();
     e.ready(key, false, true, 4, &poll);
@@ -68,7 +70,7 @@
     let attempt_id = start(&mut e, 7, 2, &poll);
     update_endpoint(&mut e, &new, State::Up, 0, 3, &poll);
     assert!(
-        matches!(e.events.pop_front(), Some(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent, _)) if t == attempt_id)
+        matches!(e.events.pop_front(), Some(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent(NeverSentReason::ExecutorChanged), _)) if t == attempt_id)
     );
 }
 
@@ -99,7 +101,7 @@
     assert!(e.events.is_empty() && e.attempt_connections.contains_key(&new));
     e.tick(9_000 + TRANSPORT.dial_timeout, &poll);
     assert!(
-        matches!(e.events.pop_front(), Some(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent, _)) if t == new)
+        matches!(e.events.pop_front(), Some(NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent(NeverSentReason::ConnectFailed), _)) if t == new)
     );
 }
 
--- a/src/net/executors/unresponsive.rs
+++ b/src/net/executors/unresponsive.rs
@@ -1,8 +1,9 @@
 //! Timeouts of connects, probes, partial answers and overdue messages.
 
+use super::close_reason::CloseReason;
 use super::{Executors, PARTIAL_ANSWER_TIMEOUT, PROBE_SLACK, TimerEvent};
 use crate::api::Micros;
-use crate::dispatch::{NetworkEvent, ProbeOutcome};
+use crate::dispatch::{NetworkEvent, NeverSentReason, ProbeOutcome};
 use crate::net::event_loop::event_source::EventSource;
 use crate::net::event_loop::poll::{Key, Poll};
 use crate::settings::Transport;
@@ -31,7 +32,7 @@
         }
         if connection.close_at.is_some_and(|close_at| close_at <= now) {
             self.counters.unresponsive += 1;
-            return self.close(key, poll, "unresponsive while its executor answers on other connections");
+            return self.close(key, poll, &CloseReason::Unresponsive);
         }
         let overdue_at = waits_since + connection.message_interval + 1;
         let probe_now =
@@ -47,7 +48,7 @@
     /// Closes a connection that is not established in time.
     fn check_connected(&mut self, key: Key, poll: &Poll) {
         if self.connections.get(&key).is_some_and(|connection| !connection.connected) {
-            self.close(key, poll, "connect timeout");
+            self.close(key, poll, &CloseReason::ConnectTimeout);
         }
     }
 
@@ -71,7 +72,7 @@
         let since = self.connections.get(&key).and_then(|connection| connection.partial_since);
         if since.is_some_and(|since| since + PARTIAL_ANSWER_TIMEOUT <= now) {
             self.counters.bad_lines += 1;
-            self.close(key, poll, "answer timed out before it was complete");
+            self.close(key, poll, &CloseReason::PartialAnswerTimeout);
         }
     }
 }
@@ -92,7 +93,9 @@
                 TimerEvent::Probe(key, tag) => self.check_probe(key, tag, now),
                 TimerEvent::PartialAnswer(key) => self.check_partial_answer(key, now, poll),
                 TimerEvent::ResponsivenessCheck(key) => self.check_responsiveness(key, now, poll),
-                TimerEvent::BeginBy(attempt_id) => self.withdraw(attempt_id, now, poll),
+                TimerEvent::BeginBy(attempt_id) => {
+                    self.withdraw(attempt_id, NeverSentReason::StartExpired, now, poll);
+                }
             }
         }
     }
--- a/src/net/executors/writing.rs
+++ b/src/net/executors/writing.rs
@@ -1,10 +1,11 @@
 //! Writes to executors.
 
+use super::close_reason::CloseReason;
 use super::connection::{Job, Outgoing};
 use super::{Executors, TimerEvent};
 use crate::api::Micros;
 use crate::codec::executor::{self, RequestParameters};
-use crate::dispatch::{AttemptEnd, AttemptTerms, NetworkEvent};
+use crate::dispatch::{AttemptEnd, AttemptTerms, NetworkEvent, NeverSentReason};
 use crate::net::event_loop::poll::{Key, Poll};
 use std::io;
 
@@ -27,7 +28,7 @@
         }
         if let Err(e) = self.write_queue(key, now) {
             self.read_rest(key, now, poll);
-            return self.close(key, poll, &e.to_string());
+            return self.close(key, poll, &CloseReason::Failed(e));
         }
         self.watch_writable(key, poll);
     }
@@ -105,7 +106,7 @@
             && let Some(stream) = connection.streams.remove(&id)
         {
             self.attempt_connections.remove(&stream.attempt_id);
-            let end = AttemptEnd::NeverSent;
+            let end = AttemptEnd::NeverSent(NeverSentReason::StartExpired);
             self.events.push_back(NetworkEvent::AttemptEnded(stream.attempt_id, end, None));
             return Prepared::Dropped;
         }
@@ -137,7 +138,7 @@
         }
         connection.watches_writable = unwritten;
         if let Err(e) = poll.watch_writable(key, &connection.stream, unwritten) {
-            self.close(key, poll, &e.to_string());
+            self.close(key, poll, &CloseReason::Failed(e));
         }
     }
 }
--- a/tests/any_settings/facade.rs
+++ b/tests/any_settings/facade.rs
@@ -36,8 +36,14 @@
                     self.world.fates.remove(&(id, n));
                     self.withdrawn.insert(t);
                     assert!(self.world.referee.end(now, id, n, Outcome::ConnectFailed));
-                    let commands =
-                        self.dispatch.handle(now, NetworkEvent::AttemptEnded(t, AttemptEnd::NeverSent, None));
+                    let commands = self.dispatch.handle(
+                        now,
+                        NetworkEvent::AttemptEnded(
+                            t,
+                            AttemptEnd::NeverSent(NeverSentReason::RequestClosed),
+                            None,
+                        ),
+                    );
                     self.act(commands);
                 }
                 Command::WithdrawAttempt(_) => {}
@@ -137,7 +143,7 @@
                 Outcome::Ok => AttemptEnd::Served(id),
                 Outcome::Error => AttemptEnd::Error,
                 Outcome::Rejected => AttemptEnd::Rejected,
-                Outcome::ConnectFailed => AttemptEnd::NeverSent,
+                Outcome::ConnectFailed => AttemptEnd::NeverSent(NeverSentReason::ConnectFailed),
                 Outcome::Reset if self.world.below(2) == 0 => AttemptEnd::ConnectionLost,
                 Outcome::Reset => AttemptEnd::ConnectionUnusable,
                 _ => panic!("an attempt was left open until the client's deadline"),
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -2,6 +2,7 @@
 //! program runs on loopback sockets against scripted peers that force the order of events.
 
 mod crowds;
+mod departing_crowd;
 mod keyed;
 mod leaving;
 mod standstill;
