--- a/crates/fleet/src/lend/mod.rs
+++ b/crates/fleet/src/lend/mod.rs
@@ -134,7 +134,9 @@
         changed
     }
 
-    /// Recalls as many slots as are lacking, from the holders with the most beyond their shares.
+    /// Recalls as many slots as are lacking, from the holders with the most beyond their shares. A recall is withdrawn only
+    /// from a slot that was renewed since the last sweep: the holder takes a slot that is not recalled for renewed by its last
+    /// applied command.
     fn recall(&mut self) {
         let (shares, mut held) = (self.fair_shares(), self.held_by_holder());
         let mut recalled: BTreeMap<Holder, u16> = BTreeMap::new();
@@ -156,7 +158,11 @@
         for (_, n) in order {
             let Some(l) = self.leases.get_mut(&n) else { continue };
             let left = recalled.entry(l.holder).or_default();
-            l.recalled_at = (*left > 0).then(|| l.recalled_at.unwrap_or(self.clock));
+            if *left > 0 {
+                l.recalled_at = l.recalled_at.or(Some(self.clock));
+            } else if l.expires_at.is_none() {
+                l.recalled_at = None;
+            }
             *left = left.saturating_sub(1);
         }
     }
--- a/crates/fleet/tests/lend.rs
+++ b/crates/fleet/tests/lend.rs
@@ -193,3 +193,37 @@
         ((2, 0), 2, 0)
     );
 }
+
+/// Guards against a holder that uses a slot past its lease: a slot that was recalled for longer than the longest request
+/// is not renewed any more, so that its recall must stay when the total rises again.
+#[test]
+fn a_slot_that_is_not_renewed_any_more_stays_recalled() {
+    let (me, other) = (holder(1, 1), holder(2, 1));
+    let alive = BTreeSet::from([me, other]);
+    let (mut record, mut now) = (Slots::default(), 1_000_000 * MS);
+    let mut slot_holder = SlotHolder::new(me, TERM, MARGIN, 20 * MS);
+    record.sweep(now);
+    record.apply(set(4), &alive);
+    // All slots are busy with one long request each; the total is 0 from the second half second on.
+    for step in 0..22 {
+        let busy = record.held_and_recalled(me).0;
+        if let Some(command) = slot_holder.next_command(now, &record, busy, 4, 4) {
+            record.apply(command, &alive);
+        }
+        if step == 0 {
+            record.apply(set(0), &alive);
+        }
+        now += 250 * MS;
+        record.sweep(now);
+    }
+    let expires_at = record.expires_at(0).expect("still leased");
+    assert!(expires_at < now + TERM - 500 * MS, "it was not renewed for a while");
+    record.apply(set(4), &alive);
+    // Cut off from here on: its view stays as it is.
+    let view = record.clone();
+    let demand = Command::Update { holder: other, sequence: 1, returned: 0, needed: 4, max_usable: 4 };
+    record.apply(demand, &alive);
+    record.sweep(expires_at);
+    let usable = slot_holder.usable(expires_at, &view);
+    assert!(usable <= record.held_and_recalled(me).0, "{usable} of {:?}", record.held_and_recalled(me));
+}
