--- a/crates/fleet/src/lend/mod.rs
+++ b/crates/fleet/src/lend/mod.rs
@@ -221,7 +221,12 @@
     }
 
     fn sweep(&mut self, now: Micros) -> bool {
+        let is_first = self.clock == 0;
         self.clock = self.clock.max(now);
+        if is_first {
+            // The time was not known when they were recalled.
+            self.leases.values_mut().for_each(|l| l.recalled_at = l.recalled_at.and(Some(now)));
+        }
         let (clock, term, mut changed) = (self.clock, self.terms.term, false);
         let before = self.leases.len();
         self.leases.retain(|_, l| l.expires_at.is_none_or(|at| at > clock));
--- a/crates/fleet/tests/lend.rs
+++ b/crates/fleet/tests/lend.rs
@@ -227,3 +227,21 @@
     let usable = slot_holder.usable(expires_at, &view);
     assert!(usable <= record.held_and_recalled(me).0, "{usable} of {:?}", record.held_and_recalled(me));
 }
+
+/// Guards against a slot that is taken from a running request too early: a recall before the first sweep, when the time is
+/// not known yet, counts from that sweep.
+#[test]
+fn a_recall_before_the_first_sweep_leaves_the_longest_requests_time() {
+    let me = holder(1, 1);
+    let alive = BTreeSet::from([me]);
+    let (mut record, now) = (Slots::default(), 1_000_000 * MS);
+    let update = |sequence| Command::Update { holder: me, sequence, returned: 0, needed: 4, max_usable: 4 };
+    record.apply(set(4), &alive);
+    record.apply(update(1), &alive);
+    record.apply(set(0), &alive);
+    record.sweep(now);
+    record.sweep(now + 3_000 * MS - 1);
+    record.apply(update(2), &alive);
+    record.sweep(now + 3_000 * MS);
+    assert_eq!(record.held_and_recalled(me), (4, 4), "renewed while its requests may run");
+}
