Write the log from a thread of its own, so that no reader of it stops the dispatcher

Callers saw: once nobody read standard error, no request was answered any more and no signal was heeded; once its reader had gone, the process panicked.

Cause: the event loop wrote each log line to standard error itself and waited for the reader of the pipe.

Change: lines pass through a bounded buffer (tracing-appender) to a thread that writes them. Beyond 8,192 lines they are dropped, counted and told. The buffered lines are written before the exit and after a panic, for a bounded time that ends before the platform's kill. The thread blocks all signals (nix), so that the loop still notices them in the turn in which they arrive.

--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -4,6 +4,7 @@
 pub mod policy;
 
 use crate::api::Settings;
+use crate::logging::Log;
 use crate::membership::check::Catalog;
 use crate::net::DispatcherServer;
 use crate::net::control_plane::ControlMember;
@@ -16,7 +17,6 @@
 use std::io::{self, Write};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
-use tracing_subscriber::EnvFilter;
 
 const EXIT_CODES: &str = "Exit codes:
   0  success; no faults; no difference
@@ -111,22 +111,13 @@
     }
 }
 
-fn log(format: LogFormat) {
-    let filter = EnvFilter::try_from_default_env().unwrap_or_else(|_| EnvFilter::new("info"));
-    let all = tracing_subscriber::fmt().with_env_filter(filter).with_ansi(false).with_writer(io::stderr);
-    match format {
-        LogFormat::Text => all.init(),
-        LogFormat::Json => all.json().flatten_event(true).with_current_span(false).init(),
-    }
-}
-
 fn serve(common: &Common) -> ExitCode {
     // Handlers are installed first: the default action of SIGHUP would terminate a process that is still starting.
     let signals = Signals::new().map_err(|e| format!("signals: {e}"));
     let options = options(common);
     let told = options.as_ref().ok().and_then(|o| o.log_format);
-    log(common.log_format.or(told).unwrap_or_default());
-    let started = || -> Result<(), String> {
+    let mut log = Log::start(common.log_format.or(told).unwrap_or_default());
+    let served = || -> Result<(), String> {
         let options = options.map_err(|faults| {
             let all: Vec<String> = faults.iter().map(Fault::to_string).collect();
             format!("settings: {}", all.join("; "))
@@ -135,12 +126,16 @@
         let config = load().map_err(|e| e.to_string())?;
         if let Some(control) = options.control.as_ref().filter(|c| c.role == Role::Member) {
             let mut member = ControlMember::new(config, control, signals?).map_err(|e| e.to_string())?;
+            member.report_dropped_lines(log.dropped_lines());
             return member.run().map_err(|e| e.to_string());
         }
         let mut server = DispatcherServer::new(config, options, signals?, load).map_err(|e| e.to_string())?;
-        server.run().map_err(|e| e.to_string())
+        server.report_dropped_lines(log.dropped_lines());
+        let outcome = server.run().map_err(|e| e.to_string());
+        log.limit_flush_time(server.time_until_kill());
+        outcome
     };
-    match started() {
+    match served() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
             tracing::error!("{}", e.replace('\n', " "));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`cli`]: the command line.
 //! - [`operator`]: metrics and bans for operators.
 //! - [`invariant`]: asserts invariants and counts violations.
+//! - [`logging`]: the log on standard error.
 
 pub mod api;
 pub mod arrivals;
@@ -28,6 +29,7 @@
 pub mod codec;
 pub mod dispatch;
 pub mod invariant;
+pub mod logging;
 pub mod membership;
 pub mod net;
 pub mod operator;
--- a/src/net/admin/calls.rs
+++ b/src/net/admin/calls.rs
@@ -134,6 +134,7 @@
     pub(in crate::net) fn dump(&self, now: Micros) -> String {
         let f = &self.metrics;
         f.forwards.inc_by(self.executors.counters.forwards.saturating_sub(f.forwards.get()));
+        f.log_lines_dropped.inc_by(self.dropped_lines.count().saturating_sub(f.log_lines_dropped.get()));
         f.outstanding.set(self.requests.open.len() as i64);
         let (listed, avoided) = self.dispatch.listed_and_avoided(now);
         f.discovered.set(listed as i64);
--- a/src/net/control_plane/member.rs
+++ b/src/net/control_plane/member.rs
@@ -3,6 +3,7 @@
 use super::server::{FollowerServer, Heard};
 use crate::api::{Micros, Settings};
 use crate::clock::Clock;
+use crate::logging::DroppedLines;
 use crate::net::admin::listener::AdminListener;
 use crate::net::event_loop::event_source::EventSource;
 use crate::net::event_loop::poll::{Key, Poll};
@@ -22,6 +23,8 @@
 
 /// Time to flush a follower's connection before it is closed.
 const CLOSE_TIMEOUT: Micros = 1_000_000;
+/// Period of reporting dropped log lines, in microseconds.
+const REPORT_PERIOD: Micros = 1_000_000;
 /// Longest sleep of the event loop.
 const MAX_SLEEP: Micros = 1_000_000;
 
@@ -48,9 +51,17 @@
     pub(super) stopping: Option<Micros>,
     /// The lease duration: the longest time that a shutdown may take.
     pub(super) lease: Micros,
+    pub(super) dropped_lines: DroppedLines,
+    /// When dropped log lines are reported next, if there are any.
+    pub(super) report_at: Micros,
 }
 
 impl ControlMember {
+    /// Reports these dropped log lines from now on.
+    pub fn report_dropped_lines(&mut self, dropped_lines: DroppedLines) {
+        self.dropped_lines = dropped_lines;
+    }
+
     /// Runs until SIGTERM, and then until the leases of its followers have ended.
     pub fn run(&mut self) -> io::Result<()> {
         let mut events = polling::Events::new();
@@ -68,6 +79,10 @@
                 self.ready(event.key, woke);
             }
             self.advance(woke);
+            if self.report_at <= woke {
+                self.report_at = woke + REPORT_PERIOD;
+                self.dropped_lines.report();
+            }
         }
         self.end();
         Ok(())
--- a/src/net/control_plane/setup.rs
+++ b/src/net/control_plane/setup.rs
@@ -3,6 +3,7 @@
 use super::member::{ControlMember, MemberPolicy};
 use super::server::FollowerServer;
 use crate::clock::Clock;
+use crate::logging::DroppedLines;
 use crate::net::admin::listener::AdminListener;
 use crate::net::event_loop::poll::Poll;
 use crate::net::peers::Peers;
@@ -94,6 +95,8 @@
             operators,
             policy: MemberPolicy { terms: settings.policy, base, names, calls: PolicyCalls::default() },
             stopping: None,
+            dropped_lines: DroppedLines::default(),
+            report_at: now,
             lease: timing.lease,
         })
     }
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -1,9 +1,15 @@
 //! Periodic log lines with counters since the start of the process.
 
 use crate::invariant;
+use crate::logging::DroppedLines;
 use crate::net::DispatcherServer;
 
 impl DispatcherServer {
+    /// Reports these dropped log lines from now on: in a line of their own, among the counters and in the metrics.
+    pub fn report_dropped_lines(&mut self, dropped_lines: DroppedLines) {
+        self.dropped_lines = dropped_lines;
+    }
+
     /// Logs the counters of all components since the start of the process.
     pub(in crate::net) fn log_counters(&self) {
         let tally = &self.dispatch.counters;
@@ -34,6 +40,7 @@
             feed_bad_lines = feed.map_or(0, |f| f.bad_lines),
             free_buffers = self.pool.free(),
             broken = invariant::violations(),
+            log_dropped = self.dropped_lines.count(),
             "counters"
         );
         tracing::info!(reasons = %tally.ends, "request ends");
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -186,6 +186,7 @@
         }
         if self.schedule.sweep.take_due(now) {
             self.executors.sweep(now, &self.poll);
+            self.dropped_lines.report();
         }
         if self.schedule.counters.take_due(now) {
             self.log_counters();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -45,6 +45,7 @@
 use crate::clock::{Clock, ExecutorStartTimes, WallClock};
 use crate::codec::coordinator::Target;
 use crate::dispatch::Dispatch;
+use crate::logging::DroppedLines;
 use crate::operator::bans::Bans;
 use crate::operator::metrics::Metrics;
 use crate::settings::Names;
@@ -112,6 +113,7 @@
     /// When `LEAVE` was received; `None` after `JOIN`.
     leaving: Option<Micros>,
     metrics: Metrics,
+    dropped_lines: DroppedLines,
     bans: Bans,
     /// The file that carries bans over to the next process.
     bans_file: BansFile,
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -24,6 +24,7 @@
 use crate::clock::{Clock, ExecutorStartTimes, WallClock};
 use crate::codec::coordinator::Target;
 use crate::dispatch::{Dispatch, WatchEvent};
+use crate::logging::DroppedLines;
 use crate::membership::check::Catalog;
 use crate::operator::metrics::Metrics;
 use crate::settings::config::Config;
@@ -116,6 +117,7 @@
             admin_listener,
             leaving: None,
             metrics,
+            dropped_lines: DroppedLines::default(),
             bans,
             bans_file,
             endpoints: BTreeMap::new(),
--- a/src/net/shutdown/mod.rs
+++ b/src/net/shutdown/mod.rs
@@ -13,6 +13,7 @@
 use crate::net::DispatcherServer;
 use crate::net::clients::session::Session;
 use crate::net::event_loop::poll::Key;
+use std::time::Duration;
 
 /// The platform kills the process no sooner than the longest class deadline plus this margin after SIGTERM,
 /// in microseconds.
@@ -24,6 +25,8 @@
 const GIVE_UP_BEFORE_KILL: Micros = 600_000;
 /// The process exits this long before the kill, in microseconds.
 const END_BEFORE_KILL: Micros = 300_000;
+/// The log is flushed this long before the kill, in microseconds.
+const FLUSHED_BEFORE_KILL: Micros = 100_000;
 /// New requests are accepted for this long after SIGTERM, in microseconds. The platform lets connections
 /// arrive for 0.4 s and requests on open connections for 0.2 s more; it loses nothing that arrives after 0.7
 /// s.
@@ -39,6 +42,8 @@
     pub(in crate::net) give_up_after: Micros,
     /// When the process exits, regardless of open connections.
     pub(in crate::net) end_after: Micros,
+    /// When the platform may kill the process.
+    pub(in crate::net) kill_after: Micros,
 }
 
 impl ShutdownDeadlines {
@@ -47,7 +52,8 @@
         let kill_after = longest_deadline.min(MAX_DEADLINE) + KILL_MARGIN;
         // Requests are not given up while new ones are still accepted.
         let give_up_after = (kill_after - GIVE_UP_BEFORE_KILL).max(ACCEPT_REQUESTS_FOR);
-        ShutdownDeadlines { give_up_after, end_after: (kill_after - END_BEFORE_KILL).max(give_up_after) }
+        let end_after = (kill_after - END_BEFORE_KILL).max(give_up_after);
+        ShutdownDeadlines { give_up_after, end_after, kill_after }
     }
 }
 
@@ -93,6 +99,16 @@
 }
 
 impl DispatcherServer {
+    /// The time that is left to flush the log before the platform kills the process; unlimited without SIGTERM.
+    pub fn time_until_kill(&mut self) -> Duration {
+        let now = self.clock.now();
+        let kill_after = self.shutdown.deadlines.kill_after;
+        let flushed_by = |requested: Occurrence| requested.earliest + kill_after - FLUSHED_BEFORE_KILL;
+        self.shutdown.requested.map_or(Duration::MAX, |requested| {
+            Duration::from_micros(flushed_by(requested).saturating_sub(now))
+        })
+    }
+
     /// Starts the shutdown after SIGTERM; further signals have no effect.
     pub(in crate::net) fn begin_shutdown(&mut self, arrived: Occurrence) {
         if self.shutdown.is_requested() {
--- a/src/operator/metrics.rs
+++ b/src/operator/metrics.rs
@@ -42,6 +42,8 @@
     pub sighup_applied: IntCounter,
     /// Configuration reloads rejected; the old configuration stayed in force.
     pub sighup_rejected: IntCounter,
+    /// Log lines dropped because nobody read the log.
+    pub log_lines_dropped: IntCounter,
 }
 
 impl Default for Metrics {
@@ -69,10 +71,11 @@
             ejected: gauge("ejected", "Executors on the list that are avoided now, by hand or by choice"),
             sighup_applied: counter("sighup_applied", "SIGHUPs whose configuration was taken"),
             sighup_rejected: counter("sighup_rejected", "SIGHUPs whose configuration was refused"),
+            log_lines_dropped: counter("log_lines_dropped", "Log lines dropped as nobody read the log"),
             registry,
         };
         let r = &metrics.registry;
-        let all: [Box<dyn prometheus::core::Collector>; 7] = [
+        let all: [Box<dyn prometheus::core::Collector>; 8] = [
             Box::new(metrics.results.clone()),
             Box::new(metrics.forwards.clone()),
             Box::new(metrics.outstanding.clone()),
@@ -80,6 +83,7 @@
             Box::new(metrics.ejected.clone()),
             Box::new(metrics.sighup_applied.clone()),
             Box::new(metrics.sighup_rejected.clone()),
+            Box::new(metrics.log_lines_dropped.clone()),
         ];
         all.into_iter().for_each(|c| r.register(c).expect("names registered once"));
         metrics
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -5,6 +5,7 @@
 mod departing_crowd;
 mod keyed;
 mod leaving;
+mod log_reader;
 mod standstill;
 
 use standins::scripted::*;
