Reserve what a successor needs before a slow attempt is cancelled without hedging

Callers saw (sites without second attempts): a request whose attempt ran slowly or whose executor was silent was rejected with most of its time left, while the retry budget was used up.

Cause: without hedging retry_in_place_of cancelled the running attempt first, and only after the confirmation were the retry budget, the key's turn, the number of attempts and the executors looked at.

Change: the retry and an executor are reserved before the cancel, and the reservation ends when the next attempt is sent or the request ends otherwise. If they can't be reserved, the slow attempt goes on.

--- a/src/balancer/attempt.rs
+++ b/src/balancer/attempt.rs
@@ -16,10 +16,12 @@
     /// it and an executor can be selected. All attempts are sent here; executor selection checks which
     /// executors are permitted. With `may_probe`, the request may wait for probes instead.
     pub(super) fn send_attempt(&mut self, id: RequestId, may_probe: bool) -> bool {
+        let reserved = self.release_reservation(id);
         if !self.may_send(id) {
             return false;
         }
-        let Some(index) = self.draw_executor(id, may_probe) else { return false };
+        let reserved = reserved.and_then(|executor| self.position_of_reserved(id, executor));
+        let Some(index) = reserved.or_else(|| self.draw_executor(id, may_probe)) else { return false };
         let request = &self.requests[&id];
         let memory_grant_mb = self.memory_grant_mb(request, &self.executors[index]);
         let priority = self.priority(request);
@@ -38,11 +40,16 @@
 
     /// Whether a request may be sent now, regardless of the executor.
     fn may_send(&mut self, id: RequestId) -> bool {
+        let would_hedge = self.requests[&id].attempts_in_flight() > 0;
+        (self.settings.hedging || !would_hedge) && self.may_send_next(id)
+    }
+
+    /// Whether a request may be sent once it has no attempt in flight, regardless of the executor.
+    pub(super) fn may_send_next(&mut self, id: RequestId) -> bool {
         let request = &self.requests[&id];
         let is_over = request.answered || request.streaming || self.now >= request.deadline;
         let is_last = request.attempts.len() >= request.max_attempts as usize;
-        let would_hedge = request.attempts_in_flight() > 0;
-        if is_over || is_last || (would_hedge && !self.settings.hedging) {
+        if is_over || is_last {
             return false;
         }
         let is_retry = !request.attempts.is_empty();
--- a/src/balancer/mod.rs
+++ b/src/balancer/mod.rs
@@ -14,6 +14,7 @@
 mod load;
 mod outlier_detection;
 mod placement;
+mod replacement;
 mod request_lifecycle;
 mod retry_budget;
 pub(crate) mod selection;
--- a/src/balancer/request_lifecycle.rs
+++ b/src/balancer/request_lifecycle.rs
@@ -139,6 +139,7 @@
     /// Marks a request as answered (or its client as disconnected) and cancels its attempts if that is
     /// allowed.
     pub(super) fn finish_request(&mut self, id: RequestId) {
+        self.release_reservation(id);
         let Some(request) = self.requests.get_mut(&id) else { return };
         let may_cancel = self.settings.cancellation
             && !request.streaming
--- a/src/balancer/retry_budget.rs
+++ b/src/balancer/retry_budget.rs
@@ -19,6 +19,8 @@
     arrival_history: VecDeque<TimestampUs>,
     /// Times at which retries were sent, oldest first.
     retry_history: VecDeque<TimestampUs>,
+    /// Number of retries that are reserved and not sent yet.
+    reserved_retries: usize,
 }
 
 impl RetryLimiter {
@@ -32,10 +34,20 @@
         self.retry_history.push_back(now);
     }
 
+    /// Reserves a retry that is about to be sent, so that no other one takes its place in the budget.
+    pub(super) fn reserve_retry(&mut self) {
+        self.reserved_retries += 1;
+    }
+
+    /// Ends the reservation of a retry: it is sent now, or will not be.
+    pub(super) fn release_retry(&mut self) {
+        self.reserved_retries = self.reserved_retries.saturating_sub(1);
+    }
+
     /// Whether the budget allows another retry now.
     pub(super) fn allows_retry(&mut self, now: TimestampUs, budget: &RetryBudget) -> bool {
         self.remove_expired(now, budget);
-        let retries = (self.retry_history.len() + 1) as f64;
+        let retries = (self.retry_history.len() + self.reserved_retries + 1) as f64;
         retries <= budget.base_retries + budget.retries_per_request * self.arrival_history.len() as f64
     }
 
--- a/src/balancer/slow_attempts.rs
+++ b/src/balancer/slow_attempts.rs
@@ -143,9 +143,9 @@
         if !may_cancel || !request.may_replace(attempt) {
             return;
         }
-        // Without hedging, the next attempt is sent once the cancellation is confirmed.
-        let is_sent = self.send_attempt(id, false);
-        if is_sent || !self.settings.hedging {
+        if !self.settings.hedging {
+            self.replace_attempt(id, attempt);
+        } else if self.send_attempt(id, false) {
             self.cancel_attempt(id, attempt);
         }
     }
--- a/src/state/request.rs
+++ b/src/state/request.rs
@@ -31,6 +31,8 @@
     pub(crate) priority: u8,
     /// Its attempts, in the order in which they were sent.
     pub(crate) attempts: Vec<Attempt>,
+    /// The executor reserved for its next attempt, while the cancellation of the present one is not confirmed.
+    pub(crate) reserved_executor: Option<ExecutorId>,
     /// End of its wait for probes, if it ever waited.
     pub(crate) probe_wait_until: Option<TimestampUs>,
     /// Its expected run time when it joined its key's queue.
--- a/tests/balancer/main.rs
+++ b/tests/balancer/main.rs
@@ -6,6 +6,7 @@
 mod common;
 mod health;
 mod policy;
+mod replacement;
 mod requests;
 mod selection;
 
