Count the time of a slow reader from the last bytes that it took

Callers saw: a client that needed more than 30 s to read a long result was cut in the middle of it, however steadily it read.

Cause: WRITE_TIMEOUT was counted from the last read or answer, not from progress.

Change: it runs from the last check that found more bytes written.

Evidence: a_slow_reader_is_disconnected_only_once_it_reads_nothing fails with the limit counted as before (cut at 40 s while it takes bytes every 20 s) and passes.

--- a/src/net/clients/session/lifecycle.rs
+++ b/src/net/clients/session/lifecycle.rs
@@ -28,6 +28,7 @@
     /// Ends an expired pause, and closes the session if one of its time limits has expired. Returns false if
     /// the connection must be closed immediately.
     pub fn tick(&mut self, now: Micros) -> bool {
+        self.check_written(now);
         if let Some(since) = self.closing_since {
             return now < since + LINGER_TIMEOUT;
         }
@@ -41,7 +42,15 @@
         if late || self.partial_since.is_some_and(|t| now > t + PARTIAL_PACKET_TIMEOUT) {
             self.close_with_error(ClientError::Timeout, now);
         }
-        self.is_flushed() || now < self.active_at + WRITE_TIMEOUT
+        self.is_flushed() || now < self.active_at.max(self.written.1) + WRITE_TIMEOUT
+    }
+
+    /// Notes whether more was written since the last check.
+    fn check_written(&mut self, now: Micros) {
+        let written = self.write_buffer.written();
+        if written > self.written.0 {
+            self.written = (written, now);
+        }
     }
 
     /// Whether the connection may be closed after `LEAVE`: no request is open or partially received, and the
--- a/src/net/clients/session/mod.rs
+++ b/src/net/clients/session/mod.rs
@@ -58,6 +58,8 @@
     pub open: Option<u64>,
     /// Time of the last read or answer.
     pub active_at: Micros,
+    /// Number of bytes written by the last check, and when a check last found more.
+    written: (u64, Micros),
     /// When it connected.
     connected_at: Micros,
     /// Since when unread bytes may be waiting in the socket; `None` while the socket is watched for reading.
@@ -112,6 +114,7 @@
             write_buffer,
             open: None,
             active_at: connected.latest,
+            written: (0, connected.latest),
             connected_at: connected.latest,
             unread_since: Some(connected.earliest),
             received: connected,
--- a/src/net/clients/session/tests.rs
+++ b/src/net/clients/session/tests.rs
@@ -79,3 +79,29 @@
     while !s.has_unread() {}
     assert!(s.read(Occurrence::at(3)) && !s.read_to_end(), "the disconnect is detected");
 }
+
+// A client that read a long result slowly was disconnected 30 s after the answer was queued, however steadily it read.
+// The limit runs from the last bytes that it took.
+#[test]
+fn a_slow_reader_is_disconnected_only_once_it_reads_nothing() {
+    const STEP: Micros = 20_000_000;
+    const TIMEOUT: Micros = 30_000_000;
+    let (poll, pool) = (Poll::new().unwrap(), Pool::new(0));
+    let (mut s, mut client) = connected(&poll, &pool);
+    s.sent_command = true;
+    // More than the system buffers.
+    let value = [("name".to_string(), "x".repeat(60_000))];
+    (0..400).for_each(|_| s.answer_values(&value));
+    assert!(s.flush(&poll) && !s.is_flushed() && s.tick(1));
+    let mut now = 1;
+    for step in 1..=5 {
+        now += STEP;
+        let before = s.write_buffer.written();
+        while s.write_buffer.written() == before {
+            client.read_exact(&mut vec![0; 60_000]).unwrap();
+            assert!(s.flush(&poll));
+        }
+        assert!(s.tick(now) && !s.is_flushed(), "step {step}");
+    }
+    assert!(s.tick(now + TIMEOUT - 1) && !s.tick(now + TIMEOUT));
+}
--- a/src/net/sockets/buffers.rs
+++ b/src/net/sockets/buffers.rs
@@ -123,12 +123,14 @@
     blocks: VecDeque<Block>,
     /// Whether part of the pending bytes has been written.
     is_partially_written: bool,
+    /// Number of bytes written so far.
+    written: u64,
 }
 
 impl WriteBuffer {
     /// An empty one.
     pub fn new(pool: &Pool) -> WriteBuffer {
-        WriteBuffer { pool: pool.clone(), blocks: VecDeque::new(), is_partially_written: false }
+        WriteBuffer { pool: pool.clone(), blocks: VecDeque::new(), is_partially_written: false, written: 0 }
     }
 
     /// Whether nothing is pending.
@@ -141,6 +143,11 @@
         self.is_partially_written
     }
 
+    /// Number of bytes written since its creation.
+    pub fn written(&self) -> u64 {
+        self.written
+    }
+
     /// Discards the pending bytes.
     pub fn clear(&mut self) {
         self.blocks.clear();
@@ -165,6 +172,7 @@
                 Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
                 Ok(n) => {
                     self.is_partially_written = true;
+                    self.written += n as u64;
                     block.start += n;
                     if block.start == block.end {
                         self.blocks.pop_front();
