Pause the operators' listener while descriptors are out

Operators saw: a dispatcher without descriptors used a whole core and logged a warning in each turn, as the listener of the operators' address was asked again at once.

Cause: the connection that can't be accepted stays in the backlog, so that the listener stays readable.

Change: it is not watched for 100 ms after a failure, then accepts again.

Evidence: accepting_pauses_while_descriptors_are_out fails without the pause (ready again in the same moment) and passes.

--- a/src/net/admin/listener.rs
+++ b/src/net/admin/listener.rs
@@ -18,6 +18,9 @@
 pub const CALLER_TIMEOUT: Micros = 2_000_000;
 /// Maximum number of connections accepted in one turn of the event loop.
 const MAX_ACCEPTS_PER_TURN: usize = 16;
+/// Pause of accepting after descriptors or memory ran out, in microseconds: until then the listener stays readable, which
+/// would make the event loop spin.
+const ACCEPT_PAUSE: Micros = 100_000;
 
 /// The connection of one caller.
 struct Caller {
@@ -37,6 +40,8 @@
     callers: BTreeMap<Key, Caller>,
     /// Maximum number of open connections.
     max_callers: usize,
+    /// When accepting resumes after a pause.
+    resume_at: Option<Micros>,
     /// Number of callers closed to make room or after the timeout.
     pub dropped: u64,
 }
@@ -57,6 +62,7 @@
             pool: pool.clone(),
             callers: BTreeMap::new(),
             max_callers,
+            resume_at: None,
             dropped: 0,
         })
     }
@@ -112,6 +118,7 @@
                 Err(e) => {
                     if e.kind() != io::ErrorKind::WouldBlock {
                         tracing::warn!(error = %e, "operator: can't accept a connection");
+                        self.pause_accepting(now, poll);
                     }
                     return;
                 }
@@ -137,6 +144,20 @@
         }
     }
 
+    fn pause_accepting(&mut self, now: Micros, poll: &Poll) {
+        if poll.set_interest(self.key, &self.listener, false, false).is_ok() {
+            self.resume_at = Some(now + ACCEPT_PAUSE);
+        }
+    }
+
+    fn resume_accepting(&mut self, now: Micros, poll: &Poll) {
+        self.resume_at = None;
+        match poll.set_interest(self.key, &self.listener, true, false) {
+            Ok(()) => self.accept(now, poll),
+            Err(_) => self.resume_at = Some(now + ACCEPT_PAUSE),
+        }
+    }
+
     fn flush(&mut self, key: Key, poll: &Poll) {
         let Some(c) = self.callers.get_mut(&key) else { return };
         match c.out.flush(&mut c.stream) {
@@ -169,7 +190,8 @@
     }
 
     fn next_due(&self) -> Option<Micros> {
-        self.callers.values().map(|c| c.accepted_at + CALLER_TIMEOUT).min()
+        let timeouts = self.callers.values().map(|c| c.accepted_at + CALLER_TIMEOUT);
+        timeouts.chain(self.resume_at).min()
     }
 
     fn tick(&mut self, now: Micros, poll: &Poll) {
@@ -181,5 +203,11 @@
             .collect();
         self.dropped += timed_out.len() as u64;
         timed_out.into_iter().for_each(|k| self.close(k, poll));
+        if self.resume_at.is_some_and(|at| at <= now) {
+            self.resume_accepting(now, poll);
+        }
     }
 }
+
+#[cfg(test)]
+mod tests;
