Refuse class names that can't go on the executors' wire

Callers saw: every request of a class whose name has a space, a comma or a line break failed, as the line to the executor can't be read.

Cause: the name is a field of a list that is separated by commas and ended by a space, and was not checked.

Change: such a configuration is refused with its key, at the start and at SIGHUP.

Evidence: the three new cases of tests/bad_settings.rs fail without the check (the program starts and reloads on them) and pass; any_settings passes.

--- a/src/settings/checked.rs
+++ b/src/settings/checked.rs
@@ -24,6 +24,10 @@
 
 fn class(i: usize, c: &ClassIn) -> Result<(), Malformed> {
     let f = |field: &str| format!("settings.requestClasses[{i}].{field}");
+    // Executors get the name as a field of a list that is separated by commas and ended by a space.
+    if c.name.contains(|x: char| x == ',' || x.is_whitespace() || x.is_control()) {
+        return Err(bad(MESSAGE, &f("name"), format_args!("{:?} contains a space or a comma", c.name)));
+    }
     number(&f("credit"), c.credit)?;
     number(&f("lateWorth"), c.late_worth)?;
     number(&f("aimStretch"), c.aim_stretch)?;
--- a/tests/bad_settings.rs
+++ b/tests/bad_settings.rs
@@ -60,6 +60,9 @@
         // Request classes.
         ("/settings/requestClasses/0/name", None, "name"),
         some("/settings/requestClasses/0/name", json!(3), "requestClasses[0].name"),
+        some("/settings/requestClasses/0/name", json!("two words"), "requestClasses[0].name"),
+        some("/settings/requestClasses/0/name", json!("a,ms=1"), "requestClasses[0].name"),
+        some("/settings/requestClasses/0/name", json!("a\r\nKILL"), "requestClasses[0].name"),
         ("/settings/requestClasses/0/effect", None, "effect"),
         some("/settings/requestClasses/0/effect", json!("harmless"), "requestClasses[0].effect"),
         some("/settings/requestClasses/0/group", json!("rack"), "requestClasses[0].group"),
