Refuse a list file that grows past what is left of the limit

Operators could see (only without the safeguard `again`, which is for tests): a list file that grows while it is read panics, or lifts the limit for the files after it.

Cause: the recorded size is compared with the limit, but one byte more is read and subtracted.

Change: a file longer than what is left is refused.

Evidence: a_file_that_is_longer_than_its_size_stays_within_the_limit fails before (attempt to subtract with overflow) and passes.

--- a/src/membership/files.rs
+++ b/src/membership/files.rs
@@ -108,7 +108,11 @@
     for (name, at) in list_files(path, limits)? {
         let (stamp, text) =
             read_one(&name, &at, ReadLimits { max_bytes: remaining_bytes, ..limits }, verify_unchanged)?;
-        remaining_bytes -= text.len() as u64;
+        // A file may be longer than its recorded size, which was compared with the limit.
+        let Some(rest) = remaining_bytes.checked_sub(text.len() as u64) else {
+            return Err(unusable(format!("{name} grew past the limit (max_size)")));
+        };
+        remaining_bytes = rest;
         stamps.push(stamp);
         files.push((name, text));
     }
--- a/src/membership/files/tests.rs
+++ b/src/membership/files/tests.rs
@@ -105,3 +105,14 @@
     });
     std::fs::remove_dir_all(dir).unwrap();
 }
+
+// A file that grows while it is read may be longer than what is left of the limit. Without the check for changes the rest
+// was computed below zero: a panic, or no limit at all for the files after it.
+#[test]
+fn a_file_that_is_longer_than_its_size_stays_within_the_limit() {
+    // A file of the system whose recorded size is 0 and that has a content.
+    let grown = Path::new("/proc/self/status");
+    let limits = ReadLimits { max_bytes: 0, ..LIMITS };
+    let error = read(grown, limits, false).unwrap_err().to_string();
+    assert!(error.contains("max_size"), "{error}");
+}
