Restart the time of a partial message once one before it is complete

Operators could see (the control group is off in `run`): a follower that sends steadily is closed after 3 s if each read ends inside a message.

Cause: the time of the partial message was kept though messages were completed.

Change: a complete message restarts it.

Evidence: a_steady_sender_is_closed_only_for_a_message_that_is_not_completed fails with the time kept as before (closed at 6 s) and passes.

--- a/src/net/control_plane/server.rs
+++ b/src/net/control_plane/server.rs
@@ -104,7 +104,9 @@
         let Some(served) = self.served.get_mut(&key) else { return Vec::new() };
         let session = key as SessionId;
         let (messages, ended) = served.frames.read::<FollowerMessage>();
-        served.part_since = served.frames.in_part().then(|| served.part_since.unwrap_or(now));
+        // A complete message restarts the time for the one after it.
+        let began = served.part_since.filter(|_| messages.is_empty()).unwrap_or(now);
+        served.part_since = served.frames.in_part().then_some(began);
         let ending = served.ending.is_some();
         if served.part_since.is_some() {
             self.timed.insert(key);
@@ -208,3 +210,6 @@
         Heard::Over(key as SessionId)
     }
 }
+
+#[cfg(test)]
+mod tests;
