Tell an answer that is too long as that in ottercroft policy

Operators saw: "incomplete answer after 5s", at once, for an answer over 1 MiB.

Cause: one condition stood for the limits of time and length.

Change: the length has a text of its own.

Evidence: an_answer_that_is_too_long_is_told_as_that fails before and passes.

--- a/src/cli/policy/call.rs
+++ b/src/cli/policy/call.rs
@@ -65,7 +65,10 @@
             }
             Err(e) => return Err(e),
         }
-        if left.is_zero() || answer.len() as u64 > MAX_ANSWER_BYTES {
+        if answer.len() as u64 > MAX_ANSWER_BYTES {
+            return Err(io::Error::other(format!("the answer is longer than {MAX_ANSWER_BYTES} bytes")));
+        }
+        if left.is_zero() {
             return Err(late());
         }
     }
--- a/src/cli/policy/tests.rs
+++ b/src/cli/policy/tests.rs
@@ -128,6 +128,18 @@
     assert!(run(&["status", "--at", &at]).0.unwrap_err().starts_with(&at));
 }
 
+// An answer over the limit was told as one that came too late.
+#[test]
+fn an_answer_that_is_too_long_is_told_as_that() {
+    let all = folder("long", &[]);
+    let long = format!("+OK {}\n", "x".repeat(1 << 20));
+    let (at, got) = dispatcher(Box::leak(long.into_boxed_str()));
+    let error = done(&all.0, &["status", "--at", &at]).0.unwrap_err();
+    assert!(error.contains("longer than 1048576 bytes"), "{error}");
+    // The rest of the answer may be reset.
+    let _ = got.join();
+}
+
 // A path that is too long for one line or would be split into two words is rejected before it is sent; the dispatcher
 // could only report a syntax error.
 #[test]
