Leave more time between the last flush of the log and the platform's kill

With a log that nobody reads, the process could use its time until 0.1 s before the kill for the flush, which a busy machine may take. It ends 0.25 s before now, 50 ms after the time at which it ended without such a log.

--- a/src/net/shutdown/mod.rs
+++ b/src/net/shutdown/mod.rs
@@ -26,7 +26,7 @@
 /// The process exits this long before the kill, in microseconds.
 const END_BEFORE_KILL: Micros = 300_000;
 /// The log is flushed this long before the kill, in microseconds.
-const FLUSHED_BEFORE_KILL: Micros = 100_000;
+const FLUSHED_BEFORE_KILL: Micros = 250_000;
 /// New requests are accepted for this long after SIGTERM, in microseconds. The platform lets connections
 /// arrive for 0.4 s and requests on open connections for 0.2 s more; it loses nothing that arrives after 0.7
 /// s.
