Remove a pipe that an earlier test left at the name of a configuration file

Seen: a run of bad_bytes_end_their_own_connection_alone stood still for 26 minutes. One of its threads waited in open() (wait_for_partner): tests/slow_turns leaves pipes named config-PID-N in the folder for test files, and the test's process had the id of one.

Change: what stands at the name is removed before the file is written. The mended path was not run against a pipe by itself.

--- a/crates/standins/src/scripted/launch.rs
+++ b/crates/standins/src/scripted/launch.rs
@@ -109,6 +109,8 @@
         static NEXT: AtomicU32 = AtomicU32::new(0);
         let n = NEXT.fetch_add(1, Ordering::Relaxed);
         let path = Path::new(&self.folder).join(format!("config-{}-{n}", std::process::id()));
+        // An earlier process with this id may have left a pipe there, which would wait for a reader.
+        let _ = std::fs::remove_file(&path);
         std::fs::write(&path, config).unwrap();
         path
     }
