Pass KILL QUERY on to the other process of a dispatcher during an upgrade

Cause: a KILL comes on a new connection, which the system gives to either process, and each looked its connection id up among its own connections only. Nothing could be passed between the two.

Change: the processes of one dispatcher meet through named pipes in a private directory below $TMPDIR (src/net/siblings). A KILL for a connection that a process does not have goes to the others, and its caller is answered once one has it, all have answered, or after 0.3 s. Writes never block and what waits is bounded; a stopped, dead or older process costs the caller 1094, as before.

--- a/src/net/admin/bans_file.rs
+++ b/src/net/admin/bans_file.rs
@@ -1,6 +1,7 @@
 //! The hand-over file, through which the next process receives the bans.
 
 use crate::membership::storage;
+use crate::net::temporary_files;
 use crate::operator::bans::Bans;
 use std::io;
 use std::path::{Path, PathBuf};
@@ -16,7 +17,7 @@
 impl BansFile {
     /// The file of the named dispatcher in a directory.
     pub(in crate::net) fn new(directory: &Path, name: &str) -> BansFile {
-        let path = directory.join(format!("ottercroft-{}.bans", sanitized_file_name(name)));
+        let path = temporary_files::path(directory, name, "bans");
         BansFile { path, name: name.to_string(), unsaved: false }
     }
 
@@ -70,12 +71,5 @@
     }
 }
 
-/// Converts a dispatcher's name to a part of a file name.
-fn sanitized_file_name(name: &str) -> String {
-    let safe: String =
-        name.chars().map(|c| if c.is_ascii_alphanumeric() || c == '-' { c } else { '_' }).collect();
-    if safe.is_empty() { "dispatcher".into() } else { safe }
-}
-
 #[cfg(test)]
 mod tests;
--- a/src/net/clients/mod.rs
+++ b/src/net/clients/mod.rs
@@ -18,6 +18,7 @@
 use crate::net::DispatcherServer;
 use crate::net::event_loop::poll::Key;
 use client_error::ClientError;
+use session::Session;
 
 /// Backoff sent to a rejected client unless another rule sets it, in microseconds.
 const CLIENT_BACKOFF: Micros = 200_000;
@@ -77,25 +78,32 @@
         }
     }
 
-    /// Handles KILL QUERY for the request of connection `id`, sent by client `from`. The killed session stays
-    /// open.
+    /// Handles KILL QUERY for the request of connection `id`, sent by client `from`. A connection that is not
+    /// known here may be one of another process of this dispatcher.
     pub(in crate::net) fn kill_request(&mut self, from: Key, id: u32, now: Micros) {
-        let target = self.sessions.by_id.get(&id).copied();
+        let is_own = self.sessions.by_id.contains_key(&id);
+        let is_forwarded = !is_own && self.forward_kill(from, id, now);
         if let Some(session) = self.sessions.by_key.get_mut(&from) {
-            match target {
-                Some(_) => session.answer_ok(),
-                None => session.answer_error(ClientError::UnknownThread(id.to_string())),
+            if is_forwarded {
+                session.await_kill();
+            } else {
+                session.end_kill(id, is_own);
             }
         }
-        let Some(key) = target else { return };
-        let Some(session) = self.sessions.by_key.get_mut(&key) else { return };
-        let Some(request) = session.open.take() else { return };
-        session.answer_error(ClientError::Interrupted);
-        self.abandon_request(request, now);
-        self.flush_client(key);
-        if key != from {
+        self.kill_connection(id, now);
+    }
+
+    /// Kills the open request of a connection; the connection stays open. Returns whether this process has that
+    /// connection.
+    pub(in crate::net) fn kill_connection(&mut self, id: u32, now: Micros) -> bool {
+        let Some(key) = self.sessions.by_id.get(&id).copied() else { return false };
+        let open = self.sessions.by_key.get_mut(&key).and_then(Session::interrupt);
+        if let Some(request) = open {
+            self.abandon_request(request, now);
+            self.flush_client(key);
             self.process_commands(key, now);
         }
+        true
     }
 
     /// Abandons a request whose client no longer waits for it; no further attempt of it starts.
--- a/src/net/clients/session/answers.rs
+++ b/src/net/clients/session/answers.rs
@@ -30,6 +30,28 @@
         self.write_packets(|server, out| server.error(&error, out));
     }
 
+    /// Makes the answer to a KILL wait for the other processes; until then no further command is processed.
+    pub fn await_kill(&mut self) {
+        self.awaits_kill = true;
+    }
+
+    /// Queues the answer to a KILL for a connection; `found` is whether that connection exists.
+    pub fn end_kill(&mut self, connection: u32, found: bool) {
+        self.awaits_kill = false;
+        if found {
+            self.answer_ok();
+        } else {
+            self.answer_error(ClientError::UnknownThread(connection.to_string()));
+        }
+    }
+
+    /// Ends the open request with an error because it was killed, and returns it.
+    pub fn interrupt(&mut self) -> Option<u64> {
+        let request = self.open.take()?;
+        self.answer_error(ClientError::Interrupted);
+        Some(request)
+    }
+
     /// Queues the final answer of the open request.
     pub fn answer(&mut self, answer: &Answer<Vec<Block>>) {
         (self.open, self.consecutive_errors) = (None, 0);
--- a/src/net/clients/session/lifecycle.rs
+++ b/src/net/clients/session/lifecycle.rs
@@ -35,7 +35,7 @@
         if self.paused_until.is_some_and(|t| t <= now) {
             self.paused_until = None;
         }
-        if self.open.is_some() {
+        if self.awaits_answer() {
             return true;
         }
         let late = !self.sent_command && now > self.connected_at + FIRST_COMMAND_TIMEOUT;
@@ -57,7 +57,7 @@
     /// client has sent a command or had `grace` to send one.
     pub fn may_close(&self, now: Micros, grace: Micros) -> bool {
         let is_idle =
-            self.open.is_none() && self.closing_since.is_none() && self.read_buffer.bytes().is_empty();
+            !self.awaits_answer() && self.closing_since.is_none() && self.read_buffer.bytes().is_empty();
         is_idle && (self.sent_command || now > self.connected_at + grace)
     }
 
@@ -97,7 +97,7 @@
     /// longest idle comes first. A connection with an open request, unwritten output or a partial packet is
     /// never evicted; the caller must also check for [unread data](Session::has_unread).
     pub fn eviction_rank(&self, now: Micros, grace: Micros) -> Option<(u8, Micros)> {
-        let is_idle = self.open.is_none() && self.is_flushed();
+        let is_idle = !self.awaits_answer() && self.is_flushed();
         if let Some(since) = self.closing_since.filter(|t| is_idle && now > *t + grace) {
             return Some((0, since));
         }
--- a/src/net/clients/session/mod.rs
+++ b/src/net/clients/session/mod.rs
@@ -56,6 +56,8 @@
     write_buffer: WriteBuffer,
     /// Id of the open request.
     pub open: Option<u64>,
+    /// Whether a KILL of this client waits for the other processes of this dispatcher.
+    awaits_kill: bool,
     /// Time of the last read or answer.
     pub active_at: Micros,
     /// Number of bytes written by the last check, and when a check last found more.
@@ -113,6 +115,7 @@
             read_buffer,
             write_buffer,
             open: None,
+            awaits_kill: false,
             active_at: connected.latest,
             written: (0, connected.latest),
             connected_at: connected.latest,
@@ -130,6 +133,11 @@
         })
     }
 
+    /// Whether the client waits for an answer to a request or a KILL.
+    pub fn awaits_answer(&self) -> bool {
+        self.open.is_some() || self.awaits_kill
+    }
+
     /// When the last byte read arrived; a request's time budget starts there.
     pub fn received(&self) -> Occurrence {
         self.received
@@ -154,7 +162,7 @@
 
     /// Answers commands that the session can handle itself, and returns the next one that it cannot.
     pub fn next_command(&mut self, names: &Names, now: Micros) -> Option<ClientCommand> {
-        while self.open.is_none() && self.closing_since.is_none() && self.paused_until.is_none() {
+        while !self.awaits_answer() && self.closing_since.is_none() && self.paused_until.is_none() {
             let (length, is_login, interpretation) = match self.server.next(self.read_buffer.bytes()) {
                 Ok(None) => {
                     let part = !self.read_buffer.bytes().is_empty();
--- a/src/net/event_loop/events.rs
+++ b/src/net/event_loop/events.rs
@@ -6,10 +6,14 @@
 use crate::net::event_loop::poll::Key;
 
 impl DispatcherServer {
-    /// Whether the key belongs to the signal stream, the client listener or a client; these are processed
-    /// before all others.
+    /// Whether the key belongs to the other processes of this dispatcher, the signal stream, the client listener
+    /// or a client; these are processed before all others.
     pub(super) fn is_client_side(&self, key: Key) -> bool {
-        self.listener.key() == Some(key) || key == self.signals.0 || self.sessions.by_key.contains_key(&key)
+        let is_sibling = self.siblings.as_ref().is_some_and(|siblings| siblings.owns(key));
+        is_sibling
+            || self.listener.key() == Some(key)
+            || key == self.signals.0
+            || self.sessions.by_key.contains_key(&key)
     }
 
     /// Passes an event to the owner of its socket. An event whose socket was closed earlier in this turn is
@@ -17,7 +21,9 @@
     pub(super) fn dispatch_event(&mut self, event: polling::Event) {
         let now = self.clock.now();
         let key = event.key;
-        if self.listener.key() == Some(key) {
+        if self.siblings.as_ref().is_some_and(|siblings| siblings.owns(key)) {
+            self.receive_from_siblings(now);
+        } else if self.listener.key() == Some(key) {
             self.accept_clients(now);
         } else if key == self.signals.0 {
             self.process_signals(now);
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -49,6 +49,9 @@
         }
         self.leave_fleet(self.clock.last());
         self.leave_control(self.clock.last());
+        if let Some(siblings) = &self.siblings {
+            siblings.leave();
+        }
         self.log_counters();
         tracing::info!("stopped");
         Ok(())
@@ -119,10 +122,12 @@
         let coordinator_watch = self.coordinator_watch.as_ref().map(|watch| watch as &dyn EventSource);
         let in_flight = self.in_flight.as_ref().map(|in_flight| in_flight as &dyn EventSource);
         let admin_listener = self.admin_listener.as_ref().map(|listener| listener as &dyn EventSource);
+        let siblings = self.siblings.as_ref().map(|siblings| siblings as &dyn EventSource);
         std::iter::once(&self.executors as &dyn EventSource)
             .chain(coordinator_watch)
             .chain(admin_listener)
             .chain(in_flight)
+            .chain(siblings)
     }
 
     /// When the next turn is due if no event occurs.
@@ -167,6 +172,7 @@
         if let Some(in_flight) = &mut self.in_flight {
             in_flight.tick(now, &self.poll);
         }
+        self.tick_siblings(now);
         self.tick_in_flight(now);
         self.advance_plan(now);
         self.tick_control(now);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,9 +10,11 @@
 //! - `endpoint_updates`: applying the endpoint list to the dispatch logic.
 //! - `admin`, `maintenance`: operators' calls and maintenance.
 //! - `in_flight`, `peers`, `policy`, `fleet_policy`, `control_plane`: other dispatchers, and the control group.
+//! - `siblings`: other processes of this dispatcher, during an upgrade.
 //! - `signals`, `reload`, `shutdown`: SIGHUP and SIGTERM.
 //! - `counters`: counters logged every 10 s.
 //! - `sockets`: shared socket infrastructure.
+//! - `temporary_files`: names of files that outlive a process.
 
 mod admin;
 mod clients;
@@ -35,8 +37,10 @@
 mod reload;
 mod setup;
 mod shutdown;
+mod siblings;
 pub mod signals;
 mod sockets;
+mod temporary_files;
 
 #[cfg(test)]
 mod tests;
@@ -67,6 +71,7 @@
 use fleet_policy::FleetPolicy;
 use in_flight::InFlight;
 use shutdown::Shutdown;
+use siblings::Siblings;
 use signals::Signals;
 use sockets::buffers::Pool;
 use sockets::descriptors::DescriptorShares;
@@ -105,6 +110,8 @@
     control: Option<ControlLink>,
     /// The fleet-wide admission policy, if the settings enable it.
     fleet_policy: Option<FleetPolicy>,
+    /// The other processes of this dispatcher; `None` if there is no directory to meet them in.
+    siblings: Option<Siblings>,
     signals: (Key, Signals),
     load_config: LoadConfig,
     shutdown: Shutdown,
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -16,10 +16,11 @@
 use super::fleet_policy::FleetPolicy;
 use super::in_flight::{Classes, InFlight};
 use super::shutdown::{Shutdown, ShutdownDeadlines};
+use super::siblings::Siblings;
 use super::signals::Signals;
 use super::sockets::buffers::Pool;
 use super::sockets::descriptors::DescriptorShares;
-use super::{DispatcherServer, LoadConfig};
+use super::{DispatcherServer, LoadConfig, temporary_files};
 use crate::api::{Micros, Settings};
 use crate::clock::{Clock, ExecutorStartTimes, WallClock};
 use crate::codec::coordinator::Target;
@@ -82,6 +83,7 @@
         let bans = bans_file.load();
 
         let now = clock.now();
+        let siblings = start_siblings(&config.name, listener.address(), seed ^ now, now, &poll);
         let in_flight = start_in_flight(options.peers.as_ref(), classes, seed, now, &poll)?;
         if in_flight.is_some() {
             dispatch.report_abandoned();
@@ -110,6 +112,7 @@
             in_flight,
             control,
             fleet_policy,
+            siblings,
             signals: (signal_key, signals),
             load_config,
             descriptors,
@@ -202,6 +205,25 @@
         .map_err(context(&format!("listen on {address}")))
 }
 
+/// Meets the other processes of this dispatcher. Without them an upgrade still works, but each process knows only
+/// what it was told itself.
+fn start_siblings(
+    name: &str,
+    address: SocketAddr,
+    first_id: u64,
+    now: Micros,
+    poll: &Poll,
+) -> Option<Siblings> {
+    let directory = temporary_files::path(&std::env::temp_dir(), name, "processes");
+    let started = Siblings::start(directory.clone(), address, first_id, now, poll);
+    started
+        .inspect_err(|e| {
+            let directory = directory.display();
+            tracing::warn!(%directory, error = %e, "siblings: other processes of this dispatcher are not known");
+        })
+        .ok()
+}
+
 fn start_in_flight(
     peers: Option<&options::Peers>,
     classes: Classes,
--- a/src/net/shutdown/mod.rs
+++ b/src/net/shutdown/mod.rs
@@ -161,7 +161,7 @@
 
     /// Closes idle client connections. A client with unread data is read first, and its request is answered.
     fn close_idle_clients(&mut self, now: Micros) {
-        let is_idle = |session: &Session| session.open.is_none() && session.is_flushed();
+        let is_idle = |session: &Session| !session.awaits_answer() && session.is_flushed();
         let idle: Vec<Key> =
             self.sessions.by_key.iter().filter(|(_, s)| is_idle(s)).map(|(key, _)| *key).collect();
         for key in idle {
--- /dev/null
+++ b/src/net/siblings/mod.rs
@@ -0,0 +1,211 @@
+//! The other processes of this dispatcher that share its client address: the old and the new one during an upgrade.
+//!
+//! Each process has a named pipe in a directory that only its user may use, and writes to the pipes of the others. A write
+//! never blocks; what does not fit waits, up to a limit. A process of a version without pipes is not known here, and
+//! nothing is shared with it.
+//!
+//! - `directory`: where processes find each other.
+//! - `inbox`, `outbox`, `message`: receiving and sending.
+//! - `pending_kills`, `kills`: KILL QUERY for a connection of another process.
+
+mod directory;
+mod inbox;
+mod kills;
+mod message;
+mod outbox;
+mod pending_kills;
+
+use crate::api::Micros;
+use crate::net::event_loop::event_source::EventSource;
+use crate::net::event_loop::poll::{Key, Poll};
+use directory::Directory;
+use inbox::Inbox;
+use message::{InstanceId, Message};
+use outbox::Outbox;
+use pending_kills::{KillOutcome, PendingKills};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::io;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// Maximum number of other processes: more than two upgrades in a row leave at the same time.
+const MAX_SIBLINGS: usize = 8;
+/// Interval at which the directory is searched for further processes, in microseconds. A process says hello when it
+/// starts; the search finds one whose greeting was lost.
+const SCAN_PERIOD: Micros = 1_000_000;
+/// Delay before messages that did not fit into a pipe are written again, in microseconds.
+const RETRY_DELAY: Micros = 20_000;
+/// Maximum number of received messages that wait to be processed.
+const MAX_RECEIVED: usize = 4096;
+
+/// The pipe of this process, and the other processes.
+pub(in crate::net) struct Siblings {
+    me: InstanceId,
+    directory: Directory,
+    inbox: Inbox,
+    others: BTreeMap<InstanceId, Outbox>,
+    /// Received messages that are not processed yet.
+    received: VecDeque<Message>,
+    kills: PendingKills,
+    /// Outcomes of calls that are not passed on yet.
+    kill_outcomes: Vec<KillOutcome>,
+    next_scan: Micros,
+    retry_at: Option<Micros>,
+}
+
+impl Siblings {
+    /// Creates the pipe of this process in `directory` and greets the processes that run already.
+    pub(in crate::net) fn start(
+        directory: PathBuf,
+        address: SocketAddr,
+        first_id: u64,
+        now: Micros,
+        poll: &Poll,
+    ) -> io::Result<Siblings> {
+        let directory = Directory::open(directory, address)?;
+        directory.remove_abandoned_pipes()?;
+        let (me, pipe) = directory.create_pipe(first_id)?;
+        let mut siblings = Siblings {
+            me,
+            directory,
+            inbox: Inbox::new(pipe, poll)?,
+            others: BTreeMap::new(),
+            received: VecDeque::new(),
+            kills: PendingKills::default(),
+            kill_outcomes: Vec::new(),
+            next_scan: now,
+            retry_at: None,
+        };
+        siblings.scan(now);
+        Ok(siblings)
+    }
+
+    /// Removes the pipe of this process, which is about to end.
+    pub(in crate::net) fn leave(&self) {
+        self.directory.remove_pipe(self.me);
+    }
+
+    /// Reads the pipe. Greetings take effect at once; other messages wait for [`Siblings::next_message`].
+    pub(in crate::net) fn receive(&mut self) {
+        if self.received.len() >= MAX_RECEIVED {
+            return;
+        }
+        for message in self.inbox.read() {
+            match message {
+                Message::Hello { from } => {
+                    self.meet(from);
+                }
+                message => self.received.push_back(message),
+            }
+        }
+    }
+
+    /// Takes the next received message.
+    fn next_message(&mut self) -> Option<Message> {
+        self.received.pop_front()
+    }
+
+    /// Greets every process in the directory that is not known yet.
+    fn scan(&mut self, now: Micros) {
+        self.next_scan = now + SCAN_PERIOD;
+        let instances = match self.directory.instances() {
+            Ok(instances) => instances,
+            Err(e) => return tracing::debug!(error = %e, "siblings: can't list processes"),
+        };
+        for id in instances {
+            if self.meet(id) {
+                self.send(id, Message::Hello { from: self.me }, now);
+            }
+        }
+    }
+
+    /// Opens the pipe of a process that is not known yet. Returns whether it was new and could be opened.
+    fn meet(&mut self, id: InstanceId) -> bool {
+        if id == self.me || self.others.contains_key(&id) || self.others.len() >= MAX_SIBLINGS {
+            return false;
+        }
+        match self.directory.open_pipe(id) {
+            Ok(Some(pipe)) => {
+                tracing::info!(process = %id, "siblings: another process of this dispatcher");
+                self.others.insert(id, Outbox::new(pipe));
+                true
+            }
+            Ok(None) => false,
+            Err(e) => {
+                tracing::warn!(process = %id, error = %e, "siblings: can't open the pipe of another process");
+                false
+            }
+        }
+    }
+
+    /// Sends a message to another process. Returns false if it can't be sent: that process has ended, or has not read
+    /// for long.
+    fn send(&mut self, to: InstanceId, message: Message, now: Micros) -> bool {
+        let Some(outbox) = self.others.get_mut(&to) else { return false };
+        let is_queued = outbox.push(message);
+        self.flush(to, now) && is_queued
+    }
+
+    /// Writes what waits for a process. Returns false if that process has ended.
+    fn flush(&mut self, to: InstanceId, now: Micros) -> bool {
+        let Some(outbox) = self.others.get_mut(&to) else { return false };
+        if let Err(e) = outbox.flush() {
+            tracing::info!(process = %to, reason = %e, "siblings: another process has ended");
+            self.others.remove(&to);
+            self.directory.remove_pipe(to);
+            let outcomes = self.kills.process_ended(to);
+            self.kill_outcomes.extend(outcomes);
+            return false;
+        }
+        if outbox.is_waiting() {
+            self.retry_at.get_or_insert(now + RETRY_DELAY);
+        }
+        true
+    }
+
+    /// Asks the other processes to kill the request of a connection, on behalf of a client. Returns false if there is
+    /// nobody to ask.
+    fn forward_kill(&mut self, client: Key, connection: u32, now: Micros) -> bool {
+        let asked: BTreeSet<InstanceId> = self.others.keys().copied().collect();
+        if asked.is_empty() {
+            return false;
+        }
+        let Some(token) = self.kills.begin(client, connection, asked.clone(), now) else { return false };
+        for id in asked {
+            if !self.send(id, Message::Kill { from: self.me, token, connection }, now) {
+                let outcome = self.kills.answered(token, id, false);
+                self.kill_outcomes.extend(outcome);
+            }
+        }
+        true
+    }
+}
+
+impl EventSource for Siblings {
+    fn owns(&self, key: Key) -> bool {
+        key == self.inbox.key()
+    }
+
+    fn next_due(&self) -> Option<Micros> {
+        let unprocessed = !self.received.is_empty() || !self.kill_outcomes.is_empty();
+        let now = unprocessed.then_some(0);
+        [now, Some(self.next_scan), self.retry_at, self.kills.next_due()].into_iter().flatten().min()
+    }
+
+    fn tick(&mut self, now: Micros, _poll: &Poll) {
+        if self.next_scan <= now {
+            self.scan(now);
+        }
+        if self.retry_at.take_if(|at| *at <= now).is_some() {
+            let ids: Vec<InstanceId> = self.others.keys().copied().collect();
+            for id in ids {
+                self.flush(id, now);
+            }
+        }
+        let expired = self.kills.expire(now);
+        self.kill_outcomes.extend(expired);
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/siblings/outbox.rs
@@ -0,0 +1,60 @@
+//! Messages to one other process of this dispatcher.
+
+use super::message::{self, Message};
+use std::collections::VecDeque;
+use std::fs::File;
+use std::io::{self, Write};
+
+/// Maximum number of messages that wait for room in the pipe of a process that does not read.
+const MAX_WAITING: usize = 1024;
+
+/// The pipe to another process, and what does not fit into it yet.
+pub(super) struct Outbox {
+    pipe: File,
+    waiting: VecDeque<Message>,
+}
+
+impl Outbox {
+    /// An outbox that writes to `pipe`, which must not block.
+    pub(super) fn new(pipe: File) -> Outbox {
+        Outbox { pipe, waiting: VecDeque::new() }
+    }
+
+    /// Queues a message; returns false and drops it if too many wait already.
+    pub(super) fn push(&mut self, message: Message) -> bool {
+        let has_room = self.waiting.len() < MAX_WAITING;
+        if has_room {
+            self.waiting.push_back(message);
+        }
+        has_room
+    }
+
+    /// Whether messages wait for room in the pipe.
+    pub(super) fn is_waiting(&self) -> bool {
+        !self.waiting.is_empty()
+    }
+
+    /// Writes as many messages as the pipe takes. An error means that the other process has ended.
+    pub(super) fn flush(&mut self) -> io::Result<()> {
+        while let Some(message) = self.waiting.front() {
+            if !write_whole(&mut self.pipe, message)? {
+                return Ok(());
+            }
+            self.waiting.pop_front();
+        }
+        Ok(())
+    }
+}
+
+/// Writes a message; returns false if the pipe lacks room for it.
+fn write_whole(pipe: &mut File, message: &Message) -> io::Result<bool> {
+    let Some(bytes) = message::encode(message) else { return Ok(true) };
+    loop {
+        match pipe.write(&bytes) {
+            Ok(_) => return Ok(true),
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(false),
+            Err(e) => return Err(e),
+        }
+    }
+}
--- a/src/net/sockets/descriptors.rs
+++ b/src/net/sockets/descriptors.rs
@@ -7,8 +7,9 @@
 
 /// Descriptors that every dispatcher needs in addition: standard streams (3), the poller (3), the signal
 /// stream with its write ends (4), the listener, the coordinator watch and its predecessor (2), a file being
-/// read, and one newly accepted connection.
-const RESERVED_DESCRIPTORS: usize = 15;
+/// read, one newly accepted connection, and the pipes of this process and of the other processes of this
+/// dispatcher (9).
+const RESERVED_DESCRIPTORS: usize = 24;
 /// Descriptors that are left free beyond the share of executor connections.
 const EXECUTOR_MARGIN: usize = 24;
 
