Share operators' bans between the processes of a dispatcher during an upgrade

Cause: bans passed between processes through the hand-over file alone, which is read once, at the start; what was called later stayed with the process that was called, and each write of the file replaced what the other one had written.

Change: calls have a time, and for each executor the latest one counts at all processes (operator::shared_bans). A call is written to the file, sent to the others before it is answered, sent whole to a process that is met, and passed on by whoever learns of it. The slow start of an executor that ONLINE put back is told as well. The file's format is unchanged.

With other processes absent decisions are unchanged.

--- a/src/net/admin/calls.rs
+++ b/src/net/admin/calls.rs
@@ -6,6 +6,7 @@
 use crate::net::DispatcherServer;
 use crate::net::event_loop::poll::Key;
 use crate::net::limits::LEAVE_GRACE;
+use crate::operator::shared_bans::BanCall;
 use std::io;
 
 impl DispatcherServer {
@@ -78,11 +79,11 @@
 
     /// `OFFLINE`: bans an executor: it gets no new work.
     fn take_offline(&mut self, now: Micros, id: &str) -> String {
-        match self.bans.offline(id, self.endpoints.contains_key(id)) {
-            Ok(is_new) => {
-                if is_new {
+        match self.bans.offline(id, self.endpoints.contains_key(id), now) {
+            Ok(call) => {
+                if let Some(call) = call {
                     tracing::warn!(executor = id, "OFFLINE: gets no new work until ONLINE");
-                    self.ban_changed(now, id);
+                    self.ban_called(id, call, now);
                 }
                 format!("+OK offline {id}")
             }
@@ -90,14 +91,13 @@
         }
     }
 
-    /// `ONLINE`: lifts a ban. The executor was restarted meanwhile, so its slow start begins now.
+    /// `ONLINE`: lifts a ban.
     fn bring_online(&mut self, now: Micros, id: &str) -> String {
-        match self.bans.online(id, self.endpoints.contains_key(id)) {
-            Ok(was_banned) => {
-                if was_banned {
+        match self.bans.online(id, self.endpoints.contains_key(id), now) {
+            Ok(call) => {
+                if let Some(call) = call {
                     tracing::warn!(executor = id, "ONLINE: back in service, in slow start");
-                    self.onlined_at_ms.insert(id.to_string(), now / 1000);
-                    self.ban_changed(now, id);
+                    self.ban_called(id, call, now);
                 }
                 format!("+OK online {id}")
             }
@@ -123,12 +123,15 @@
         }
     }
 
-    /// A ban was set or lifted: updates the executor in the dispatch module and saves the bans for the next process.
-    pub(in crate::net) fn ban_changed(&mut self, now: Micros, id: &str) {
+    /// A ban was set or lifted: updates the executor in the dispatch module. An
+    /// executor whose ban was lifted has been restarted meanwhile, so its slow start began with the call.
+    pub(in crate::net) fn apply_ban_call(&mut self, id: &str, call: BanCall, now: Micros) {
+        if !call.banned {
+            self.onlined_at_ms.insert(id.to_string(), call.at.min(now) / 1000);
+        }
         if let Some(target) = self.endpoints.get(id).cloned() {
             self.update_endpoints(now, WatchEvent::Changed, &[target]);
         }
-        self.bans_file.save(&self.bans);
     }
 
     pub(in crate::net) fn dump(&self, now: Micros) -> String {
--- a/src/net/event_loop/events.rs
+++ b/src/net/event_loop/events.rs
@@ -67,6 +67,8 @@
     }
 
     fn process_operator_calls(&mut self, key: Key, now: Micros) {
+        // A call made at another process before this one counts first.
+        self.receive_from_siblings(now);
         let Some(operators) = &mut self.admin_listener else { return };
         for (caller, line) in operators.ready(key, now, &self.poll) {
             let asked = tracing::enabled!(tracing::Level::DEBUG).then(|| format!("{line:?}"));
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -184,7 +184,7 @@
     fn run_periodic_work(&mut self, now: Micros) {
         if self.schedule.clients.take_due(now) {
             self.wall_clock.observe(now, clock::unix());
-            self.bans_file.retry_now(&self.bans);
+            self.bans_file.retry_now(self.bans.in_force());
             self.process_client_timers(now);
             self.close_idle_clients_while_leaving(now);
             self.watch_storm(now);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -50,8 +50,8 @@
 use crate::codec::coordinator::Target;
 use crate::dispatch::Dispatch;
 use crate::logging::DroppedLines;
-use crate::operator::bans::Bans;
 use crate::operator::metrics::Metrics;
+use crate::operator::shared_bans::SharedBans;
 use crate::settings::Names;
 use crate::settings::config::{Config, ConfigError};
 use crate::storm::Storm;
@@ -121,7 +121,7 @@
     leaving: Option<Micros>,
     metrics: Metrics,
     dropped_lines: DroppedLines,
-    bans: Bans,
+    bans: SharedBans,
     /// The file that carries bans over to the next process.
     bans_file: BansFile,
     /// The latest endpoint list entry of each executor, by uid.
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -28,6 +28,7 @@
 use crate::logging::DroppedLines;
 use crate::membership::check::Catalog;
 use crate::operator::metrics::Metrics;
+use crate::operator::shared_bans::SharedBans;
 use crate::settings::config::Config;
 use crate::settings::options::{self, Options};
 use crate::storm::{self, Storm};
@@ -80,7 +81,7 @@
         let metrics = Metrics::new();
         names.classes.keys().for_each(|class| metrics.class(class));
         let bans_file = BansFile::new(&std::env::temp_dir(), &config.name);
-        let bans = bans_file.load();
+        let bans = SharedBans::new(bans_file.load());
 
         let now = clock.now();
         let siblings = start_siblings(&config.name, listener.address(), seed ^ now, now, &poll);
--- a/src/net/siblings/kills.rs
+++ b/src/net/siblings/kills.rs
@@ -1,11 +1,36 @@
 //! KILL QUERY across the processes of one dispatcher: a client's connection and its KILL may reach different ones.
 
-use super::message::Message;
+use super::Siblings;
+use super::message::{InstanceId, Message};
 use super::pending_kills::KillOutcome;
 use crate::api::Micros;
 use crate::net::DispatcherServer;
-use crate::net::event_loop::event_source::EventSource;
 use crate::net::event_loop::poll::Key;
+use std::collections::BTreeSet;
+
+impl Siblings {
+    /// Asks the other processes to kill the request of a connection, on behalf of a client. Returns false if there is
+    /// nobody to ask.
+    pub(super) fn forward_kill(&mut self, client: Key, connection: u32, now: Micros) -> bool {
+        let asked: BTreeSet<InstanceId> = self.others.keys().copied().collect();
+        if asked.is_empty() {
+            return false;
+        }
+        let Some(token) = self.kills.begin(client, connection, asked.clone(), now) else { return false };
+        for id in asked {
+            if !self.send(id, Message::Kill { from: self.me, token, connection }, now) {
+                self.kill_answered(token, id, false);
+            }
+        }
+        true
+    }
+
+    /// Records the answer of another process to a KILL.
+    pub(super) fn kill_answered(&mut self, token: u64, by: InstanceId, found: bool) {
+        let outcome = self.kills.answered(token, by, found);
+        self.kill_outcomes.extend(outcome);
+    }
+}
 
 impl DispatcherServer {
     /// Passes a KILL on to the other processes. Returns false if there is none; otherwise the client `from` is answered
@@ -17,54 +42,24 @@
         siblings.forward_kill(from, connection, now)
     }
 
-    /// Reads and processes the messages of the other processes.
-    pub(in crate::net) fn receive_from_siblings(&mut self, now: Micros) {
-        if let Some(siblings) = &mut self.siblings {
-            siblings.receive();
-        }
-        self.process_siblings(now);
-    }
-
-    /// Carries out what is due between the processes.
-    pub(in crate::net) fn tick_siblings(&mut self, now: Micros) {
+    /// Carries out a KILL that a client sent to another process.
+    pub(super) fn kill_for_sibling(&mut self, from: InstanceId, token: u64, connection: u32, now: Micros) {
+        let found = self.kill_connection(connection, now);
+        tracing::debug!(process = %from, connection, found, "siblings: KILL from another process");
         if let Some(siblings) = &mut self.siblings {
-            siblings.tick(now, &self.poll);
+            let me = siblings.me;
+            siblings.send(from, Message::KillResult { from: me, token, found }, now);
         }
-        self.process_siblings(now);
     }
 
-    fn process_siblings(&mut self, now: Micros) {
-        while let Some(message) = self.siblings.as_mut().and_then(|siblings| siblings.next_message()) {
-            self.process_sibling_message(message, now);
-        }
+    /// Answers the clients whose calls the other processes have answered.
+    pub(super) fn answer_forwarded_kills(&mut self, now: Micros) {
         let outcomes = self.siblings.as_mut().map(|siblings| std::mem::take(&mut siblings.kill_outcomes));
-        outcomes.into_iter().flatten().for_each(|outcome| self.answer_forwarded_kill(outcome, now));
-    }
-
-    fn process_sibling_message(&mut self, message: Message, now: Micros) {
-        match message {
-            // Processed when it was received.
-            Message::Hello { .. } => {}
-            Message::Kill { from, token, connection } => {
-                let found = self.kill_connection(connection, now);
-                tracing::debug!(process = %from, connection, found, "siblings: KILL from another process");
-                if let Some(siblings) = &mut self.siblings {
-                    let me = siblings.me;
-                    siblings.send(from, Message::KillResult { from: me, token, found }, now);
-                }
-            }
-            Message::KillResult { from, token, found } => {
-                if let Some(siblings) = &mut self.siblings {
-                    let outcome = siblings.kills.answered(token, from, found);
-                    siblings.kill_outcomes.extend(outcome);
-                }
+        for KillOutcome { client, connection, found } in outcomes.into_iter().flatten() {
+            if let Some(session) = self.sessions.by_key.get_mut(&client) {
+                session.end_kill(connection, found);
+                self.process_commands(client, now);
             }
         }
     }
-
-    fn answer_forwarded_kill(&mut self, outcome: KillOutcome, now: Micros) {
-        let Some(session) = self.sessions.by_key.get_mut(&outcome.client) else { return };
-        session.end_kill(outcome.connection, outcome.found);
-        self.process_commands(outcome.client, now);
-    }
 }
--- a/src/net/siblings/message.rs
+++ b/src/net/siblings/message.rs
@@ -1,5 +1,6 @@
 //! Messages between the processes of one dispatcher, and their encoding.
 
+use crate::operator::shared_bans::BanCall;
 use fleet::wire::{FrameError, Framing};
 use serde::{Deserialize, Serialize};
 use std::fmt;
@@ -46,6 +47,13 @@
         /// Whether the sender has that connection.
         found: bool,
     },
+    /// The latest call of an operator for an executor.
+    Ban {
+        /// The executor's uid.
+        executor: String,
+        /// The call.
+        call: BanCall,
+    },
 }
 
 /// Encodes a message; `None` if it is too long to be sent.
--- a/src/net/siblings/mod.rs
+++ b/src/net/siblings/mod.rs
@@ -6,14 +6,18 @@
 //!
 //! - `directory`: where processes find each other.
 //! - `inbox`, `outbox`, `message`: receiving and sending.
+//! - `processing`: what is done with a message.
 //! - `pending_kills`, `kills`: KILL QUERY for a connection of another process.
+//! - `bans`: bans set or lifted at another process.
 
+mod bans;
 mod directory;
 mod inbox;
 mod kills;
 mod message;
 mod outbox;
 mod pending_kills;
+mod processing;
 
 use crate::api::Micros;
 use crate::net::event_loop::event_source::EventSource;
@@ -23,7 +27,7 @@
 use message::{InstanceId, Message};
 use outbox::Outbox;
 use pending_kills::{KillOutcome, PendingKills};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 use std::io;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -44,6 +48,10 @@
     directory: Directory,
     inbox: Inbox,
     others: BTreeMap<InstanceId, Outbox>,
+    /// Processes that know nothing of what this one shares yet.
+    newly_met: Vec<InstanceId>,
+    /// Whether bans of other processes were merged that the hand-over file lacks.
+    bans_merged: bool,
     /// Received messages that are not processed yet.
     received: VecDeque<Message>,
     kills: PendingKills,
@@ -65,11 +73,14 @@
         let directory = Directory::open(directory, address)?;
         directory.remove_abandoned_pipes()?;
         let (me, pipe) = directory.create_pipe(first_id)?;
+        let inbox = Inbox::new(pipe, poll).inspect_err(|_| directory.remove_pipe(me))?;
         let mut siblings = Siblings {
             me,
             directory,
-            inbox: Inbox::new(pipe, poll)?,
+            inbox,
             others: BTreeMap::new(),
+            newly_met: Vec::new(),
+            bans_merged: false,
             received: VecDeque::new(),
             kills: PendingKills::default(),
             kill_outcomes: Vec::new(),
@@ -85,7 +96,7 @@
         self.directory.remove_pipe(self.me);
     }
 
-    /// Reads the pipe. Greetings take effect at once; other messages wait for [`Siblings::next_message`].
+    /// Reads the pipe. Greetings take effect at once; other messages wait to be processed.
     pub(in crate::net) fn receive(&mut self) {
         if self.received.len() >= MAX_RECEIVED {
             return;
@@ -100,11 +111,6 @@
         }
     }
 
-    /// Takes the next received message.
-    fn next_message(&mut self) -> Option<Message> {
-        self.received.pop_front()
-    }
-
     /// Greets every process in the directory that is not known yet.
     fn scan(&mut self, now: Micros) {
         self.next_scan = now + SCAN_PERIOD;
@@ -128,6 +134,7 @@
             Ok(Some(pipe)) => {
                 tracing::info!(process = %id, "siblings: another process of this dispatcher");
                 self.others.insert(id, Outbox::new(pipe));
+                self.newly_met.push(id);
                 true
             }
             Ok(None) => false,
@@ -163,21 +170,12 @@
         true
     }
 
-    /// Asks the other processes to kill the request of a connection, on behalf of a client. Returns false if there is
-    /// nobody to ask.
-    fn forward_kill(&mut self, client: Key, connection: u32, now: Micros) -> bool {
-        let asked: BTreeSet<InstanceId> = self.others.keys().copied().collect();
-        if asked.is_empty() {
-            return false;
+    /// Writes what waits for any process.
+    fn flush_all(&mut self, now: Micros) {
+        let ids: Vec<InstanceId> = self.others.keys().copied().collect();
+        for id in ids {
+            self.flush(id, now);
         }
-        let Some(token) = self.kills.begin(client, connection, asked.clone(), now) else { return false };
-        for id in asked {
-            if !self.send(id, Message::Kill { from: self.me, token, connection }, now) {
-                let outcome = self.kills.answered(token, id, false);
-                self.kill_outcomes.extend(outcome);
-            }
-        }
-        true
     }
 }
 
@@ -187,9 +185,10 @@
     }
 
     fn next_due(&self) -> Option<Micros> {
-        let unprocessed = !self.received.is_empty() || !self.kill_outcomes.is_empty();
-        let now = unprocessed.then_some(0);
-        [now, Some(self.next_scan), self.retry_at, self.kills.next_due()].into_iter().flatten().min()
+        let has_work =
+            !self.received.is_empty() || !self.kill_outcomes.is_empty() || !self.newly_met.is_empty();
+        let at_once = has_work.then_some(0);
+        [at_once, Some(self.next_scan), self.retry_at, self.kills.next_due()].into_iter().flatten().min()
     }
 
     fn tick(&mut self, now: Micros, _poll: &Poll) {
@@ -197,10 +196,7 @@
             self.scan(now);
         }
         if self.retry_at.take_if(|at| *at <= now).is_some() {
-            let ids: Vec<InstanceId> = self.others.keys().copied().collect();
-            for id in ids {
-                self.flush(id, now);
-            }
+            self.flush_all(now);
         }
         let expired = self.kills.expire(now);
         self.kill_outcomes.extend(expired);
--- a/src/net/siblings/outbox.rs
+++ b/src/net/siblings/outbox.rs
@@ -1,7 +1,8 @@
 //! Messages to one other process of this dispatcher.
 
 use super::message::{self, Message};
-use std::collections::VecDeque;
+use crate::operator::shared_bans::{BanCall, MAX_CALLS};
+use std::collections::{BTreeMap, VecDeque};
 use std::fs::File;
 use std::io::{self, Write};
 
@@ -12,12 +13,14 @@
 pub(super) struct Outbox {
     pipe: File,
     waiting: VecDeque<Message>,
+    /// Bans that are not sent yet: the latest call for each executor.
+    bans: BTreeMap<String, BanCall>,
 }
 
 impl Outbox {
     /// An outbox that writes to `pipe`, which must not block.
     pub(super) fn new(pipe: File) -> Outbox {
-        Outbox { pipe, waiting: VecDeque::new() }
+        Outbox { pipe, waiting: VecDeque::new(), bans: BTreeMap::new() }
     }
 
     /// Queues a message; returns false and drops it if too many wait already.
@@ -29,9 +32,24 @@
         has_room
     }
 
+    /// Queues an operator's call, in place of an earlier one for that executor. Returns false and drops it if too many
+    /// wait already.
+    pub(super) fn push_ban(&mut self, executor: &str, call: BanCall) -> bool {
+        let has_room = self.bans.len() < MAX_CALLS || self.bans.contains_key(executor);
+        if has_room {
+            self.bans.insert(executor.to_string(), call);
+        }
+        has_room
+    }
+
+    /// Queues these calls in place of those that wait.
+    pub(super) fn replace_bans<'a>(&mut self, calls: impl Iterator<Item = (&'a str, BanCall)>) {
+        self.bans = calls.map(|(executor, call)| (executor.to_string(), call)).collect();
+    }
+
     /// Whether messages wait for room in the pipe.
     pub(super) fn is_waiting(&self) -> bool {
-        !self.waiting.is_empty()
+        !self.waiting.is_empty() || !self.bans.is_empty()
     }
 
     /// Writes as many messages as the pipe takes. An error means that the other process has ended.
@@ -42,6 +60,13 @@
             }
             self.waiting.pop_front();
         }
+        while let Some((executor, call)) = self.bans.first_key_value() {
+            let message = Message::Ban { executor: executor.clone(), call: *call };
+            if !write_whole(&mut self.pipe, &message)? {
+                return Ok(());
+            }
+            self.bans.pop_first();
+        }
         Ok(())
     }
 }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod bans;
 pub mod metrics;
+pub mod shared_bans;
 
 #[cfg(test)]
 mod tests;
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -1,6 +1,7 @@
 //! Two processes of one dispatcher that share the client port, as during an upgrade: what one of them is told, the other
 //! one has to know.
 
+mod bans;
 mod kills;
 
 use standins::scripted::*;
