Notice within a second that another process of the dispatcher has ended

Cause: only a write noticed the end. Change: the search of the directory, once a second and when all places are taken, asks each pipe whether it still has a reader.

Measured: processes_that_ended_before_they_were_written_to_leave_room_for_later_ones fails without the change.

--- a/src/net/siblings/mod.rs
+++ b/src/net/siblings/mod.rs
@@ -111,9 +111,10 @@
         }
     }
 
-    /// Greets every process in the directory that is not known yet.
+    /// Forgets the processes that have ended, and greets every one in the directory that is not known yet.
     fn scan(&mut self, now: Micros) {
         self.next_scan = now + SCAN_PERIOD;
+        self.forget_ended();
         let instances = match self.directory.instances() {
             Ok(instances) => instances,
             Err(e) => return tracing::debug!(error = %e, "siblings: can't list processes"),
@@ -127,7 +128,13 @@
 
     /// Opens the pipe of a process that is not known yet. Returns whether it was new and could be opened.
     fn meet(&mut self, id: InstanceId) -> bool {
-        if id == self.me || self.others.contains_key(&id) || self.others.len() >= MAX_SIBLINGS {
+        if id == self.me || self.others.contains_key(&id) {
+            return false;
+        }
+        if self.others.len() >= MAX_SIBLINGS {
+            self.forget_ended();
+        }
+        if self.others.len() >= MAX_SIBLINGS {
             return false;
         }
         match self.directory.open_pipe(id) {
@@ -139,7 +146,8 @@
             }
             Ok(None) => false,
             Err(e) => {
-                tracing::warn!(process = %id, error = %e, "siblings: can't open the pipe of another process");
+                // Repeated by each search.
+                tracing::debug!(process = %id, error = %e, "siblings: can't open the pipe of another process");
                 false
             }
         }
@@ -156,12 +164,8 @@
     /// Writes what waits for a process. Returns false if that process has ended.
     fn flush(&mut self, to: InstanceId, now: Micros) -> bool {
         let Some(outbox) = self.others.get_mut(&to) else { return false };
-        if let Err(e) = outbox.flush() {
-            tracing::info!(process = %to, reason = %e, "siblings: another process has ended");
-            self.others.remove(&to);
-            self.directory.remove_pipe(to);
-            let outcomes = self.kills.process_ended(to);
-            self.kill_outcomes.extend(outcomes);
+        if outbox.flush().is_err() {
+            self.forget(to);
             return false;
         }
         if outbox.is_waiting() {
@@ -170,6 +174,21 @@
         true
     }
 
+    fn forget_ended(&mut self) {
+        let ended = self.others.iter().filter(|(_, outbox)| !outbox.has_reader()).map(|(id, _)| *id);
+        let ended: Vec<InstanceId> = ended.collect();
+        ended.into_iter().for_each(|id| self.forget(id));
+    }
+
+    /// Forgets a process that has ended, and answers the calls that wait for it.
+    fn forget(&mut self, id: InstanceId) {
+        tracing::info!(process = %id, "siblings: another process has ended");
+        self.others.remove(&id);
+        self.directory.remove_pipe(id);
+        let outcomes = self.kills.process_ended(id);
+        self.kill_outcomes.extend(outcomes);
+    }
+
     /// Writes what waits for any process.
     fn flush_all(&mut self, now: Micros) {
         let ids: Vec<InstanceId> = self.others.keys().copied().collect();
--- a/src/net/siblings/outbox.rs
+++ b/src/net/siblings/outbox.rs
@@ -2,9 +2,11 @@
 
 use super::message::{self, Message};
 use crate::operator::shared_bans::{BanCall, MAX_CALLS};
+use nix::poll::{PollFd, PollFlags, PollTimeout, poll};
 use std::collections::{BTreeMap, VecDeque};
 use std::fs::File;
 use std::io::{self, Write};
+use std::os::fd::AsFd;
 
 /// Maximum number of messages that wait for room in the pipe of a process that does not read.
 const MAX_WAITING: usize = 1024;
@@ -52,6 +54,14 @@
         !self.waiting.is_empty() || !self.bans.is_empty()
     }
 
+    /// Whether the other process still runs: its pipe has a reader.
+    pub(super) fn has_reader(&self) -> bool {
+        let mut polled = [PollFd::new(self.pipe.as_fd(), PollFlags::empty())];
+        let is_polled = poll(&mut polled, PollTimeout::ZERO).is_ok();
+        let events = polled[0].revents().unwrap_or(PollFlags::empty());
+        !is_polled || !events.intersects(PollFlags::POLLERR)
+    }
+
     /// Writes as many messages as the pipe takes. An error means that the other process has ended.
     pub(super) fn flush(&mut self) -> io::Result<()> {
         while let Some(message) = self.waiting.front() {
--- a/src/net/siblings/tests.rs
+++ b/src/net/siblings/tests.rs
@@ -74,6 +74,23 @@
     assert_eq!((next.others.len(), directory.pipes()), (0, 1));
 }
 
+// New versions that end at once, as in a crash loop, must not fill the places of the processes that are known: a later one
+// would get neither bans nor KILLs.
+#[test]
+fn processes_that_ended_before_they_were_written_to_leave_room_for_later_ones() {
+    let (directory, poll) = (TestDirectory::new("crashes"), Poll::new().unwrap());
+    let mut process = directory.join(1, &poll).unwrap();
+    for id in 2..=2 * MAX_SIBLINGS as u64 {
+        drop(directory.join(id, &poll).unwrap());
+        process.receive();
+    }
+    let later = directory.join(100, &poll).unwrap();
+    process.receive();
+    assert!(process.others.contains_key(&later.me));
+    process.tick(SCAN_PERIOD, &poll);
+    assert_eq!((process.others.len(), directory.pipes()), (1, 2));
+}
+
 // A directory that others may use, or a file in place of a pipe, must not be used.
 #[test]
 fn what_others_may_write_is_not_used() {
