Pass over messages between processes that a later version has added

A message of a kind that this version does not know could not be told from bytes that are no message, so that all that had been read with it was discarded: a KILL or a ban beside it was lost. Framing::split finds a frame without decoding its body.

Measured: bytes_that_are_no_message_are_discarded, with such a frame before a known message, fails without the change.

--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -90,12 +90,8 @@
         bytes
     }
 
-    /// Decodes the first frame of `bytes`: its length and message, or `None` if it is incomplete.
-    pub fn decode<M: DeserializeOwned>(
-        self,
-        bytes: &[u8],
-        max_len: usize,
-    ) -> Result<Option<(usize, M)>, FrameError> {
+    /// Finds the first frame of `bytes`: its length and body, or `None` if it is incomplete.
+    pub fn split(self, bytes: &[u8], max_len: usize) -> Result<Option<(usize, &[u8])>, FrameError> {
         let Some(head) = bytes.first_chunk::<HEADER_LEN>() else { return Ok(None) };
         let number = |at: usize| u32::from_le_bytes([head[at], head[at + 1], head[at + 2], head[at + 3]]);
         if number(0) ^ self.check != number(4) {
@@ -105,9 +101,18 @@
         if length > max_len {
             return Err(FrameError::TooLong(length));
         }
-        let Some(body) = bytes.get(HEADER_LEN..HEADER_LEN + length) else { return Ok(None) };
+        Ok(bytes.get(HEADER_LEN..HEADER_LEN + length).map(|body| (HEADER_LEN + length, body)))
+    }
+
+    /// Decodes the first frame of `bytes`: its length and message, or `None` if it is incomplete.
+    pub fn decode<M: DeserializeOwned>(
+        self,
+        bytes: &[u8],
+        max_len: usize,
+    ) -> Result<Option<(usize, M)>, FrameError> {
+        let Some((length, body)) = self.split(bytes, max_len)? else { return Ok(None) };
         match postcard::take_from_bytes(body) {
-            Ok((message, [])) => Ok(Some((HEADER_LEN + length, message))),
+            Ok((message, [])) => Ok(Some((length, message))),
             _ => Err(FrameError::Malformed),
         }
     }
--- a/src/net/siblings/inbox.rs
+++ b/src/net/siblings/inbox.rs
@@ -45,7 +45,7 @@
             match message::decode(&self.bytes[decoded..]) {
                 Ok(Some((length, message))) => {
                     decoded += length;
-                    messages.push(message);
+                    messages.extend(message);
                 }
                 Ok(None) => break,
                 Err(e) => {
--- a/src/net/siblings/message.rs
+++ b/src/net/siblings/message.rs
@@ -21,7 +21,7 @@
     }
 }
 
-/// A message to another process of this dispatcher.
+/// A message to another process of this dispatcher, perhaps of another version: variants are only added, at the end.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(in crate::net) enum Message {
     /// The first message of a process to another one, which answers with everything it shares.
@@ -62,7 +62,10 @@
     (bytes.len() <= MAX_MESSAGE_BYTES).then_some(bytes)
 }
 
-/// Decodes the first message of `bytes`: its length and the message, or `None` if it is incomplete.
-pub(super) fn decode(bytes: &[u8]) -> Result<Option<(usize, Message)>, FrameError> {
-    SIBLING_FRAMING.decode(bytes, MAX_MESSAGE_BYTES)
+/// Decodes the first message of `bytes`: its length and the message, or `None` if it is incomplete. A message that this
+/// version does not know has a length alone.
+pub(super) fn decode(bytes: &[u8]) -> Result<Option<(usize, Option<Message>)>, FrameError> {
+    let Some((length, _)) = SIBLING_FRAMING.split(bytes, MAX_MESSAGE_BYTES)? else { return Ok(None) };
+    let message = SIBLING_FRAMING.decode(bytes, MAX_MESSAGE_BYTES).ok().flatten();
+    Ok(Some((length, message.map(|(_, message)| message))))
 }
--- a/src/net/siblings/tests.rs
+++ b/src/net/siblings/tests.rs
@@ -118,6 +118,8 @@
     process.receive();
     assert_eq!(process.received.pop_front(), None);
     let message = Message::KillResult { from: InstanceId(2), token: 1, found: true };
+    // A frame of a later version, whose kind of message is not known here, is passed over.
+    pipe.write_all(&fleet::wire::Framing { check: 0x7369_626c }.encode(&(200u8, 1u64))).unwrap();
     let bytes = message::encode(&message).unwrap();
     pipe.write_all(&bytes[..5]).unwrap();
     process.receive();
