--- a/src/net/siblings/tests.rs
+++ b/src/net/siblings/tests.rs
@@ -81,8 +81,9 @@
     let (directory, poll) = (TestDirectory::new("crashes"), Poll::new().unwrap());
     let mut process = directory.join(1, &poll).unwrap();
     for id in 2..=2 * MAX_SIBLINGS as u64 {
-        drop(directory.join(id, &poll).unwrap());
+        let ended = directory.join(id, &poll).unwrap();
         process.receive();
+        drop(ended);
     }
     let later = directory.join(100, &poll).unwrap();
     process.receive();
