Read a connection before a KILL that another process passes on for it

Found while asking what a process that stood still reads first: its pipe may be readable before the client's connection, as an earlier message waited in it. The KILL then found nothing open, was answered as done, and the request that had been sent before it began.

Change: what the client has sent is read before its request is killed.

--- a/src/net/siblings/kills.rs
+++ b/src/net/siblings/kills.rs
@@ -42,8 +42,12 @@
         siblings.forward_kill(from, connection, now)
     }
 
-    /// Carries out a KILL that a client sent to another process.
+    /// Carries out a KILL that a client sent to another process. What the client sent before it is read first: after a
+    /// standstill the request and its KILL are here at the same time.
     pub(super) fn kill_for_sibling(&mut self, from: InstanceId, token: u64, connection: u32, now: Micros) {
+        if let Some(client) = self.sessions.by_id.get(&connection).copied() {
+            self.read_client(client, now);
+        }
         let found = self.kill_connection(connection, now);
         tracing::debug!(process = %from, connection, found, "siblings: KILL from another process");
         if let Some(siblings) = &mut self.siblings {
--- a/tests/upgrade/kills.rs
+++ b/tests/upgrade/kills.rs
@@ -91,3 +91,29 @@
     drop(old);
     unknown(other_id);
 }
+
+// After a standstill the old process may read the KILL before the request that it is for: the pipe was readable first, as
+// an earlier message waited in it. The KILL found nothing open, and the request began.
+#[test]
+fn a_kill_is_not_read_before_the_request_that_it_is_for() {
+    let deployment = Deployment::new(1);
+    let old = deployment.first();
+    let mut client = Client::asks(old.dispatcher.address, "COMMIT");
+    assert_eq!(client.got(), Got::Ok);
+    // A client that has written a part of its request is not closed by LEAVE.
+    let request = query(&load(1));
+    let (begin, rest) = request.split_at(9);
+    client.stream.write_all(begin).unwrap();
+    let _new = deployment.beside(&old);
+    let kill = |id: u32| {
+        let mut killer = Client::asks(old.dispatcher.address, &format!("KILL QUERY {id}"));
+        assert!(matches!(killer.got(), Got::Error(1094, _)), "the other process stands still");
+    };
+    assert_eq!(old.call("LEAVE"), "+OK leaving\n");
+    old.dispatcher.stands_still();
+    kill(0);
+    client.stream.write_all(rest).unwrap();
+    kill(client.id);
+    old.dispatcher.goes_on();
+    assert!(matches!(client.got(), Got::Error(1317, _)), "the killed request is interrupted");
+}
