Take the old process's list over while a new one has no coordinator

Cause: a new process that starts while the coordinator is down knows the list of the unchanged configuration alone, and sent new work to executors that the old one had been told drain or are gone. The two count as one dispatcher for the rule on drains.

Change: while its coordinator has sent nothing since its start, a process asks the others for their list once a second, and takes one over that is newer, if both started from the same events. From the first line of its own coordinator on that alone counts.

--- a/src/codec/coordinator.rs
+++ b/src/codec/coordinator.rs
@@ -1,12 +1,13 @@
 //! The coordinator's feed, sans-I/O: numbered events that change the list of executors, one JSON object per
 //! line, and every second a line with only the last event number.
 
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// The state of an executor in the list.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
 pub enum State {
     /// Accepts requests.
@@ -18,7 +19,7 @@
 }
 
 /// An executor as listed by the coordinator.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Target {
     /// The executor's unique id; a replacement machine gets a new one.
     pub uid: String,
@@ -48,7 +49,7 @@
 }
 
 /// The whole list or a change to it.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Endpoints {
     /// Whether this is the whole list, so that executors not named are removed.
     #[serde(default)]
@@ -59,7 +60,7 @@
 }
 
 /// A numbered event; one without endpoints changes nothing here.
-#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Update {
     /// Its number, from 1.
     pub index: u64,
@@ -69,7 +70,7 @@
 }
 
 /// The events known at start.
-#[derive(Debug, Clone, Default, PartialEq, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Known {
     /// The last number.
     pub index: u64,
@@ -78,7 +79,18 @@
     pub updates: Vec<Update>,
 }
 
+/// Identifies the events known at start.
+pub type KnownDigest = [u8; 16];
+
 impl Known {
+    /// The same for processes that start from the same events.
+    pub fn digest(&self) -> KnownDigest {
+        let mut digest = KnownDigest::default();
+        let hash = Sha256::digest(serde_json::to_vec(self).unwrap_or_default());
+        digest.iter_mut().zip(hash).for_each(|(to, byte)| *to = byte);
+        digest
+    }
+
     /// The list that results from the events.
     pub fn targets(&self) -> Vec<Target> {
         // Keyed by uid with the position of the last mention, as thousands of entries can be spread over many events.
--- a/src/net/coordinator_watch.rs
+++ b/src/net/coordinator_watch.rs
@@ -1,12 +1,13 @@
 //! Watches the coordinator's endpoint list on one connection, and reconnects when it is lost.
 
 mod connection;
+mod lines;
 
 use super::event_loop::event_source::EventSource;
 use super::event_loop::poll::{Key, Poll};
 use super::sockets::dial;
 use crate::api::Micros;
-use crate::codec::coordinator::{self, Line, Update};
+use crate::codec::coordinator::{self, Update};
 use connection::{Watch, WatchError};
 use std::io::{self, Write};
 use std::net::SocketAddr;
@@ -40,6 +41,8 @@
     /// The event applied before one that can't be parsed. An event that can't be parsed a second time is skipped, as no
     /// later event would ever be received otherwise.
     unreadable_after: Option<u64>,
+    /// Whether a complete line was received on any connection.
+    received_line: bool,
     watch: Option<Watch>,
     /// The connection to the previous coordinator, read until the new one has sent a line.
     previous: Option<Watch>,
@@ -60,6 +63,7 @@
             address,
             applied,
             unreadable_after: None,
+            received_line: false,
             watch: None,
             previous: None,
             retry_at: 0,
@@ -69,6 +73,16 @@
         }
     }
 
+    /// Whether the coordinator has sent anything since the start.
+    pub fn has_received_line(&self) -> bool {
+        self.received_line
+    }
+
+    /// The number of the last event that was applied.
+    pub fn last_event(&self) -> u64 {
+        self.applied
+    }
+
     /// Moves to a coordinator at another address; its event indices continue after the last one applied. Events of the
     /// previous one are applied until the new one has sent a line: otherwise a drain that only the old one announces would
     /// be missed while the new one is not reachable yet.
@@ -140,6 +154,7 @@
             watch.searched = start;
             watch.last_line_at = now;
             watch.received_line = true;
+            self.received_line = true;
             match line {
                 Ok(line) => self.apply(line, updates)?,
                 Err(error) => return Err(self.unreadable(error)),
@@ -166,37 +181,6 @@
         Ok(true)
     }
 
-    /// Handles a line that can't be parsed: it is requested again, and skipped the second time.
-    fn unreadable(&mut self, error: String) -> WatchError {
-        self.bad_lines += 1;
-        if self.unreadable_after.replace(self.applied) == Some(self.applied) {
-            let event = self.applied + 1;
-            tracing::error!(event, %error, "feed: skipping an event that can't be parsed");
-            self.applied = event;
-            self.unreadable_after = None;
-        }
-        WatchError::BadLine(error)
-    }
-
-    /// Applies a line: a new event is an update, one that was applied before is ignored.
-    fn apply(&mut self, line: Line, updates: &mut Vec<Update>) -> Result<(), WatchError> {
-        let applied = self.applied;
-        match line {
-            Line::Last(last) if last > applied => Err(WatchError::Behind { last, applied }),
-            Line::Last(_) => Ok(()),
-            Line::Update(update) if update.index <= applied => Ok(()),
-            Line::Update(update) if update.index > applied + 1 => {
-                Err(WatchError::Gap { index: update.index, applied })
-            }
-            Line::Update(update) => {
-                self.applied = update.index;
-                self.unreadable_after = None;
-                updates.push(update);
-                Ok(())
-            }
-        }
-    }
-
     /// Drops the connection. The next attempt follows at once if this one received a line, else after a backoff.
     fn lose(&mut self, now: Micros, poll: &Poll, error: &WatchError) {
         let worked = self.watch.take().is_some_and(|watch| {
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -16,7 +16,7 @@
 use super::fleet_policy::FleetPolicy;
 use super::in_flight::{Classes, InFlight};
 use super::shutdown::{Shutdown, ShutdownDeadlines};
-use super::siblings::Siblings;
+use super::siblings::{Siblings, StartList};
 use super::signals::Signals;
 use super::sockets::buffers::Pool;
 use super::sockets::descriptors::DescriptorShares;
@@ -84,7 +84,8 @@
         let bans = SharedBans::new(bans_file.load());
 
         let now = clock.now();
-        let siblings = start_siblings(&config.name, listener.address(), seed ^ now, now, &poll);
+        let start_list = StartList { digest: config.known.digest(), last_event: config.known.index };
+        let siblings = start_siblings(&config.name, listener.address(), seed ^ now, start_list, now, &poll);
         let in_flight = start_in_flight(options.peers.as_ref(), classes, seed, now, &poll)?;
         if in_flight.is_some() {
             dispatch.report_abandoned();
@@ -212,12 +213,14 @@
     name: &str,
     address: SocketAddr,
     first_id: u64,
+    start_list: StartList,
     now: Micros,
     poll: &Poll,
 ) -> Option<Siblings> {
     let directory = temporary_files::path(&std::env::temp_dir(), name, "processes");
     let started = Siblings::start(directory.clone(), address, first_id, now, poll);
     started
+        .map(|siblings| siblings.starting_from(start_list))
         .inspect_err(|e| {
             let directory = directory.display();
             tracing::warn!(%directory, error = %e, "siblings: other processes of this dispatcher are not known");
--- a/src/net/siblings/message.rs
+++ b/src/net/siblings/message.rs
@@ -1,5 +1,6 @@
 //! Messages between the processes of one dispatcher, and their encoding.
 
+use crate::codec::coordinator::{KnownDigest, Target};
 use crate::operator::shared_bans::BanCall;
 use fleet::wire::{FrameError, Framing};
 use serde::{Deserialize, Serialize};
@@ -22,7 +23,7 @@
 }
 
 /// A message to another process of this dispatcher, perhaps of another version: variants are only added, at the end.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub(in crate::net) enum Message {
     /// The first message of a process to another one, which answers with everything it shares.
     Hello {
@@ -54,6 +55,31 @@
         /// The call.
         call: BanCall,
     },
+    /// Asks for the coordinator's list, as the sender's coordinator has sent nothing yet.
+    ListRequest {
+        /// The sender.
+        from: InstanceId,
+        /// The list that the sender started from: event numbers can be compared only if the receiver's is the same.
+        started_from: KnownDigest,
+        /// The last event that the sender knows.
+        last_event: u64,
+    },
+    /// Begins a list, whose entries follow.
+    List {
+        /// The sender.
+        from: InstanceId,
+        /// The last event in it.
+        last_event: u64,
+        /// Number of entries.
+        executors: u32,
+    },
+    /// An entry of a list. Start times are on the sender's clock.
+    ListEntry {
+        /// The sender.
+        from: InstanceId,
+        /// The entry.
+        target: Target,
+    },
 }
 
 /// Encodes a message; `None` if it is too long to be sent.
--- a/src/net/siblings/mod.rs
+++ b/src/net/siblings/mod.rs
@@ -9,9 +9,11 @@
 //! - `processing`: what is done with a message.
 //! - `pending_kills`, `kills`: KILL QUERY for a connection of another process.
 //! - `bans`: bans set or lifted at another process.
+//! - `endpoint_list`: the list of another process while the coordinator sends nothing.
 
 mod bans;
 mod directory;
+mod endpoint_list;
 mod inbox;
 mod kills;
 mod message;
@@ -23,6 +25,8 @@
 use crate::net::event_loop::event_source::EventSource;
 use crate::net::event_loop::poll::{Key, Poll};
 use directory::Directory;
+use endpoint_list::PartialList;
+pub(in crate::net) use endpoint_list::StartList;
 use inbox::Inbox;
 use message::{InstanceId, Message};
 use outbox::Outbox;
@@ -56,6 +60,10 @@
     own_ban_at: Option<Micros>,
     /// Received messages that are not processed yet.
     received: VecDeque<Message>,
+    /// The list that this process started from.
+    start_list: StartList,
+    /// Lists that are being received.
+    lists: BTreeMap<InstanceId, PartialList>,
     kills: PendingKills,
     /// Outcomes of calls that are not passed on yet.
     kill_outcomes: Vec<KillOutcome>,
@@ -85,6 +93,8 @@
             bans_file_outdated: false,
             own_ban_at: None,
             received: VecDeque::new(),
+            start_list: StartList::default(),
+            lists: BTreeMap::new(),
             kills: PendingKills::default(),
             kill_outcomes: Vec::new(),
             next_scan: now,
@@ -94,6 +104,11 @@
         Ok(siblings)
     }
 
+    /// Sets the list that this process starts from.
+    pub(in crate::net) fn starting_from(self, start_list: StartList) -> Siblings {
+        Siblings { start_list, ..self }
+    }
+
     /// Removes the pipe of this process, which is about to end.
     pub(in crate::net) fn leave(&self) {
         self.directory.remove_pipe(self.me);
@@ -187,6 +202,7 @@
     fn forget(&mut self, id: InstanceId) {
         tracing::info!(process = %id, "siblings: another process has ended");
         self.others.remove(&id);
+        self.lists.remove(&id);
         self.directory.remove_pipe(id);
         self.bans_file_outdated = true;
         let outcomes = self.kills.process_ended(id);
--- a/src/net/siblings/outbox.rs
+++ b/src/net/siblings/outbox.rs
@@ -17,12 +17,14 @@
     waiting: VecDeque<Message>,
     /// Bans that are not sent yet: the latest call for each executor.
     bans: BTreeMap<String, BanCall>,
+    /// Messages of the list that are not sent yet.
+    list: VecDeque<Message>,
 }
 
 impl Outbox {
     /// An outbox that writes to `pipe`, which must not block.
     pub(super) fn new(pipe: File) -> Outbox {
-        Outbox { pipe, waiting: VecDeque::new(), bans: BTreeMap::new() }
+        Outbox { pipe, waiting: VecDeque::new(), bans: BTreeMap::new(), list: VecDeque::new() }
     }
 
     /// Queues a message; returns false and drops it if too many wait already.
@@ -49,9 +51,14 @@
         self.bans = calls.map(|(executor, call)| (executor.to_string(), call)).collect();
     }
 
+    /// Queues the messages of a list in place of those that wait.
+    pub(super) fn replace_list(&mut self, messages: VecDeque<Message>) {
+        self.list = messages;
+    }
+
     /// Whether messages wait for room in the pipe.
     pub(super) fn is_waiting(&self) -> bool {
-        !self.waiting.is_empty() || !self.bans.is_empty()
+        !self.waiting.is_empty() || !self.bans.is_empty() || !self.list.is_empty()
     }
 
     /// Whether the other process still runs: its pipe has a reader.
@@ -77,6 +84,12 @@
             }
             self.bans.pop_first();
         }
+        while let Some(message) = self.list.front() {
+            if !write_whole(&mut self.pipe, message)? {
+                return Ok(());
+            }
+            self.list.pop_front();
+        }
         Ok(())
     }
 }
--- a/src/net/siblings/processing.rs
+++ b/src/net/siblings/processing.rs
@@ -1,5 +1,6 @@
 //! Processing of what the other processes of this dispatcher send.
 
+use super::StartList;
 use super::message::Message;
 use crate::api::Micros;
 use crate::net::DispatcherServer;
@@ -16,8 +17,11 @@
 
     /// Carries out what is due between the processes.
     pub(in crate::net) fn tick_siblings(&mut self, now: Micros) {
-        if let Some(siblings) = &mut self.siblings {
-            siblings.tick(now, &self.poll);
+        let Some(siblings) = &mut self.siblings else { return };
+        let is_scan_due = siblings.next_scan <= now;
+        siblings.tick(now, &self.poll);
+        if is_scan_due {
+            self.request_missing_list(now);
         }
         self.process_siblings(now);
     }
@@ -41,6 +45,15 @@
                     siblings.kill_answered(token, from, found);
                 }
             }
+            Message::ListRequest { from, started_from: digest, last_event } => {
+                self.send_list_to_sibling(from, StartList { digest, last_event }, now);
+            }
+            Message::List { from, last_event, executors } => {
+                if let Some(siblings) = &mut self.siblings {
+                    siblings.list_begins(from, last_event, executors);
+                }
+            }
+            Message::ListEntry { from, target } => self.receive_list_entry(from, target, now),
             Message::Ban { executor, call } => self.merge_ban(&executor, call, now),
         }
     }
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -3,6 +3,7 @@
 
 mod bans;
 mod kills;
+mod lists;
 
 use standins::scripted::*;
 use std::io::{BufReader, Read, Write};
@@ -19,7 +20,12 @@
 impl Process {
     /// Starts a process, which has met the others of its dispatcher once this returns.
     fn start(config: &str) -> Process {
-        let mut dispatcher = launch().serving(config);
+        Process::start_with(&launch(), config)
+    }
+
+    /// The same, started in another way.
+    fn start_with(launch: &Launch, config: &str) -> Process {
+        let mut dispatcher = launch.serving(config);
         let line = dispatcher.logs("operators' address ");
         let address = line.split("operators' address ").nth(1).unwrap();
         Process { operators: address.trim().parse().unwrap(), dispatcher }
