Share the operators' calls of the tests that start a dispatcher

tests/operators and tests/upgrade had a copy each of what standins::asks::call does, and three places read the operators' address from the log in the same words: Dispatcher::operators_address.

--- a/crates/standins/src/scripted/launch.rs
+++ b/crates/standins/src/scripted/launch.rs
@@ -55,6 +55,13 @@
         status.is_some_and(|s| s.success())
     }
 
+    /// Its operators' address, which it logs once after its start.
+    pub fn operators_address(&mut self) -> SocketAddr {
+        let line = self.logs("operators' address ");
+        let (_, address) = line.split_once("operators' address ").unwrap();
+        address.trim().parse().unwrap()
+    }
+
     /// Takes its log, from where it was read to.
     pub fn take_log(&mut self) -> Option<BufReader<std::process::ChildStderr>> {
         self.log.take()
--- a/tests/operators.rs
+++ b/tests/operators.rs
@@ -1,5 +1,6 @@
 //! The operators' address on loopback: one test per use case.
 
+use standins::asks::call;
 use standins::scripted::*;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -27,19 +28,8 @@
 /// Starts a dispatcher; returns it with its operators' address.
 fn serving(config: &str) -> (Dispatcher, SocketAddr) {
     let mut d = launch().serving(config);
-    let line = d.logs("operators' address ");
-    let after = line.split("operators' address ").nth(1).unwrap();
-    (d, after.trim().parse().unwrap())
-}
-
-/// Sends one call; returns everything received until the connection is closed.
-fn call(at: SocketAddr, line: &str) -> String {
-    let mut stream = TcpStream::connect(at).unwrap();
-    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-    stream.write_all(format!("{line}\n").as_bytes()).unwrap();
-    let mut answer = String::new();
-    let _ = BufReader::new(stream).read_to_string(&mut answer);
-    answer
+    let operators = d.operators_address();
+    (d, operators)
 }
 
 // During an upgrade the platform starts a second process on the same client port: it must share the port with the
--- a/tests/policy/main.rs
+++ b/tests/policy/main.rs
@@ -236,7 +236,6 @@
     thread::sleep(Duration::from_millis(1_500));
     assert_eq!(fleet.ask(0).got, Some(Answer::Rows));
     let (mut d, _coordinator) = alone();
-    let line = d.logs("operators' address ");
-    let at = line.split("operators' address ").nth(1).unwrap().trim().parse().unwrap();
+    let at = d.operators_address();
     lines.iter().for_each(|l| assert_eq!(call(at, l), unknown, "{l}"));
 }
--- a/tests/upgrade/main.rs
+++ b/tests/upgrade/main.rs
@@ -6,10 +6,9 @@
 mod lists;
 
 use standins::scripted::*;
-use std::io::{BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::Duration;
 
 /// A process of a dispatcher, and its operators' address.
 struct Process {
@@ -26,19 +25,12 @@
     /// The same, started in another way.
     fn start_with(launch: &Launch, config: &str) -> Process {
         let mut dispatcher = launch.serving(config);
-        let line = dispatcher.logs("operators' address ");
-        let address = line.split("operators' address ").nth(1).unwrap();
-        Process { operators: address.trim().parse().unwrap(), dispatcher }
+        Process { operators: dispatcher.operators_address(), dispatcher }
     }
 
     /// Sends a call of an operator; returns everything received until the connection is closed.
     fn call(&self, line: &str) -> String {
-        let mut stream = TcpStream::connect(self.operators).unwrap();
-        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
-        stream.write_all(format!("{line}\n").as_bytes()).unwrap();
-        let mut answer = String::new();
-        let _ = BufReader::new(stream).read_to_string(&mut answer);
-        answer
+        standins::asks::call(self.operators, line)
     }
 }
 
