Draw the first connection id so that two processes count in ranges far apart

Cause, by reading: the processes of an upgrade have the same seed, and the first id was the seed xor the clock, so that their ids lay as close as the starts in microseconds, or closer. A KILL meant for a connection of one could reach one of the other.

Change: the seed and the clock go through a random number generator.

Measured: processes_that_start_shortly_after_each_other_count_in_other_ranges: in 6 of 1,000 drawn upgrades the next 100,000 ids of both overlapped, now in none. Not seen at a caller.

--- a/src/net/clients/session/mod.rs
+++ b/src/net/clients/session/mod.rs
@@ -22,7 +22,7 @@
 use crate::net::executors::connection::Job;
 use crate::net::sockets::buffers::{Pool, ReadBuffer, WriteBuffer};
 use crate::settings::Names;
-pub use sessions::Sessions;
+pub use sessions::{Sessions, first_connection_id};
 use statements::{Interpretation, interpret};
 use std::io;
 use std::net::TcpStream;
--- a/src/net/clients/session/sessions.rs
+++ b/src/net/clients/session/sessions.rs
@@ -1,9 +1,19 @@
 //! All client connections.
 
 use super::Session;
+use crate::api::Micros;
 use crate::net::event_loop::poll::Key;
+use rand_core::RngCore;
+use rand_pcg::Pcg32;
 use std::collections::BTreeMap;
 
+/// The connection id at which a process that starts at `now` begins to count: a pseudorandom value, so that a KILL meant
+/// for another dispatcher or another process of this one, which has the same seed and started shortly before, matches
+/// no connection here.
+pub fn first_connection_id(seed: u64, now: Micros) -> u32 {
+    Pcg32::new(seed ^ now, seed).next_u32()
+}
+
 /// Client connections, by poller key and by connection id.
 pub struct Sessions {
     /// Sessions by poller key.
--- a/src/net/clients/session/tests.rs
+++ b/src/net/clients/session/tests.rs
@@ -105,3 +105,18 @@
     }
     assert!(s.tick(now + TIMEOUT - 1) && !s.tick(now + TIMEOUT));
 }
+
+// Two processes of an upgrade have the same seed, and their clocks differ in a few low bits: the ranges in which they count
+// overlapped in 6 of 1,000 drawn upgrades, and a KILL could reach the wrong one of two connections.
+#[test]
+fn processes_that_start_shortly_after_each_other_count_in_other_ranges() {
+    const CONNECTIONS: u32 = 100_000;
+    let (seed, started) = (0x8c1f_30d2_7a5b_e964, 1_796_365_524_000_000);
+    let first = first_connection_id(seed, started);
+    let is_close = |later: u64| {
+        let distance = first_connection_id(seed, started + later).wrapping_sub(first);
+        distance < CONNECTIONS || distance > CONNECTIONS.wrapping_neg()
+    };
+    let close = (1..=1_000).filter(|n| is_close(n * 10_007)).count();
+    assert_eq!(close, 0, "of 1000 starts within ten seconds");
+}
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -5,7 +5,7 @@
 use super::clients::ClientCounters;
 use super::clients::listener::ClientListener;
 use super::clients::request_intake::Requests;
-use super::clients::session::Sessions;
+use super::clients::session::{Sessions, first_connection_id};
 use super::control_plane::ControlLink;
 use super::coordinator_watch::CoordinatorWatch;
 use super::endpoint_lists::EndpointLists;
@@ -94,9 +94,6 @@
         let me = in_flight.as_ref().map_or(0, InFlight::me);
         let fleet_policy =
             agreed.map(|(terms, backoff_ms)| FleetPolicy::new(terms, me, backoff_ms, base_settings));
-        // Connection ids start at a pseudorandom value, so that a KILL meant for another incarnation or
-        // dispatcher does not match a connection here.
-        let first_connection_id = (seed ^ (seed >> 32) ^ now) as u32;
         let mut server = DispatcherServer {
             poll,
             poll_times: PollTimes::new(now),
@@ -104,7 +101,7 @@
             names,
             dispatch,
             listener,
-            sessions: Sessions::new(first_connection_id),
+            sessions: Sessions::new(first_connection_id(seed, now)),
             client_counters: ClientCounters::default(),
             requests: Requests::default(),
             executors: Executors::new(transport, descriptors.executors, seed, &pool, clock.clone()),
