Write the hand-over file of bans without waiting for the disk

Change: the file has to outlive the process, not the machine: no sync. Lists and acceptances are synced as before.

Measured: a_write_does_not_wait_for_the_disk fails without the change.

--- a/src/cli/lists.rs
+++ b/src/cli/lists.rs
@@ -162,7 +162,7 @@
         Ok(text) => {
             // Replaces the target of a symbolic link rather than the link.
             let real = std::fs::canonicalize(file).map_err(named)?;
-            storage::write_atomically(&real, text.as_bytes()).map_err(named)?;
+            storage::write_atomically(&real, text.as_bytes(), storage::Durability::Machine).map_err(named)?;
             let (list, _) = ListFile::parse(&name, &name, &text);
             let digest = list.map(|l| l.digest.to_string()).unwrap_or_default();
             writeln!(out, "{name}: sealed, {digest}")?;
--- a/src/membership/storage.rs
+++ b/src/membership/storage.rs
@@ -28,18 +28,37 @@
     executors: Vec<Executor>,
 }
 
-/// Replaces a file atomically: writes and syncs a temporary file next to it, renames it, and syncs the directory.
-pub fn write_atomically(path: &Path, bytes: &[u8]) -> io::Result<()> {
+/// What a file has to outlive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Durability {
+    /// The process that writes it. The write does not wait for the disk.
+    Process,
+    /// The machine: the file and its directory are synced, which may take seconds on a busy disk.
+    Machine,
+}
+
+/// Replaces a file atomically: writes a temporary file next to it and renames it.
+pub fn write_atomically(path: &Path, bytes: &[u8], durability: Durability) -> io::Result<()> {
     let directory = path.parent().filter(|p| !p.as_os_str().is_empty()).unwrap_or(Path::new("."));
     let name = path.file_name().ok_or_else(|| io::Error::other("no file name"))?;
     let temporary = directory.join(format!(".{}.{}.new", name.to_string_lossy(), std::process::id()));
-    let written = File::create(&temporary).and_then(|mut f| f.write_all(bytes).and_then(|()| f.sync_all()));
+    let written = File::create(&temporary)
+        .and_then(|mut file| file.write_all(bytes).and_then(|()| sync(&file, durability)));
     let renamed = written.and_then(|()| fs::rename(&temporary, path));
     if renamed.is_err() {
         // The temporary file is of no use; the error to report is that of the write, not of the removal.
         let _ = fs::remove_file(&temporary);
     }
-    renamed.and_then(|()| File::open(directory)?.sync_all())
+    renamed.and_then(|()| sync(&File::open(directory)?, durability))
+}
+
+fn sync(file: &File, durability: Durability) -> io::Result<()> {
+    if durability == Durability::Process {
+        return Ok(());
+    }
+    #[cfg(test)]
+    tests::count_sync();
+    file.sync_all()
 }
 
 /// Path of the last good list of a source.
@@ -57,7 +76,7 @@
     let stored = StoredList { digest: list.digest.to_string(), files: list.files.iter().map(file).collect() };
     let body = serde_json::to_string(&stored)?;
     let sum = Digest::of(body.as_bytes());
-    write_atomically(path, format!("{FORMAT} {sum}\n{body}\n").as_bytes())
+    write_atomically(path, format!("{FORMAT} {sum}\n{body}\n").as_bytes(), Durability::Machine)
 }
 
 /// Loads a saved list; the error says what is wrong with the file.
@@ -127,8 +146,8 @@
     all.insert(0, Acceptance { digest: digest.into(), at });
     all.truncate(MAX_ACCEPTANCES);
     let lines: Result<Vec<String>, _> = all.iter().rev().map(serde_json::to_string).collect();
-    write_atomically(path, format!("{}\n", lines?.join("\n")).as_bytes())
+    write_atomically(path, format!("{}\n", lines?.join("\n")).as_bytes(), Durability::Machine)
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/src/membership/storage/tests.rs
+++ b/src/membership/storage/tests.rs
@@ -1,5 +1,20 @@
 use super::super::list::tests::TWO_EXECUTORS;
 use super::*;
+use std::cell::Cell;
+
+thread_local! {
+    static SYNCS: Cell<u32> = const { Cell::new(0) };
+}
+
+/// Counts a sync of a file or directory on this thread.
+pub(super) fn count_sync() {
+    SYNCS.set(SYNCS.get() + 1);
+}
+
+/// Number of syncs on this thread.
+pub(crate) fn syncs() -> u32 {
+    SYNCS.get()
+}
 
 // A copy with a changed or missing byte must not be used at the next start.
 #[test]
--- a/src/membership/watcher/tests.rs
+++ b/src/membership/watcher/tests.rs
@@ -65,8 +65,12 @@
         panic!("no report");
     };
     assert!(matches!(report(), ListReport::Unreadable(why) if why.contains("No such file")));
-    storage::write_atomically(&at.path, renew_seal("f", TWO_EXECUTORS, false, false).unwrap().as_bytes())
-        .unwrap();
+    storage::write_atomically(
+        &at.path,
+        renew_seal("f", TWO_EXECUTORS, false, false).unwrap().as_bytes(),
+        storage::Durability::Machine,
+    )
+    .unwrap();
     assert!(matches!(report(), ListReport::List(_)));
     storage::add_acceptance(&at.accept, &"0".repeat(16), 1).unwrap();
     assert!(matches!(report(), ListReport::Accepted(all) if all.len() == 1));
--- a/src/net/admin/bans_file.rs
+++ b/src/net/admin/bans_file.rs
@@ -1,6 +1,6 @@
 //! The hand-over file, through which the next process receives the bans.
 
-use crate::membership::storage;
+use crate::membership::storage::{self, Durability};
 use crate::net::temporary_files;
 use crate::operator::bans::Bans;
 use std::io;
@@ -47,9 +47,11 @@
         }
     }
 
-    /// Writes the bans for the next process, atomically and synced to disk.
+    /// Writes the bans for the next process, atomically. The event loop does not wait for the disk: the file has to outlive
+    /// this process, not the machine.
     pub(in crate::net) fn save(&mut self, bans: &Bans) {
-        let written = storage::write_atomically(&self.path, bans.encode(&self.name).as_bytes());
+        let written =
+            storage::write_atomically(&self.path, bans.encode(&self.name).as_bytes(), Durability::Process);
         match &written {
             Err(e) if !self.unsaved => {
                 let file = self.path.display();
--- a/src/net/admin/bans_file/tests.rs
+++ b/src/net/admin/bans_file/tests.rs
@@ -51,3 +51,20 @@
     }
     std::fs::remove_dir_all(&directory).unwrap();
 }
+
+// A sync took 2.4 s on a disk that was busy with other files, in which the event loop answered nobody and the other process
+// of an upgrade learned nothing. The file has to outlive the process alone.
+#[test]
+fn a_write_does_not_wait_for_the_disk() {
+    let directory = unused_path("sync");
+    std::fs::create_dir(&directory).unwrap();
+    let path = directory.join("synced");
+    storage::write_atomically(&path, b"synced", Durability::Machine).unwrap();
+    let before = storage::tests::syncs();
+    assert!(before > 0, "syncs are counted");
+    let mut file = BansFile::new(&directory, "n1");
+    file.save(&banned("e1"));
+    assert_eq!(file.load(), banned("e1"));
+    assert_eq!(storage::tests::syncs(), before);
+    std::fs::remove_dir_all(&directory).unwrap();
+}
