Change nothing in the directory of pipes from the event loop, and write bans once

Change: a process creates its pipe, and removes those of processes that have ended, before it accepts clients.

--- a/src/net/clients/listener.rs
+++ b/src/net/clients/listener.rs
@@ -31,9 +31,13 @@
 }
 
 impl ClientListener {
-    /// Listens on an address, which may be shared with another dispatcher process.
-    pub(in crate::net) fn bind(address: SocketAddr, poll: &Poll, now: Micros) -> io::Result<ClientListener> {
-        let listener = listen::bind_shared(address)?;
+    /// Listens on an address, which may be shared with another process of this dispatcher.
+    pub(in crate::net) fn listen(
+        reserved: listen::Reserved,
+        poll: &Poll,
+        now: Micros,
+    ) -> io::Result<ClientListener> {
+        let listener = reserved.listen()?;
         let key = poll.add(&listener, false)?;
         let address = listener.local_addr()?;
         // Connections may have arrived since the bind, which happened before `now`.
--- a/src/net/event_loop/mod.rs
+++ b/src/net/event_loop/mod.rs
@@ -49,9 +49,6 @@
         }
         self.leave_fleet(self.clock.last());
         self.leave_control(self.clock.last());
-        if let Some(siblings) = &self.siblings {
-            siblings.leave();
-        }
         self.log_counters();
         tracing::info!("stopped");
         Ok(())
--- a/src/net/setup.rs
+++ b/src/net/setup.rs
@@ -20,6 +20,7 @@
 use super::signals::Signals;
 use super::sockets::buffers::Pool;
 use super::sockets::descriptors::DescriptorShares;
+use super::sockets::listen;
 use super::{DispatcherServer, LoadConfig, temporary_files};
 use crate::api::{Micros, Settings};
 use crate::clock::{Clock, ExecutorStartTimes, WallClock};
@@ -72,8 +73,15 @@
 
         let mut clock = Clock::default();
         let poll = Poll::new().map_err(context("poller"))?;
-        let listener = ClientListener::bind(config.listen, &poll, clock.now())
-            .map_err(context(&format!("listen on {}", config.listen)))?;
+        let listen_failed = format!("listen on {}", config.listen);
+        let reserved = listen::reserve_shared(config.listen).map_err(context(&listen_failed))?;
+        let address = reserved.address().map_err(context(&listen_failed))?;
+        let start_list = StartList { digest: config.known.digest(), last_event: config.known.index };
+        let now = clock.now();
+        // Before clients may connect: it writes to a directory, and on a busy disk that may take long.
+        let siblings = start_siblings(&config.name, address, seed ^ now, start_list, now, &poll);
+        let listener =
+            ClientListener::listen(reserved, &poll, clock.now()).map_err(context(&listen_failed))?;
         let signal_key = poll.add(&signals.stream, false)?;
         let pool = Pool::new((config.limits.memory_mb / BUFFER_MEMORY_DIVISOR * 1024.0 * 1024.0) as usize);
         let descriptors = DescriptorShares::new(config.limits.sockets);
@@ -84,8 +92,6 @@
         let bans = SharedBans::new(bans_file.load());
 
         let now = clock.now();
-        let start_list = StartList { digest: config.known.digest(), last_event: config.known.index };
-        let siblings = start_siblings(&config.name, listener.address(), seed ^ now, start_list, now, &poll);
         let in_flight = start_in_flight(options.peers.as_ref(), classes, seed, now, &poll)?;
         if in_flight.is_some() {
             dispatch.report_abandoned();
--- a/src/net/siblings/bans.rs
+++ b/src/net/siblings/bans.rs
@@ -6,15 +6,11 @@
 use crate::net::DispatcherServer;
 use crate::operator::shared_bans::{BanCall, Merged};
 
-/// Calls that two processes receive within this time of each other may overwrite each other in the hand-over file, in
-/// microseconds.
-const CONCURRENT_CALLS: Micros = 1_000_000;
-
 impl Siblings {
-    /// Whether this process wrote the hand-over file for a call of its own after `since`. The process that was called has
-    /// written the file, so that the others write it only if one of them may have overwritten the other's.
-    fn has_written_bans_since(&self, since: Micros) -> bool {
-        self.own_ban_at.is_some_and(|at| at >= since)
+    /// Whether this process wrote the hand-over file for a later call without knowing this one. The process that was called
+    /// had written the file before it told the others, so that they write it only in this case.
+    fn has_written_without(&self, call: BanCall) -> bool {
+        self.own_ban_at.is_some_and(|at| call.at <= at)
     }
 
     /// Tells all other processes of an operator's call.
@@ -48,7 +44,7 @@
         self.apply_ban_call(executor, call, now);
         self.bans_file.save(self.bans.in_force());
         if let Some(siblings) = &mut self.siblings {
-            siblings.own_ban_at = Some(now);
+            siblings.own_ban_at = Some(call.at);
             siblings.share_ban(executor, call, now);
         }
     }
@@ -70,8 +66,7 @@
         }
         // Passed on as well: the process that was called may have ended before it had told all others.
         if let Some(siblings) = &mut self.siblings {
-            siblings.bans_file_outdated |=
-                siblings.has_written_bans_since(now.saturating_sub(CONCURRENT_CALLS));
+            siblings.bans_file_outdated |= siblings.has_written_without(call);
             siblings.share_ban(executor, call, now);
         }
     }
--- a/src/net/siblings/directory.rs
+++ b/src/net/siblings/directory.rs
@@ -1,7 +1,8 @@
 //! The directory through which the processes of one dispatcher find each other: a named pipe for each process.
 //!
 //! Only the user that runs the dispatcher may use the directory. A pipe that nobody has open for reading belongs to a
-//! process that has ended, and is removed.
+//! process that has ended. It is removed by the next process that starts, before it accepts clients: on a busy disk the
+//! event loop would wait.
 
 use super::message::InstanceId;
 use nix::errno::Errno;
@@ -75,22 +76,19 @@
         Ok(names.iter().filter_map(instance).map(InstanceId).collect())
     }
 
-    /// Opens the pipe of another process for writing. Returns `None` if that process has ended; its pipe is removed.
+    /// Opens the pipe of another process for writing. Returns `None` if that process has ended.
     pub(super) fn open_pipe(&self, id: InstanceId) -> io::Result<Option<File>> {
         open_for_writing(&self.pipe_path(id))
     }
 
-    /// Removes the pipe of a process that has ended or is about to.
-    pub(super) fn remove_pipe(&self, id: InstanceId) {
-        // Another process may have removed it already.
-        let _ = fs::remove_file(self.pipe_path(id));
-    }
-
-    /// Removes the pipes that processes on any client address have left behind.
+    /// Removes the pipes that processes on any client address have left behind. On a busy disk this may take long.
     pub(super) fn remove_abandoned_pipes(&self) -> io::Result<()> {
         for name in self.pipe_names()? {
-            // Opening it removes it if its process has ended.
-            let _ = open_for_writing(&self.path.join(name));
+            let path = self.path.join(name);
+            if matches!(open_for_writing(&path), Ok(None)) {
+                // Another process may have removed it already.
+                let _ = fs::remove_file(path);
+            }
         }
         Ok(())
     }
@@ -113,12 +111,8 @@
             let is_usable = metadata.file_type().is_fifo() && is_private(&metadata);
             if is_usable { Ok(Some(file)) } else { Err(io::Error::other("not a pipe of this user")) }
         }
-        Err(e) if e.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(e) if e.raw_os_error() == Some(libc::ENXIO) => {
-            // Nobody reads it. Another process may have removed it already.
-            let _ = fs::remove_file(path);
-            Ok(None)
-        }
+        // There is none any more, or nobody reads it.
+        Err(e) if e.kind() == io::ErrorKind::NotFound || e.raw_os_error() == Some(libc::ENXIO) => Ok(None),
         Err(e) => Err(e),
     }
 }
--- a/src/net/siblings/mod.rs
+++ b/src/net/siblings/mod.rs
@@ -54,9 +54,9 @@
     others: BTreeMap<InstanceId, Outbox>,
     /// Processes that know nothing of what this one shares yet.
     newly_met: Vec<InstanceId>,
-    /// Whether the hand-over file may lack bans that are known here, as another process has written it last.
+    /// Whether the hand-over file may lack bans that are known here, as two processes were called in the same moment.
     bans_file_outdated: bool,
-    /// When an operator last set or lifted a ban at this process.
+    /// The time of the last call of an operator at this process.
     own_ban_at: Option<Micros>,
     /// Received messages that are not processed yet.
     received: VecDeque<Message>,
@@ -83,7 +83,7 @@
         let directory = Directory::open(directory, address)?;
         directory.remove_abandoned_pipes()?;
         let (me, pipe) = directory.create_pipe(first_id)?;
-        let inbox = Inbox::new(pipe, poll).inspect_err(|_| directory.remove_pipe(me))?;
+        let inbox = Inbox::new(pipe, poll)?;
         let mut siblings = Siblings {
             me,
             directory,
@@ -109,11 +109,6 @@
         Siblings { start_list, ..self }
     }
 
-    /// Removes the pipe of this process, which is about to end.
-    pub(in crate::net) fn leave(&self) {
-        self.directory.remove_pipe(self.me);
-    }
-
     /// Reads the pipe. Greetings take effect at once; other messages wait to be processed.
     pub(in crate::net) fn receive(&mut self) {
         if self.received.len() >= MAX_RECEIVED {
@@ -203,8 +198,6 @@
         tracing::info!(process = %id, "siblings: another process has ended");
         self.others.remove(&id);
         self.lists.remove(&id);
-        self.directory.remove_pipe(id);
-        self.bans_file_outdated = true;
         let outcomes = self.kills.process_ended(id);
         self.kill_outcomes.extend(outcomes);
     }
