Let dispatchers of tests keep their temporary files in the tests' folder

The hand-over files and pipes of dispatchers that tests kill stayed in the system's temporary folder. tests/operators, tests/upgrade and tests/stories pass.

--- a/crates/standins/src/scripted/launch.rs
+++ b/crates/standins/src/scripted/launch.rs
@@ -129,6 +129,7 @@
         command
             .args(&self.arguments)
             .env("ROUTER_CONFIG", &path)
+            .env("TMPDIR", &self.folder)
             .env_remove("ROUTER_LISTEN")
             .env_remove("ROUTER_NAME")
             .env_remove("OTTERCROFT_SETTINGS")
