--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -363,6 +363,8 @@
 pub struct Executor {
     pub uid: String,
     pub address: SocketAddr,
+    connections: Arc<Mutex<Vec<TcpStream>>>,
+    ended: Arc<AtomicBool>,
 }
 
 impl Executor {
@@ -370,15 +372,37 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (name, recorder, seen) = (uid.to_string(), recorder.clone(), seen.clone());
+        let (connections, ended): (Arc<Mutex<Vec<TcpStream>>>, Arc<AtomicBool>) = Default::default();
+        let executor = Executor {
+            uid: uid.to_string(),
+            address,
+            connections: connections.clone(),
+            ended: ended.clone(),
+        };
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if ended.load(Ordering::SeqCst) {
+                    break;
+                }
+                if let (Ok(handle), Ok(mut all)) = (stream.try_clone(), connections.lock()) {
+                    all.push(handle);
+                }
                 let (name, recorder, seen, work_ms) = (name.clone(), recorder.clone(), seen.clone(), work_ms.clone());
                 thread::spawn(move || {
                     let _ = serve(&name, stream, &recorder, &seen, &work_ms);
                 });
             }
         });
-        Ok(Executor { uid: uid.to_string(), address })
+        Ok(executor)
+    }
+
+    /// Its process ends: its connections end, with what is open on them, and new ones are refused.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::SeqCst);
+        let _ = TcpStream::connect(self.address);
+        if let Ok(all) = self.connections.lock() {
+            all.iter().for_each(|stream| drop(stream.shutdown(std::net::Shutdown::Both)));
+        }
     }
 
     /// Its entry in the coordinator's list.
@@ -432,9 +456,15 @@
                 if let Ok(mut open) = open.lock() {
                     open.insert(rid.to_string(), given_up.clone());
                 }
-                let (writer, recorder, seen) = (writer.clone(), recorder.clone(), seen.clone());
+                let (writer, recorder, seen, open) =
+                    (writer.clone(), recorder.clone(), seen.clone(), open.clone());
                 let work = work_ms(&pull);
-                thread::spawn(move || work_on(&pull, work, &given_up, &writer, &recorder, &seen));
+                thread::spawn(move || {
+                    work_on(&pull, work, &given_up, &writer, &recorder, &seen);
+                    if let Ok(mut open) = open.lock() {
+                        open.remove(&pull.rid);
+                    }
+                });
             }
             ["KILL", rid] => {
                 recorder.note(format!("executor {name}: KILL {rid}"));
