--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -210,32 +210,66 @@
     stream.write_all(&packet)
 }
 
+/// The login of user `app` with an empty password.
+fn login() -> Vec<u8> {
+    let mut login = Vec::new();
+    login.extend_from_slice(&(0x1u32 | 0x8 | 0x200 | 0x2000 | 0x8000).to_le_bytes());
+    login.extend_from_slice(&(1u32 << 24).to_le_bytes());
+    login.push(45);
+    login.extend_from_slice(&[0; 23]);
+    login.extend_from_slice(b"app\0");
+    login.push(0);
+    login.extend_from_slice(b"main\0");
+    login
+}
+
+/// The connection id of a greeting.
+fn greeted_id(greeting: &[u8]) -> io::Result<u32> {
+    if greeting.first() == Some(&0xff) {
+        return Err(io::Error::other("greeted with an error"));
+    }
+    let text_end = greeting.iter().skip(1).position(|b| *b == 0).unwrap_or(0) + 2;
+    let id = greeting.get(text_end..text_end + 4).and_then(|b| b.try_into().ok());
+    Ok(id.map_or(0, u32::from_le_bytes))
+}
+
 impl Client {
     pub fn connect(to: SocketAddr) -> io::Result<Client> {
         let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(2))?;
         stream.set_nodelay(true)?;
         stream.set_read_timeout(Some(Duration::from_secs(60)))?;
-        let greeting = read_packet(&mut stream)?;
-        if greeting.first() == Some(&0xff) {
-            return Err(io::Error::other("greeted with an error"));
-        }
-        let text_end = greeting.iter().skip(1).position(|b| *b == 0).unwrap_or(0) + 2;
-        let id = greeting.get(text_end..text_end + 4).and_then(|b| b.try_into().ok()).map_or(0, u32::from_le_bytes);
-        let mut login = Vec::new();
-        login.extend_from_slice(&(0x1u32 | 0x8 | 0x200 | 0x2000 | 0x8000).to_le_bytes());
-        login.extend_from_slice(&(1u32 << 24).to_le_bytes());
-        login.push(45);
-        login.extend_from_slice(&[0; 23]);
-        login.extend_from_slice(b"app\0");
-        login.push(0);
-        login.extend_from_slice(b"main\0");
-        write_packet(&mut stream, 1, &login)?;
+        let id = greeted_id(&read_packet(&mut stream)?)?;
+        write_packet(&mut stream, 1, &login())?;
         match read_packet(&mut stream)?.first() {
             Some(0) => Ok(Client { stream, id }),
             _ => Err(io::Error::other("login refused")),
         }
     }
 
+    /// Connects, and writes the login and the first query before it reads the greeting. The request is taken once
+    /// this returns; [`Client::first_reply`] reads the answer, for `wait` at most.
+    pub fn ask_at_once(to: SocketAddr, sql: &str, wait: Duration) -> io::Result<Client> {
+        let mut stream = TcpStream::connect_timeout(&to, Duration::from_millis(500))?;
+        stream.set_nodelay(true)?;
+        stream.set_read_timeout(Some(wait))?;
+        write_packet(&mut stream, 1, &login())?;
+        let mut client = Client { stream, id: 0 };
+        client.send(sql)?;
+        Ok(client)
+    }
+
+    /// The answer to the query of [`Client::ask_at_once`].
+    pub fn first_reply(&mut self) -> Reply {
+        let mut read = || -> io::Result<Reply> {
+            self.id = greeted_id(&read_packet(&mut self.stream)?)?;
+            match read_packet(&mut self.stream)?.first() {
+                Some(0) => self.read_reply(),
+                _ => Err(io::Error::other("login refused")),
+            }
+        };
+        read().unwrap_or_else(|e| Reply::Lost(e.to_string()))
+    }
+
     pub fn ping(&mut self) -> io::Result<()> {
         write_packet(&mut self.stream, 0, &[14])?;
         match read_packet(&mut self.stream)?.first() {
