--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -658,6 +658,65 @@
     }
 }
 
+// ---------------------------------------------------------------------------------------------------------------
+// Links and the operators' address.
+
+/// A link to an address, which passes everything on until it is cut: then nothing is said, and connections stay
+/// open and silent.
+pub struct Link {
+    pub address: SocketAddr,
+}
+
+impl Link {
+    pub fn start(to: SocketAddr, cut: &Arc<AtomicBool>) -> io::Result<Link> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let cut = cut.clone();
+        thread::spawn(move || {
+            for near in listener.incoming().flatten() {
+                let cut = cut.clone();
+                thread::spawn(move || {
+                    while cut.load(Ordering::SeqCst) {
+                        sleep_ms(20);
+                    }
+                    let Ok(far) = TcpStream::connect(to) else { return };
+                    for (from, into) in [(&near, &far), (&far, &near)] {
+                        if let (Ok(from), Ok(into)) = (from.try_clone(), into.try_clone()) {
+                            let cut = cut.clone();
+                            thread::spawn(move || pass_on(from, into, &cut));
+                        }
+                    }
+                });
+            }
+        });
+        Ok(Link { address })
+    }
+}
+
+fn pass_on(mut from: TcpStream, mut into: TcpStream, cut: &AtomicBool) {
+    let _ = (from.set_nodelay(true), into.set_nodelay(true));
+    let mut bytes = [0; 65_536];
+    while let Ok(length) = from.read(&mut bytes) {
+        while cut.load(Ordering::SeqCst) {
+            sleep_ms(20);
+        }
+        if length == 0 || into.write_all(&bytes[..length]).is_err() {
+            break;
+        }
+    }
+    let _ = into.shutdown(std::net::Shutdown::Write);
+}
+
+/// One call at an operators' address; the whole answer.
+pub fn operator_call(to: SocketAddr, call: &str) -> io::Result<String> {
+    let mut stream = TcpStream::connect_timeout(&to, Duration::from_secs(1))?;
+    stream.set_read_timeout(Some(Duration::from_secs(3)))?;
+    stream.write_all(format!("{call}\n").as_bytes())?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer)?;
+    Ok(answer.trim_end().to_string())
+}
+
 // ---------------------------------------------------------------------------------------------------------------
 // Settings of a small deployment, with the names and figures of the brief.
 
