--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -20,7 +20,9 @@
 }
 
 fn load(ask: &str, rid: &str, key: &str, statement: &str) -> String {
-    format!("/* method=carga-noche,rid={rid},ask={ask},budget=20000,est=5000,space=96,obj={key} */ {statement}")
+    format!(
+        "/* method=carga-noche,rid={rid},ask={ask},budget=20000,est=5000,space=96,obj={key} */ {statement}"
+    )
 }
 
 pub fn case(recorder: &Recorder, folder: &Folder) -> io::Result<i32> {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -50,7 +50,10 @@
                     );
                     let reply = Client::connect(listen).map(|mut c| c.query(&sql));
                     if !matches!(reply, Ok(Reply::Served(_))) {
-                        recorder.note(format!("client: {}", reply.map_or_else(|e| e.to_string(), |r| r.to_string())));
+                        recorder.note(format!(
+                            "client: {}",
+                            reply.map_or_else(|e| e.to_string(), |r| r.to_string())
+                        ));
                     }
                     sleep_ms(20);
                 }
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -78,9 +78,21 @@
     }
 }
 
-/// A loopback address that is free now.
+/// A loopback address that is free now. It is on a host of this process's own within 127.0.0.0/8, so that neither
+/// another case nor the port of an outgoing connection can take it before it is used.
 pub fn free_address() -> io::Result<SocketAddr> {
-    TcpListener::bind("127.0.0.1:0")?.local_addr()
+    static NEXT_PORT: AtomicU64 = AtomicU64::new(21_000);
+    let pid = std::process::id();
+    // Another host for every process id, as cases may run beside each other.
+    let host =
+        Ipv4Addr::new(127, 64 + (pid / 64_000 % 64) as u8, (pid / 250 % 256) as u8, 1 + (pid % 250) as u8);
+    for _ in 0..1_000 {
+        let port = NEXT_PORT.fetch_add(1, Ordering::SeqCst) as u16;
+        if let Ok(listener) = TcpListener::bind((host, port)) {
+            return listener.local_addr();
+        }
+    }
+    Err(io::Error::other("no free address"))
 }
 
 // ---------------------------------------------------------------------------------------------------------------
@@ -348,7 +360,8 @@
 /// An id that is new with every call: 16 hex digits.
 pub fn new_id() -> String {
     static COUNT: AtomicU64 = AtomicU64::new(1);
-    let mut x = COUNT.fetch_add(1, Ordering::SeqCst) ^ (unix_ms() << 20) ^ u64::from(std::process::id()) << 44;
+    let mut x =
+        COUNT.fetch_add(1, Ordering::SeqCst) ^ (unix_ms() << 20) ^ u64::from(std::process::id()) << 44;
     x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
     format!("{:016x}", x ^ (x >> 31))
@@ -402,7 +415,12 @@
 }
 
 impl Executor {
-    pub fn start(uid: &str, recorder: &Recorder, seen: &Arc<Seen>, work_ms: Arc<WorkTime>) -> io::Result<Executor> {
+    pub fn start(
+        uid: &str,
+        recorder: &Recorder,
+        seen: &Arc<Seen>,
+        work_ms: Arc<WorkTime>,
+    ) -> io::Result<Executor> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (name, recorder, seen) = (uid.to_string(), recorder.clone(), seen.clone());
@@ -421,7 +439,8 @@
                 if let (Ok(handle), Ok(mut all)) = (stream.try_clone(), connections.lock()) {
                     all.push(handle);
                 }
-                let (name, recorder, seen, work_ms) = (name.clone(), recorder.clone(), seen.clone(), work_ms.clone());
+                let (name, recorder, seen, work_ms) =
+                    (name.clone(), recorder.clone(), seen.clone(), work_ms.clone());
                 thread::spawn(move || {
                     let _ = serve(&name, stream, &recorder, &seen, &work_ms);
                 });
@@ -575,7 +594,12 @@
 
 impl Coordinator {
     /// `events` follow event number `offset`. Each connection is served `first_line_after_ms` after its `follow`.
-    pub fn start(recorder: &Recorder, name: &str, offset: u64, first_line_after_ms: u64) -> io::Result<Coordinator> {
+    pub fn start(
+        recorder: &Recorder,
+        name: &str,
+        offset: u64,
+        first_line_after_ms: u64,
+    ) -> io::Result<Coordinator> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let events: Arc<Mutex<Vec<String>>> = Arc::default();
@@ -739,7 +763,13 @@
 }
 
 /// A dispatcher's configuration file; the entries are those of event 1.
-pub fn config(name: &str, listen: SocketAddr, coordinator: SocketAddr, entries: &[String], settings: &str) -> String {
+pub fn config(
+    name: &str,
+    listen: SocketAddr,
+    coordinator: SocketAddr,
+    entries: &[String],
+    settings: &str,
+) -> String {
     format!(
         "{{\"name\":\"{name}\",\"listen\":\"{listen}\",\"seed\":\"{}\",\
          \"limits\":{{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024}},\"coordinator\":\"{coordinator}\",\
