--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,12 +4,12 @@
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
 for number in 6 7 8 9 10; do
-    [ -f "review/$number/case.rs" ] || continue
-    main="target/review-2/case$number.rs"
+    [ -f "review/$number/scenario.rs" ] || continue
+    main="target/review-2/main$number.rs"
     cat > "$main" <<END
 #[path = "../../review/standins-2.rs"]
 mod standins;
-#[path = "../../review/$number/case.rs"]
+#[path = "../../review/$number/scenario.rs"]
 mod case;
 fn main() {
     let folder = std::env::args().nth(1).unwrap_or("review/$number".into());
--- a/review/standins-2.rs
+++ b/review/standins-2.rs
@@ -1,6 +1,6 @@
 //! Stand-ins for the second review: clients, executors, a coordinator and a process runner on loopback
 //! addresses, with the standard library alone. They follow the protocol page. `build-2.sh` compiles this file
-//! together with each `N/case.rs`.
+//! together with each `N/scenario.rs`.
 
 #![allow(dead_code)]
 
