Lab: tell tries by their rid, so that a retry has its first try's statement

The clients of `policy` marked each try in its statement, so that the retries of one `ask` were different statements. That is no use of `ask` that the pages know: it names one request over all its tries (docs/takeover.md). An executor is told the try's `rid` as the id of the execution, unchanged, and the check now reads that.

As strict as before: the checks `wrong_side` and `reached` get the same rid for each execution; executions are still matched with the times at which their tries were asked, and now also those whose statement bears no mark.

--- a/crates/lab/src/fleet/accounts.rs
+++ b/crates/lab/src/fleet/accounts.rs
@@ -53,22 +53,16 @@
     pub sends: u64,
 }
 
-fn name_in(p: &Pull, mark: char) -> Option<u64> {
-    let token = p
-        .statement
-        .split(['(', ')', ' '])
-        .find(|w| w.len() > 2 && w.starts_with(mark) && w.ends_with(mark))?;
-    u64::from_str_radix(&token[1..token.len() - 1], 16).ok()
-}
-
 /// The name that a request's statement carries.
 pub fn ask_of(p: &Pull) -> Option<u64> {
-    name_in(p, 't')
+    let token =
+        p.statement.split(['(', ')', ' ']).find(|w| w.len() > 2 && w.starts_with('t') && w.ends_with('t'))?;
+    u64::from_str_radix(&token[1..token.len() - 1], 16).ok()
 }
 
-/// The try that a request's statement is of, where its clients mark it.
+/// The try that an execution is of: dispatchers pass its `rid` on unchanged.
 pub fn try_of(p: &Pull) -> Option<u64> {
-    name_in(p, 'r')
+    u64::from_str_radix(&p.id, 16).ok()
 }
 
 /// Reads what the executors saw: sends of each name, and which ran beside each other.
--- a/crates/lab/src/fleet/accounts/tests.rs
+++ b/crates/lab/src/fleet/accounts/tests.rs
@@ -12,8 +12,8 @@
 #[test]
 fn what_executors_saw_twice_is_found() {
     let all = [
-        pull("load", "INSERT INTO s.t VALUES (t100t r101r)", 0, 50),
-        pull("load", "INSERT INTO s.t VALUES (t100t r102r)", 500, 550),
+        pull("load", "INSERT INTO s.t VALUES (t100t)", 0, 50),
+        pull("load", "INSERT INTO s.t VALUES (t100t)", 500, 550),
         pull("read", "SELECT t200t FROM s.t", 0, 500),
         pull("read", "SELECT t200t FROM s.t", 100, 300),
         pull("read", "SELECT t300t FROM s.t", 0, 100),
@@ -21,5 +21,6 @@
     ];
     let saw = seen(all.iter(), &BTreeSet::new());
     assert_eq!(saw, Seen { twice: 1, beside: vec![0x200], requests: 3, sends: 6 });
-    assert_eq!((try_of(&all[1]), try_of(&all[2])), (Some(0x102), None));
+    let with_id = |id: &str| Pull { id: id.into(), ..all[1].clone() };
+    assert_eq!((try_of(&with_id("0000000000000102")), try_of(&with_id("x"))), (Some(0x102), None));
 }
--- a/crates/lab/src/fleet/clients.rs
+++ b/crates/lab/src/fleet/clients.rs
@@ -87,14 +87,12 @@
     pub seed: u64,
     /// How long one goes on asking for a request.
     pub patience: Duration,
-    /// Whether a statement tells its try too, as `r` and the try's name and `r`.
-    pub marked: bool,
 }
 
 impl Load {
     /// So many clients, with what is common.
     pub fn new(clients: u32, pause: Duration, seed: u64) -> Load {
-        Load { clients, pause, seed, patience: PATIENCE, marked: false }
+        Load { clients, pause, seed, patience: PATIENCE }
     }
 }
 
@@ -158,10 +156,9 @@
         account.tries += 1;
         let name = format!("ask={ask:016x},try={},", account.tries);
         let rid = ask | u64::from(account.tries & 0xff);
-        let mark = if of.marked { format!(" r{rid:x}r") } else { String::new() };
         let (class, est, statement) = match load {
-            true => ("load", 300, format!("INSERT INTO sales_{}.t VALUES (t{ask:x}t{mark})", n % 9)),
-            false => ("read", 200, format!("SELECT t{ask:x}t{mark} FROM sales_{}.t", n % 9)),
+            true => ("load", 300, format!("INSERT INTO sales_{}.t VALUES (t{ask:x}t)", n % 9)),
+            false => ("read", 200, format!("SELECT t{ask:x}t FROM sales_{}.t", n % 9)),
         };
         let sql = format!(
             "/* method={class},rid={rid:016x},{name}budget={BUDGET_MS},est={est}.0,space=9 */ {statement}"
--- a/crates/lab/src/policy/lane.rs
+++ b/crates/lab/src/policy/lane.rs
@@ -86,7 +86,7 @@
 /// The clients of such a fleet.
 pub fn load(dispatchers: usize, seed: u64, spans: Spans) -> Load {
     let every = Load::new(8 * dispatchers as u32, Duration::from_millis(100), seed);
-    Load { patience: spans.patience, marked: true, ..every }
+    Load { patience: spans.patience, ..every }
 }
 
 /// The tries that reached executors, in order of time.
