Tell requests that use one `ask` apart by a digest on record

Cause: the ledger, the dispatcher's own table and what waits in it were looked up by `ask` alone. A record told nothing of what was asked: a load's statement is not on record, and nothing compared the class, tenant or key that are. So whoever came with the same digits was taken for a retry: at arrival (in hand here, kept for a lost peer's client, ended), when the record turned out to be opened by another, when it ended, when its result came from its owner and when a lost peer's request was given to a try that waited. A load without `ask`, which is recorded under its `rid`, was open to the same.

Every look-up compares. The one on record keeps the `ask`; another read is served off the record, as it may repeat, another load is refused with a time (1203): without a record of its own it could run twice. A request without `ask` is never another's try.

Fleets of two builds: postcard has no field names, so the digest is in no type that travels. A record without a digest is compared by class, tenant, key, group, kind and, where there is one, statement.

--- a/crates/fleet/src/group/mod.rs
+++ b/crates/fleet/src/group/mod.rs
@@ -10,7 +10,7 @@
 use crate::log::Log;
 use crate::state::{Command, Effect, ReplicatedState};
 use crate::wire::Founding;
-use crate::{Incarnation, Micros, peer_of};
+use crate::{Incarnation, Micros, extension, peer_of};
 use protobuf::Message as _;
 use raft::eraftpb::{
     ConfChangeSingle, ConfChangeType, ConfChangeV2, ConfState, Entry, EntryType, Message, MessageType,
@@ -66,9 +66,6 @@
     pub rejected: u64,
 }
 
-/// The payload of a log entry: the proposing incarnation, the batch's number and its commands.
-type Batch = (Incarnation, u64, Vec<Command>);
-
 fn founding_snapshot(founding: &Founding) -> Snapshot {
     let mut snapshot = Snapshot::default();
     let meta = snapshot.mut_metadata();
@@ -174,7 +171,7 @@
     /// Proposes commands as one batch.
     pub fn propose(&mut self, commands: &[Command], now: Micros) {
         let number = self.next_batch;
-        let Ok(entry) = postcard::to_stdvec(&(self.me, number, commands)) else { return };
+        let Ok(entry) = extension::encode_batch(self.me, number, commands) else { return };
         self.next_batch += 1;
         // Without a leader the proposal is dropped; tick() proposes it again.
         let _ = self.node.propose(Vec::new(), entry.clone());
--- a/crates/fleet/src/group/ready.rs
+++ b/crates/fleet/src/group/ready.rs
@@ -68,7 +68,7 @@
             match e.get_entry_type() {
                 EntryType::EntryNormal if e.data.is_empty() => {}
                 EntryType::EntryNormal => {
-                    let Ok((incarnation, number, commands)) = postcard::from_bytes::<Batch>(&e.data) else {
+                    let Ok((incarnation, number, commands)) = extension::decode_batch(&e.data) else {
                         self.rejected += 1;
                         continue;
                     };
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -4,9 +4,10 @@
 //! holder to open a record owns the request; later ones are told that it exists. Records of requests that must
 //! not run twice stay after the request's end, so that a repeated attempt is answered and not executed.
 
+mod digests;
 mod types;
 
-pub use types::{Command, Effect, Limits, Outcome, Record};
+pub use types::{Command, Effect, Limits, Outcome, Record, RequestDigest};
 
 use crate::{Holder, Incarnation, Micros};
 use serde::{Deserialize, Serialize};
@@ -71,6 +72,11 @@
         }
     }
 
+    /// The record of a request, open or ended.
+    pub fn record(&self, request_id: u64) -> Option<&Record> {
+        self.entries.get(&request_id).map(|entry| &entry.record)
+    }
+
     /// How a recorded request ended, if it has.
     pub fn outcome(&self, request_id: u64) -> Option<&Outcome> {
         match self.entries.get(&request_id) {
--- a/crates/fleet/src/ledger/types.rs
+++ b/crates/fleet/src/ledger/types.rs
@@ -16,6 +16,10 @@
     Unknown,
 }
 
+/// A digest of what a request asks for, the same over all its tries and different from that of any other request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RequestDigest(pub [u8; 32]);
+
 /// The record of a request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
@@ -43,6 +47,27 @@
     pub executors_tried: Vec<u32>,
     /// The number of the policy that admitted it; 0 for the policy of the settings.
     pub policy: u64,
+    /// The digest of the request; `None` if an earlier release, which has none, opened or passed on the record. Not a
+    /// part of the record's encoding, which earlier releases read: see [`crate::extension`].
+    #[serde(skip)]
+    pub digest: Option<RequestDigest>,
+}
+
+impl Record {
+    /// Whether both records are of tries of one request. Without a digest of either, this is decided by what an earlier
+    /// release recorded, and two requests that differ in their statement alone may be taken for one.
+    pub fn is_same_request(&self, other: &Record) -> bool {
+        if let (Some(digest), Some(other)) = (self.digest, other.digest) {
+            return digest == other;
+        }
+        let fields =
+            |record: &Record| (record.class, record.tenant, record.key, record.group, record.repeatable);
+        let statements_differ = match (&self.statement, &other.statement) {
+            (Some(statement), Some(other)) => statement != other,
+            _ => false,
+        };
+        fields(self) == fields(other) && !statements_differ
+    }
 }
 
 /// A command to the ledger.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,12 +17,14 @@
 //! - [`schema`]: which schema versions queries may run under during a rolling upgrade of the executors.
 //! - [`lend`]: short leases on concurrency slots for slow queries.
 //! - [`group`]: the Raft group: bootstrap, rejoining after a restart, proposals.
+//! - [`extension`]: encoding of batches and snapshots that earlier releases read as well.
 //! - [`log`]: the in-memory log, with snapshots of the state.
 //! - [`wire`]: framing of the messages between peers.
 //! - [`control_plane`]: dispatchers that follow a few members of the group without voting.
 //! - [`fleet`]: one dispatcher's participation: leases, batching, events.
 
 pub mod control_plane;
+pub mod extension;
 pub mod fleet;
 pub mod group;
 pub mod leases;
--- a/crates/fleet/src/state.rs
+++ b/crates/fleet/src/state.rs
@@ -10,7 +10,7 @@
 use crate::policy::{self, Policies};
 use crate::schema::{self, Schema};
 use crate::state_machine::StateMachine;
-use crate::{Incarnation, Micros};
+use crate::{Incarnation, Micros, extension};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -215,12 +215,14 @@
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_stdvec(self).unwrap_or_default()
+        let state = postcard::to_stdvec(self);
+        state.and_then(|bytes| extension::append_digests(bytes, &self.work)).unwrap_or_default()
     }
 
     /// Decodes what [`ReplicatedState::encode`] wrote.
     pub fn decode(bytes: &[u8]) -> Result<ReplicatedState, postcard::Error> {
-        let mut state: ReplicatedState = postcard::from_bytes(bytes)?;
+        let (mut state, rest): (ReplicatedState, &[u8]) = postcard::take_from_bytes(bytes)?;
+        extension::restore_digests(rest, &mut state.work);
         state.leases.restore();
         state.work.restore();
         Ok(state)
--- a/crates/fleet/tests/fleet/world.rs
+++ b/crates/fleet/tests/fleet/world.rs
@@ -40,6 +40,7 @@
         deadline,
         executors_tried: vec![1],
         policy: 0,
+        digest: None,
     }
 }
 
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -26,6 +26,7 @@
         deadline,
         executors_tried: vec![],
         policy: 0,
+        digest: None,
     })
 }
 
--- a/crates/fleet/tests/stored_data/main.rs
+++ b/crates/fleet/tests/stored_data/main.rs
@@ -7,7 +7,8 @@
     FRAMING, FollowerId, FollowerMessage, MemberMessage, Rejection, Resume, VERSION, from_follower,
     from_member,
 };
-use fleet::ledger::{self, Limits, Outcome, Record};
+use fleet::extension::{decode_batch, encode_batch};
+use fleet::ledger::{self, Limits, Outcome, Record, RequestDigest};
 use fleet::state::{Command, Effect, ReplicatedState};
 use fleet::wire::{self, Founding, Message};
 use fleet::{Holder, incarnation, lend, plan, policy, schema};
@@ -40,6 +41,7 @@
         deadline: 9_000_000,
         executors_tried: vec![],
         policy: 3,
+        digest: None,
     }
 }
 
@@ -100,6 +102,65 @@
     assert_eq!(postcard::to_stdvec(&commands()).unwrap(), stored);
 }
 
+/// The commands of the batch, with a digest in each record.
+fn commands_with_digests() -> Vec<Command> {
+    let mut commands = commands();
+    for command in &mut commands {
+        if let Command::Work(ledger::Command::Open(_, request_id, record)) = command {
+            record.digest = Some(RequestDigest([*request_id as u8; 32]));
+        }
+    }
+    commands
+}
+
+// Peers of an earlier release read batches as `(Incarnation, u64, Vec<Command>)` without digests, and ignore what
+// follows. Guards against a batch that such a peer rejects while the others apply it.
+#[test]
+fn batches_are_read_beside_an_earlier_release() {
+    let from = incarnation(1, 5);
+    let earlier = postcard::to_stdvec(&(from, 1_u64, commands())).unwrap();
+    assert_eq!(decode_batch(&earlier).unwrap(), (from, 1, commands()));
+    assert_eq!(encode_batch(from, 1, &commands()).unwrap(), earlier, "without digests nothing is added");
+    let batch = encode_batch(from, 1, &commands_with_digests()).unwrap();
+    assert!(batch.len() > earlier.len() && batch.starts_with(&earlier));
+    let read_by_earlier: (u64, u64, Vec<Command>) = postcard::from_bytes(&batch).unwrap();
+    assert_eq!(read_by_earlier, (from, 1, commands()));
+    assert_eq!(decode_batch(&batch).unwrap(), (from, 1, commands_with_digests()));
+}
+
+// The same for snapshots, by which a peer of either release joins.
+#[test]
+fn snapshots_are_read_beside_an_earlier_release() {
+    let earlier = bytes(include_str!("record-snapshot.hex"));
+    let mut state = ReplicatedState::new(LIMITS, 3);
+    assert!(state.apply(incarnation(1, 5), 1, commands_with_digests(), &mut Vec::new()));
+    let snapshot = state.encode();
+    assert!(snapshot.len() > earlier.len() && snapshot.starts_with(&earlier));
+    assert_eq!(
+        postcard::from_bytes::<ReplicatedState>(&snapshot).map(|state| state.encode()),
+        Ok(earlier.clone())
+    );
+    let restored = ReplicatedState::decode(&snapshot).unwrap();
+    assert_eq!(restored, state);
+    // Both the open request and the ended one keep their digest.
+    for request_id in [21, 22] {
+        let digest = |state: &ReplicatedState| state.work().record(request_id).unwrap().digest;
+        assert_eq!(digest(&restored), Some(RequestDigest([request_id as u8; 32])));
+        assert_eq!(digest(&ReplicatedState::decode(&earlier).unwrap()), None);
+    }
+}
+
+// Guards against an extension that a later release made longer, or that is cut off: the batch itself counts.
+#[test]
+fn an_unreadable_extension_leaves_the_batch() {
+    let from = incarnation(1, 5);
+    let mut batch = postcard::to_stdvec(&(from, 1_u64, commands())).unwrap();
+    batch.extend([200, 200, 200]);
+    assert_eq!(decode_batch(&batch).unwrap(), (from, 1, commands()));
+    let longer = [encode_batch(from, 1, &commands_with_digests()).unwrap(), vec![1, 2, 3]].concat();
+    assert_eq!(decode_batch(&longer).unwrap(), (from, 1, commands_with_digests()));
+}
+
 #[test]
 fn frames_of_a_peer_of_an_earlier_release_are_read_and_written_alike() {
     let voters = vec![incarnation(1, 5), incarnation(2, 0)];
--- a/crates/lab/src/takeover/record.rs
+++ b/crates/lab/src/takeover/record.rs
@@ -104,6 +104,7 @@
                     deadline: three.now + 3_600_000_000,
                     executors_tried: vec![3],
                     policy: 0,
+                    digest: None,
                 };
                 three.fleets[i].open(three.now, 1 + next as u64, record, false);
                 next += 1;
--- a/src/net/in_flight/mod.rs
+++ b/src/net/in_flight/mod.rs
@@ -27,6 +27,8 @@
     pub(super) peers: Peers,
     /// Class names, by index.
     classes: Vec<Rc<str>>,
+    /// Tenant names, by index.
+    tenants: Vec<Rc<str>>,
     /// Whether a class may run more than once, by index.
     repeats: Vec<bool>,
     /// Cores of each kind of machine, by index.
@@ -35,10 +37,12 @@
     pub(super) maintenance: Maintenance,
 }
 
-/// Request classes and machine kinds, as the settings define them.
+/// Request classes, tenants and machine kinds, as the settings define them.
 pub struct Classes {
     /// Class names, by index.
     pub names: Vec<Rc<str>>,
+    /// Tenant names, by index.
+    pub tenants: Vec<Rc<str>>,
     /// Whether a class may run more than once, by index.
     pub repeats: Vec<bool>,
     /// Maximum number of attempts per request.
@@ -54,7 +58,10 @@
     pub fn of(settings: &Settings, names: &Names) -> Classes {
         let name =
             |i: usize| names.classes.iter().find(|(_, n)| **n == i).map_or("", |(name, _)| name.as_str());
+        let tenant =
+            |i: usize| names.tenants.iter().find(|(_, n)| **n == i).map_or("", |(name, _)| name.as_str());
         Classes {
+            tenants: (0..settings.tenants.len()).map(|i| tenant(i).into()).collect(),
             names: (0..settings.classes.len()).map(|i| name(i).into()).collect(),
             repeats: settings.classes.iter().map(|c| c.idempotency == Idempotency::Idempotent).collect(),
             attempts: settings.max_attempts as usize,
@@ -119,9 +126,9 @@
             out_limit: micros(settings.out_limit),
             ramp: classes.ramp,
         };
-        let (maintenance, Classes { names, repeats, cores, .. }) =
+        let (maintenance, Classes { names, tenants, repeats, cores, .. }) =
             (Maintenance::new(budget, 2 * micros(settings.lease), now), classes);
-        Ok(InFlight { takeover, peers, classes: names, repeats, cores, maintenance })
+        Ok(InFlight { takeover, peers, classes: names, tenants, repeats, cores, maintenance })
     }
 
     /// Cores of a machine of this kind; if the kind is unknown, those of the smallest kind.
--- a/src/net/in_flight/moves.rs
+++ b/src/net/in_flight/moves.rs
@@ -129,6 +129,7 @@
             answered = t.answered,
             let_go = t.let_go,
             overlaps = t.overlaps,
+            conflicts = t.conflicts,
             policy = self.policy_number(),
             held_for_policy = self.fleet_policy.as_ref().map_or(0, |fleet_policy| fleet_policy.held_total),
             refused_without =
--- a/src/net/in_flight/requests.rs
+++ b/src/net/in_flight/requests.rs
@@ -6,12 +6,22 @@
 use crate::net::DispatcherServer;
 use crate::net::executors::{Job, Rows};
 use crate::net::sockets::buffers::{Block, Pool};
-use crate::takeover::{AbandonedOutcome, Gate, Pages, Reply, TakeoverAction, Try};
+use crate::takeover::{AbandonedOutcome, Gate, Pages, RecordId, Reply, RequestContent, TakeoverAction, Try};
 use fleet::ledger::Record;
 
 impl InFlight {
     fn attempt(&self, now: Micros, r: &Request, job: &Job, policy: u64) -> Try {
         let index = |n: usize| u16::try_from(n).unwrap_or(u16::MAX);
+        let repeatable = self.repeats.get(r.class).copied().unwrap_or(false);
+        let content = RequestContent {
+            id: r.client_request_id.map_or(RecordId::Try(r.id), RecordId::Ask),
+            class: &job.class_name,
+            tenant: r.tenant.and_then(|tenant| self.tenants.get(tenant)).map(|name| &**name),
+            key: r.key,
+            token: job.token.as_deref(),
+            statement: &job.statement,
+        };
+        let is_recorded = r.client_request_id.is_some() || !repeatable;
         Try {
             ask: r.client_request_id,
             again: r.is_client_retry,
@@ -23,7 +33,7 @@
                 group: r.table_group,
                 work_s: r.estimated_thread_seconds,
                 memory_mb: r.estimated_memory_mb,
-                repeatable: self.repeats.get(r.class).copied().unwrap_or(false),
+                repeatable,
                 // Another dispatcher would send the request without its idempotency token, so the statement
                 // is left out and it does not send it at all.
                 statement: r
@@ -33,6 +43,7 @@
                 deadline: now + r.time_budget,
                 executors_tried: Vec::new(),
                 policy,
+                digest: is_recorded.then(|| content.digest()),
             },
         }
     }
--- a/src/takeover/arrivals.rs
+++ b/src/takeover/arrivals.rs
@@ -4,7 +4,6 @@
 use super::{Takeover, reply};
 use crate::api::Micros;
 use fleet::ledger::Outcome;
-use std::collections::{BTreeSet, VecDeque};
 
 impl Takeover {
     /// Handles an arriving request.
@@ -22,6 +21,9 @@
         if self.fleet.holds(now).is_none() {
             return if repeats { self.unrecorded(Gate::Go) } else { self.unrecorded(self.later()) };
         }
+        if self.conflicts(ask, &attempt) {
+            return self.handle_conflict(ask, &attempt);
+        }
         if let Some(reply) = self.fleet.ledger().and_then(|l| l.outcome(ask)).map(reply) {
             self.tally.joined += 1;
             self.tally.answered += 1;
@@ -42,9 +44,10 @@
             return Gate::Hold;
         }
         if repeats && !attempt.again {
-            return match self.fleet.open(now, ask, attempt.record, false) {
+            return match self.fleet.open(now, ask, attempt.record.clone(), false) {
                 true => {
-                    self.keep(ask, rid, true, false);
+                    self.local.insert(ask, Local::new(Stage::Opening, &attempt.record, true));
+                    self.own(ask, rid, true, false);
                     self.tally.recorded += 1;
                     Gate::Go
                 }
@@ -58,28 +61,27 @@
         }
         self.fleet.open(now, ask, attempt.record.clone(), true);
         self.asks.insert(rid, ask);
-        let waiting = VecDeque::from([Waiting { rid, attempt }]);
-        self.local.insert(ask, Local { stage: Stage::Opening, waiting, wanted: BTreeSet::new() });
+        let mut local = Local::new(Stage::Opening, &attempt.record, attempt.ask.is_some());
+        local.waiting.push_back(Waiting { rid, attempt });
+        self.local.insert(ask, local);
         Gate::Hold
     }
 
-    fn later(&self) -> Gate {
+    pub(super) fn later(&self) -> Gate {
         Gate::Answer(Reply::Refused(self.bounds.backoff_ms))
     }
 
-    fn unrecorded(&mut self, gate: Gate) -> Gate {
+    pub(super) fn unrecorded(&mut self, gate: Gate) -> Gate {
         self.tally.unrecorded += 1;
         gate
     }
 
-    pub(super) fn keep(&mut self, ask: u64, rid: u64, repeats: bool, adopted: bool) {
+    /// Passes a request that is known here to this dispatcher's balancer, under the id of one of its tries.
+    pub(super) fn own(&mut self, ask: u64, rid: u64, repeats: bool, adopted: bool) {
         self.asks.insert(rid, ask);
-        let local = self.local.entry(ask).or_insert_with(|| Local {
-            stage: Stage::Opening,
-            waiting: VecDeque::new(),
-            wanted: BTreeSet::new(),
-        });
-        local.stage = Stage::Mine { rid, repeats, adopted, fenced: false };
+        if let Some(local) = self.local.get_mut(&ask) {
+            local.stage = Stage::Mine { rid, repeats, adopted, fenced: false };
+        }
     }
 
     /// Whether an attempt of a request may be sent now. A request that may not send has to be given up.
--- a/src/takeover/fleet_events.rs
+++ b/src/takeover/fleet_events.rs
@@ -1,10 +1,10 @@
-//! Handles events of the fleet: records opened, reassigned and closed, and leases that ended.
+//! Handles events of the fleet: records opened and closed, and results of other peers' requests.
 
 use super::types::{Local, Pages, Reply, Stage, TakeoverAction};
 use super::{Takeover, reply};
 use crate::api::Micros;
 use fleet::ledger::Outcome;
-use fleet::{FleetEvent, Holder, Peer, StateKind};
+use fleet::{FleetEvent, Peer, StateKind};
 
 impl Takeover {
     pub(super) fn take_fleet_events(&mut self, now: Micros) {
@@ -65,11 +65,17 @@
             return self.fleet.close(now, ask, Outcome::Removed);
         };
         self.tally.recorded += 1;
-        self.keep(ask, first.rid, first.attempt.record.repeatable, false);
+        self.own(ask, first.rid, first.attempt.record.repeatable, false);
         self.actions.push_back(TakeoverAction::Admit(first.rid));
     }
 
     fn already_recorded(&mut self, now: Micros, ask: u64) {
+        let Some(local) = self.local.get(&ask) else { return };
+        let recorded = self.fleet.ledger().and_then(|l| l.record(ask));
+        if recorded.is_some_and(|record| !local.is_for(record)) {
+            self.release_ask(ask);
+            return;
+        }
         let Some(local) = self.local.get_mut(&ask) else { return };
         if local.stage != Stage::Opening {
             // It was sent before this was known and continues here; another peer holds the record.
@@ -108,58 +114,18 @@
         }
     }
 
-    fn reassigned(&mut self, now: Micros, ask: u64, from: Holder, mine: bool) {
-        if !mine {
-            if let Some(Local { stage: Stage::Theirs { fetch_at }, .. }) = self.local.get_mut(&ask) {
-                *fetch_at = now;
-                self.due.insert((now, ask));
-            }
-            return;
-        }
-        self.tally.claimed += 1;
-        let Some(record) = self.fleet.ledger().and_then(|l| l.open(ask)).map(|(r, _)| r.clone()) else {
-            return;
-        };
-        tracing::info!(
-            request = format_args!("{:016x}", record.attempt_id),
-            peer = fleet::peer_of(from.incarnation),
-            tried = record.executors_tried.len(),
-            "fleet: taken over"
-        );
-        if let Some(local) = self.local.get_mut(&ask) {
-            // Its client has retried here already: that try takes its place.
-            if let Some(first) = local.waiting.pop_front() {
-                self.keep(ask, first.rid, first.attempt.record.repeatable, false);
-                self.actions.push_back(TakeoverAction::Admit(first.rid));
-                return;
-            }
-            if matches!(local.stage, Stage::Mine { .. } | Stage::Parked { .. }) {
-                return;
-            }
-            self.local.remove(&ask);
-        }
-        let left = record.deadline > now + self.bounds.fetch;
-        let sendable = record.statement.is_some() && record.executors_tried.len() < self.bounds.attempts;
-        if !left
-            || !sendable
-            || self.adopted >= self.bounds.adopted
-            || self.asks.contains_key(&record.attempt_id)
-        {
-            return self.fleet.close(now, ask, Outcome::Removed);
-        }
-        self.adopted += 1;
-        self.tally.adopted += 1;
-        self.keep(ask, record.attempt_id, true, true);
-        self.actions.push_back(TakeoverAction::Adopt(record));
-    }
-
     fn closed(&mut self, now: Micros, ask: u64, end: &Outcome) {
         let Some(local) = self.local.get(&ask) else { return };
         if !matches!(local.stage, Stage::Theirs { .. }) {
             return;
         }
+        let recorded = self.fleet.ledger().and_then(|l| l.record(ask));
         match end {
             Outcome::Removed => self.open_again(now, ask),
+            // After a snapshot it may be the end of another request.
+            _ if recorded.is_some_and(|record| !local.is_for(record)) => {
+                self.release_ask(ask);
+            }
             end => {
                 if let Some(mut local) = self.local.remove(&ask) {
                     self.answer_all(&mut local, &reply(end));
@@ -191,48 +157,13 @@
     }
 
     fn result(&mut self, ask: u64, pages: Option<Pages>) {
-        let theirs = self.local.get(&ask).is_some_and(|l| matches!(l.stage, Stage::Theirs { .. }));
+        let recorded = self.fleet.ledger().and_then(|l| l.record(ask));
+        let theirs = self.local.get(&ask).is_some_and(|local| {
+            matches!(local.stage, Stage::Theirs { .. }) && recorded.is_some_and(|record| local.is_for(record))
+        });
         let Some(pages) = pages.filter(|_| theirs) else { return };
         if let Some(mut local) = self.local.remove(&ask) {
             self.answer_all(&mut local, &Reply::Served(pages));
         }
     }
-
-    /// The lease ended. Requests that run here are fenced, and further tries of them are refused. Idempotent ones are
-    /// released, because another peer takes them over. Non-idempotent ones continue although the log line counts them
-    /// as let go: no peer runs them again, so the try that runs here may still be answered. Requests in all other
-    /// stages are refused.
-    fn lost(&mut self, holder: Holder) {
-        tracing::warn!(
-            term = holder.term,
-            in_hand = self.local.len(),
-            "fleet: lease lost, all in hand is let go"
-        );
-        let asks: Vec<u64> = self.local.keys().copied().collect();
-        for ask in asks {
-            let Some(local) = self.local.get_mut(&ask) else { continue };
-            match &mut local.stage {
-                Stage::Mine { rid, fenced, repeats, .. } => {
-                    *fenced = true;
-                    let (rid, repeats) = (*rid, *repeats);
-                    let mut waiting = std::mem::take(&mut local.waiting);
-                    for w in waiting.drain(..) {
-                        self.asks.remove(&w.rid);
-                        self.actions
-                            .push_back(TakeoverAction::Answer(w.rid, Reply::Refused(self.bounds.backoff_ms)));
-                    }
-                    if repeats {
-                        self.tally.let_go += 1;
-                        self.actions.push_back(TakeoverAction::LetGo(rid));
-                    }
-                }
-                Stage::Opening | Stage::Theirs { .. } | Stage::Parked { .. } => {
-                    if let Some(mut local) = self.local.remove(&ask) {
-                        self.turn_away(&mut local);
-                    }
-                }
-            }
-        }
-        self.adopted = 0;
-    }
 }
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -5,15 +5,20 @@
 //! sent. An idempotent one is recorded while it is being sent, and only if its client could retry it.
 //! A try whose ask is already recorded waits for that outcome and never runs concurrently with it.
 //!
-//! `arrivals` handles incoming requests, `answers` finished ones, and `fleet_events` the events of the fleet.
+//! `arrivals` handles incoming requests, `answers` finished ones, `fleet_events` the events of the fleet, `ownership`
+//! lost leases, and `conflicts` requests that use the ask of another; `request_digest` tells them apart.
 
 mod answers;
 mod arrivals;
+mod conflicts;
 mod fleet_events;
+mod ownership;
+mod request_digest;
 #[cfg(test)]
 mod tests;
 mod types;
 
+pub use request_digest::{RecordId, RequestContent};
 pub use types::{AbandonedOutcome, Bounds, Gate, Pages, Reply, TakeoverAction, Tally, Try};
 
 use crate::api::Micros;
@@ -83,7 +88,9 @@
                 Some(Stage::Theirs { fetch_at }) if *fetch_at == at => {
                     *fetch_at = now + self.bounds.fetch;
                     self.due.insert((*fetch_at, ask));
-                    self.fleet.request_result(ask);
+                    if self.check_record(now, ask) {
+                        self.fleet.request_result(ask);
+                    }
                 }
                 Some(Stage::Parked { until, .. }) if *until == at => {
                     self.local.remove(&ask);
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -2,6 +2,8 @@
 use fleet::FleetConfig;
 use fleet::ledger::{Limits, Record};
 
+mod ask_conflicts;
+
 const MS: Micros = 1_000;
 
 /// Three dispatchers with immediate message delivery; messages to removed peers are dropped.
@@ -76,6 +78,7 @@
             deadline: self.now + 8_000 * MS,
             executors_tried: Vec::new(),
             policy: 0,
+            digest: None,
         };
         let now = self.now;
         self.at(at).handle_request(now, Try { ask: Some(ask), again, record })
--- a/src/takeover/types.rs
+++ b/src/takeover/types.rs
@@ -107,9 +107,15 @@
     pub(super) attempt: Try,
 }
 
+/// A request that this dispatcher owns, or whose tries wait here.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Local {
     pub(super) stage: Stage,
+    /// The record of the try that was the first here, which tells this request from another with the same id. Has no
+    /// statement if it has a digest.
+    pub(super) record: Record,
+    /// Whether its client keeps the id over its tries, so that another try can belong to this request.
+    pub(super) has_ask: bool,
     /// Tries that wait here for the outcome.
     pub(super) waiting: VecDeque<Waiting>,
     /// Peers that requested its result.
@@ -135,4 +141,14 @@
     pub let_go: u64,
     /// Tries of one ask that ran both here and elsewhere, because the second arrived before the first was recorded.
     pub overlaps: u64,
+    /// Tries whose ask was in use by another request.
+    pub conflicts: u64,
+}
+
+impl Local {
+    pub(super) fn new(stage: Stage, record: &Record, has_ask: bool) -> Local {
+        let statement = record.statement.clone().filter(|_| record.digest.is_none());
+        let record = Record { statement, executors_tried: Vec::new(), ..record.clone() };
+        Local { stage, record, has_ask, waiting: VecDeque::new(), wanted: BTreeSet::new() }
+    }
 }
