Admit a load only once its own record is committed

What callers could see: a load that runs twice. It needs a read and then a load under one `ask` at one dispatcher, the read answered before its record is committed, and that dispatcher's death just after the load was sent.

Cause: the event "opened" names an `ask`, and whatever waited under it took it for its own. A read is sent beside being recorded, so that its record may be committed after it is answered; the load that came meanwhile was admitted on that record, which its owner removes with the next batch. Until its own record was committed nobody else knew of the load.

Change: the event counts for a request only if the record under the `ask` has the id of the try that was proposed for it. A request that is proposed again (its owner gave it up) is told by the new try.

Not seen at a caller.

--- a/src/takeover/answers.rs
+++ b/src/takeover/answers.rs
@@ -132,6 +132,7 @@
         local.stage = Stage::Opening;
         local.wanted.clear();
         let record = first.attempt.record.clone();
+        local.record = Local::identity(&record);
         if !self.fleet.open(now, ask, record, true)
             && let Some(mut local) = self.local.remove(&ask)
         {
--- a/src/takeover/fleet_events.rs
+++ b/src/takeover/fleet_events.rs
@@ -57,7 +57,10 @@
             // idempotent, was sent without waiting for the record, and has been answered.
             return self.fleet.close(now, ask, Outcome::Removed);
         };
-        if local.stage != Stage::Opening {
+        // The record may also be that of an earlier request with the same id, which has been answered meanwhile.
+        let recorded = self.fleet.ledger().and_then(|ledger| ledger.record(ask));
+        let is_own = recorded.is_some_and(|record| record.attempt_id == local.record.attempt_id);
+        if local.stage != Stage::Opening || !is_own {
             return;
         }
         let Some(first) = local.waiting.pop_front() else {
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -54,16 +54,26 @@
                     let Some(t) = self.all.get_mut(&from) else { continue };
                     t.flush(self.now);
                     self.actions.extend(t.actions.drain(..).map(|m| (from, m)));
-                    for (to, message) in std::mem::take(&mut t.fleet.messages) {
-                        if let Some(other) = self.all.get_mut(&to) {
-                            other.handle_message(self.now, from, message);
-                        }
-                    }
+                    self.deliver_from(from);
                 }
             }
         }
     }
 
+    fn deliver_from(&mut self, from: Peer) {
+        let sender = self.all.get_mut(&from);
+        for (to, message) in sender.map(|t| std::mem::take(&mut t.fleet.messages)).unwrap_or_default() {
+            if let Some(other) = self.all.get_mut(&to) {
+                other.handle_message(self.now, from, message);
+            }
+        }
+    }
+
+    /// Delivers the pending messages, without proposing what waits to be recorded.
+    fn deliver(&mut self) {
+        (1..=3).for_each(|from| self.deliver_from(from));
+    }
+
     fn asks(&mut self, at: Peer, rid: u64, ask: u64, repeats: bool, again: bool) -> Gate {
         let record = Record {
             attempt_id: rid,
--- a/src/takeover/tests/ask_conflicts.rs
+++ b/src/takeover/tests/ask_conflicts.rs
@@ -118,6 +118,28 @@
     assert_eq!(three.answered(2, 11), [Reply::Served(rows())]);
 }
 
+// Guards against a load that is sent before it is on record: the record of an earlier request under its ask, answered
+// meanwhile, was taken for its own. If the dispatcher then died, a retry would run the load again.
+#[test]
+fn a_load_waits_for_its_own_record() {
+    let mut three = Three::formed();
+    assert_eq!(three.sends(1, 10, READ, false), Gate::Go);
+    three.now += 10 * MS;
+    let now = three.now;
+    three.at(1).tick(now);
+    // The read's record is proposed and not committed.
+    three.answers(1, 10, rows());
+    assert_eq!(three.sends(1, 20, LOAD, false), Gate::Hold);
+    for _ in 0..6 {
+        three.deliver();
+    }
+    assert_eq!(three.at(2).fleet.ledger().unwrap().record(5).map(|r| r.attempt_id), Some(10));
+    assert!(three.at(1).actions.is_empty(), "{:?}", three.at(1).actions);
+    three.pass(50);
+    assert_eq!(three.peers_with_action(&TakeoverAction::Admit(20)), [1]);
+    assert_eq!(three.at(2).fleet.ledger().unwrap().record(5).map(|r| r.attempt_id), Some(20));
+}
+
 // Guards against a kept result of a lost dispatcher's read that is given to another request under its ask.
 #[test]
 fn a_kept_result_is_given_to_its_own_client_alone() {
