Ask for results by an id of the request, not by its `ask`

What callers could see: a retry that is served the rows of a later request under its `ask`. It needs an owner that has answered the first request and begun the later one, while the retry's dispatcher is behind with the log for as long as the later one runs.

Cause: a dispatcher whose client came back asks the owner for the result by `ask`, and the answer names the `ask` alone. The owner registered the question with what it had in hand under it; the asking one compared with its own, older record.

Change: where the record has a digest, the question and the answer name the request by the first eight bytes of it. The messages stay as they are: an id. A peer of an earlier release asks by the `ask` and is answered by it, and is asked by it: the ledger knows whether the owner opened the record with a digest, which a peer that took it over may not understand. Requests are found by either id in one table.

Not seen at a caller. Left: after a takeover in a fleet the new owner is asked by `ask` until the request ends.

--- a/crates/fleet/src/extension.rs
+++ b/crates/fleet/src/extension.rs
@@ -6,7 +6,7 @@
 //! it: a peer that joins by a snapshot of theirs lacks it.
 
 use crate::Incarnation;
-use crate::ledger::{self, Ledger, RequestDigest};
+use crate::ledger::{self, Ledger, RecordDigest, RequestDigest};
 use crate::state::Command;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
@@ -26,7 +26,7 @@
 #[derive(Debug, Default, PartialEq, Serialize, Deserialize)]
 struct SnapshotExtension {
     /// The digests of the ledger's records, by request.
-    digests: BTreeMap<u64, RequestDigest>,
+    digests: BTreeMap<u64, RecordDigest>,
 }
 
 /// Encodes a batch.
--- a/crates/fleet/src/fleet/requests.rs
+++ b/crates/fleet/src/fleet/requests.rs
@@ -66,14 +66,15 @@
 
     /// Asks the owner of a request for its result.
     pub fn request_result(&mut self, request_id: u64) {
-        if let Some((_, owner)) = self.ledger().and_then(|l| l.open(request_id)) {
-            self.messages.push((peer_of(owner.incarnation), Message::Fetch(request_id)));
-        }
+        let Some(ledger) = self.ledger() else { return };
+        let Some((_, owner)) = ledger.open(request_id) else { return };
+        let message = Message::Fetch(ledger.result_id(request_id));
+        self.messages.push((peer_of(owner.incarnation), message));
     }
 
-    /// Sends a peer the result of a request that it asked for.
-    pub fn send_result(&mut self, to: Peer, request_id: u64, pages: Option<Vec<Vec<u8>>>) {
-        self.messages.push((to, Message::Result(request_id, pages)));
+    /// Sends a peer the result that it asked for under this id.
+    pub fn send_result(&mut self, to: Peer, result_id: u64, pages: Option<Vec<Vec<u8>>>) {
+        self.messages.push((to, Message::Result(result_id, pages)));
     }
 
     /// Returns the lease before an orderly shutdown.
--- a/crates/fleet/src/fleet/types.rs
+++ b/crates/fleet/src/fleet/types.rs
@@ -53,9 +53,9 @@
     Closed(u64, Outcome),
     /// The lease of some peer has ended.
     LeaseEnded(Holder),
-    /// A peer asks for the result of a request.
+    /// A peer asks for the result with this id (see [`crate::Ledger::result_id`]).
     ResultRequested(Peer, u64),
-    /// A peer's answer: the result of a request, or `None`.
+    /// A peer's answer: the result with this id, or `None`.
     ResultReceived(u64, Option<Vec<Vec<u8>>>),
     /// This peer takes part in the fleet with this id.
     FleetJoined(u64),
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -7,6 +7,7 @@
 mod digests;
 mod types;
 
+pub(crate) use digests::RecordDigest;
 pub use types::{Command, Effect, Limits, Outcome, Record, RequestDigest};
 
 use crate::{Holder, Incarnation, Micros};
@@ -23,6 +24,10 @@
 struct Entry {
     record: Record,
     state: State,
+    /// Whether the owner has opened the record with its digest, so that it finds the request by it. Not a part of the
+    /// encoding, like the digest.
+    #[serde(skip)]
+    owner_knows_digest: bool,
 }
 
 /// The records of in-flight and recently ended requests.
@@ -67,7 +72,7 @@
     /// The record of an open request, with its owner.
     pub fn open(&self, request_id: u64) -> Option<(&Record, Holder)> {
         match self.entries.get(&request_id) {
-            Some(Entry { record, state: State::Open(h) }) => Some((record, *h)),
+            Some(Entry { record, state: State::Open(h), .. }) => Some((record, *h)),
             _ => None,
         }
     }
@@ -103,13 +108,16 @@
                 } else {
                     self.expiries.insert((self.expiry(&record), request_id));
                     self.owned.entry(h).or_default().insert(request_id);
-                    self.entries.insert(request_id, Entry { record, state: State::Open(h) });
+                    let owner_knows_digest = record.digest.is_some();
+                    let state = State::Open(h);
+                    self.entries.insert(request_id, Entry { record, state, owner_knows_digest });
                     Effect::Opened(h, request_id)
                 };
                 out(effect);
             }
             Command::AddAttempt(h, request_id, executor) => {
-                if let Some(Entry { record, state: State::Open(owner) }) = self.entries.get_mut(&request_id)
+                if let Some(Entry { record, state: State::Open(owner), .. }) =
+                    self.entries.get_mut(&request_id)
                     && *owner == h
                 {
                     record.executors_tried.push(executor);
@@ -178,7 +186,7 @@
                 .copied();
             match (successor, self.entries.get_mut(&request_id)) {
                 (Some(by), Some(e)) => {
-                    e.state = State::Open(by);
+                    (e.state, e.owner_knows_digest) = (State::Open(by), false);
                     self.owned.entry(by).or_default().insert(request_id);
                     out(Effect::Reassigned { request_id, from: h, by });
                 }
--- a/crates/fleet/src/ledger/types.rs
+++ b/crates/fleet/src/ledger/types.rs
@@ -20,6 +20,13 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RequestDigest(pub [u8; 32]);
 
+impl RequestDigest {
+    /// The id under which peers ask for the result of the request and send it: its first eight bytes.
+    pub fn result_id(&self) -> u64 {
+        self.0.iter().take(8).rev().fold(0, |id, byte| id << 8 | u64::from(*byte))
+    }
+}
+
 /// The record of a request.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Record {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -39,9 +39,9 @@
     },
     /// A Raft message of the fleet with this id, in the library's encoding.
     Log(u64, Vec<u8>),
-    /// Asks the owner of a request for its result.
+    /// Asks the owner of a request for its result, by its result id; a peer of an earlier release by the request's id.
     Fetch(u64),
-    /// The result pages of a request; `None` if it was rejected or failed.
+    /// The result pages, under the id by which they were asked for; `None` if the request was rejected or failed.
     Result(u64, Option<Vec<Vec<u8>>>),
 }
 
--- a/crates/fleet/tests/ledger.rs
+++ b/crates/fleet/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! Properties of the ledger under arbitrary commands.
 
-use fleet::ledger::{self, Limits, Outcome, Record};
+use fleet::ledger::{self, Limits, Outcome, Record, RequestDigest};
 use fleet::state::{Command, Effect, ReplicatedState};
 use fleet::{Holder, Incarnation, incarnation};
 use proptest::prelude::*;
@@ -13,21 +13,23 @@
 }
 
 fn record() -> impl Strategy<Value = Record> {
-    (any::<bool>(), 1_u64..9_000).prop_map(|(repeatable, deadline)| Record {
-        attempt_id: deadline,
-        class: 0,
-        tenant: None,
-        key: None,
-        group: 1,
-        work_s: Some(0.5),
-        memory_mb: None,
-        repeatable,
-        statement: repeatable.then(|| "SELECT 1".into()),
-        deadline,
-        executors_tried: vec![],
-        policy: 0,
-        digest: None,
-    })
+    (any::<bool>(), 1_u64..9_000, proptest::option::of(any::<[u8; 32]>())).prop_map(
+        |(repeatable, deadline, digest)| Record {
+            attempt_id: deadline,
+            class: 0,
+            tenant: None,
+            key: None,
+            group: 1,
+            work_s: Some(0.5),
+            memory_mb: None,
+            repeatable,
+            statement: repeatable.then(|| "SELECT 1".into()),
+            deadline,
+            executors_tried: vec![],
+            policy: 0,
+            digest: digest.map(RequestDigest),
+        },
+    )
 }
 
 fn command() -> impl Strategy<Value = Command> {
@@ -86,3 +88,44 @@
         }
     }
 }
+
+// Guards against results that are asked for by an id which their owner does not know: an earlier release may take a
+// request over, and finds it by the request's own id alone.
+#[test]
+fn an_owner_is_asked_by_an_id_that_it_knows() {
+    let mut state = ReplicatedState::new(LIMITS, 0);
+    let first = Holder { incarnation: incarnation(1, 1), term: 1 };
+    let record = |digest| Record {
+        attempt_id: 1,
+        class: 0,
+        tenant: None,
+        key: None,
+        group: 1,
+        work_s: None,
+        memory_mb: None,
+        repeatable: true,
+        statement: Some("SELECT 1".into()),
+        deadline: 9_000,
+        executors_tried: vec![],
+        policy: 0,
+        digest,
+    };
+    let digest = RequestDigest([3; 32]);
+    let commands = vec![
+        Command::Register(incarnation(1, 1), 5),
+        Command::Register(incarnation(2, 1), 5),
+        Command::Work(ledger::Command::Open(first, 8, record(Some(digest)))),
+        Command::Work(ledger::Command::Open(first, 9, record(None))),
+    ];
+    assert!(state.apply(incarnation(1, 1), 1, commands, &mut Vec::new()));
+    let result_id = u64::from_le_bytes([3; 8]);
+    for state in [&state, &ReplicatedState::decode(&state.encode()).unwrap()] {
+        assert_eq!((state.work().result_id(8), state.work().result_id(9)), (result_id, 9));
+        assert_eq!(state.work().find_result(first, result_id), Some(8));
+    }
+    assert!(state.apply(incarnation(1, 1), 2, vec![Command::Leave(first)], &mut Vec::new()));
+    for state in [&state, &ReplicatedState::decode(&state.encode()).unwrap()] {
+        assert_eq!((state.work().result_id(8), state.work().result_id(9)), (8, 9), "taken over");
+        assert_eq!(state.work().record(8).unwrap().digest, Some(digest));
+    }
+}
--- a/src/takeover/answers.rs
+++ b/src/takeover/answers.rs
@@ -25,8 +25,8 @@
             Reply::Served(pages) => Some(pages),
             _ => None,
         };
-        for peer in std::mem::take(&mut local.wanted) {
-            self.fleet.send_result(peer, ask, pages.cloned());
+        for (peer, result_id) in std::mem::take(&mut local.wanted) {
+            self.fleet.send_result(peer, result_id, pages.cloned());
         }
         let end = match (&reply, repeats) {
             (Reply::Failed, false) => Outcome::Failed,
@@ -90,7 +90,9 @@
             AbandonedOutcome::MayHaveRan => (Outcome::Unknown, Reply::Failed),
         };
         if let Reply::Served(pages) = &reply {
-            local.wanted.iter().for_each(|p| self.fleet.send_result(*p, ask, Some(pages.clone())));
+            for (peer, result_id) in &local.wanted {
+                self.fleet.send_result(*peer, *result_id, Some(pages.clone()));
+            }
         }
         self.fleet.close(now, ask, end);
         self.answer_all(&mut local, &reply);
--- a/src/takeover/fleet_events.rs
+++ b/src/takeover/fleet_events.rs
@@ -24,8 +24,8 @@
                     self.reassigned(now, ask, from, mine)
                 }
                 FleetEvent::Closed(ask, end) => self.closed(now, ask, &end),
-                FleetEvent::ResultRequested(peer, ask) => self.result_requested(now, peer, ask),
-                FleetEvent::ResultReceived(ask, pages) => self.result(ask, pages),
+                FleetEvent::ResultRequested(peer, result_id) => self.result_requested(now, peer, result_id),
+                FleetEvent::ResultReceived(result_id, pages) => self.result_received(result_id, pages),
                 FleetEvent::StateChanged(StateKind::Plan) => self.planned = true,
                 FleetEvent::StateChanged(StateKind::Policy) => self.ruled = true,
                 // Not used yet.
@@ -137,34 +137,48 @@
         }
     }
 
-    fn result_requested(&mut self, now: Micros, peer: Peer, ask: u64) {
+    fn result_requested(&mut self, now: Micros, peer: Peer, result_id: u64) {
+        // A peer of an earlier release asks by the request's id.
+        let ask = self.local.ask_of_result(result_id).unwrap_or(result_id);
         match self.local.get_mut(&ask) {
             Some(Local { stage: Stage::Parked { pages, .. }, .. }) => {
                 let pages = pages.clone();
-                self.fleet.send_result(peer, ask, Some(pages));
+                self.fleet.send_result(peer, result_id, Some(pages));
             }
             Some(local) if matches!(local.stage, Stage::Mine { fenced: false, .. }) => {
-                local.wanted.insert(peer);
+                local.wanted.insert((peer, result_id));
             }
             Some(_) => {}
-            None => {
-                // Recorded as owned by this peer, but unknown here: it will never have an outcome.
-                let holder = self.fleet.holds(now);
-                let own =
-                    self.fleet.ledger().and_then(|l| l.open(ask)).is_some_and(|(_, h)| Some(h) == holder);
-                if own {
-                    self.fleet.close(now, ask, Outcome::Removed);
-                }
-            }
+            None => self.close_unknown(now, result_id),
         }
     }
 
-    fn result(&mut self, ask: u64, pages: Option<Pages>) {
-        let recorded = self.fleet.ledger().and_then(|l| l.record(ask));
-        let theirs = self.local.get(&ask).is_some_and(|local| {
-            matches!(local.stage, Stage::Theirs { .. }) && recorded.is_some_and(|record| local.is_for(record))
-        });
-        let Some(pages) = pages.filter(|_| theirs) else { return };
+    /// Closes a record that this peer owns and whose request is unknown here: it will never have an outcome.
+    fn close_unknown(&mut self, now: Micros, result_id: u64) {
+        let Some(holder) = self.fleet.holds(now) else { return };
+        let Some(ledger) = self.fleet.ledger() else { return };
+        let own = |ask: &u64| ledger.open(*ask).is_some_and(|(_, owner)| owner == holder);
+        let asked_for = Some(result_id).filter(own).or_else(|| ledger.find_result(holder, result_id));
+        if let Some(ask) = asked_for.filter(|ask| self.local.get(ask).is_none()) {
+            self.fleet.close(now, ask, Outcome::Removed);
+        }
+    }
+
+    fn result_received(&mut self, result_id: u64, pages: Option<Pages>) {
+        let Some(pages) = pages else { return };
+        let (ask, is_bound) = match self.local.ask_of_result(result_id) {
+            Some(ask) => (ask, true),
+            None => (result_id, false),
+        };
+        let Some(local) = self.local.get(&ask) else { return };
+        // Under the request's id it may be that of another request, so that it counts only if it was asked for so.
+        let is_expected = is_bound
+            || self.fleet.ledger().is_some_and(|ledger| {
+                ledger.result_id(ask) == result_id && ledger.record(ask).is_some_and(|r| local.is_for(r))
+            });
+        if !is_expected || !matches!(local.stage, Stage::Theirs { .. }) {
+            return;
+        }
         if let Some(mut local) = self.local.remove(&ask) {
             self.answer_all(&mut local, &Reply::Served(pages));
         }
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -14,6 +14,7 @@
 mod fleet_events;
 mod ownership;
 mod request_digest;
+mod request_table;
 #[cfg(test)]
 mod tests;
 mod types;
@@ -25,15 +26,16 @@
 use fleet::ledger::Outcome;
 use fleet::wire::Message;
 use fleet::{Fleet, Peer};
+use request_table::RequestTable;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
-use types::{Local, Stage};
+use types::Stage;
 
 /// The requests that this dispatcher owns or that wait here.
 pub struct Takeover {
     /// The replicated state of the fleet.
     pub fleet: Fleet,
     bounds: Bounds,
-    local: BTreeMap<u64, Local>,
+    local: RequestTable,
     /// Ask id of each request, by request id: those given to the balancer and those that wait.
     asks: BTreeMap<u64, u64>,
     adopted: usize,
@@ -55,7 +57,7 @@
         Takeover {
             fleet,
             bounds,
-            local: BTreeMap::new(),
+            local: RequestTable::default(),
             asks: BTreeMap::new(),
             adopted: 0,
             planned: false,
--- a/src/takeover/ownership.rs
+++ b/src/takeover/ownership.rs
@@ -67,7 +67,7 @@
             in_hand = self.local.len(),
             "fleet: lease lost, all in hand is let go"
         );
-        let asks: Vec<u64> = self.local.keys().copied().collect();
+        let asks: Vec<u64> = self.local.asks().collect();
         for ask in asks {
             let Some(local) = self.local.get_mut(&ask) else { continue };
             match &mut local.stage {
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -3,105 +3,12 @@
 use fleet::ledger::{Limits, Record};
 
 mod ask_conflicts;
+mod late_news;
+mod three;
 
-const MS: Micros = 1_000;
-
-/// Three dispatchers with immediate message delivery; messages to removed peers are dropped.
-struct Three {
-    all: BTreeMap<Peer, Takeover>,
-    now: Micros,
-    actions: Vec<(Peer, TakeoverAction)>,
-}
-
-impl Three {
-    fn formed() -> Three {
-        let now = 1_000_000 * MS;
-        let terms = |me| FleetConfig {
-            me,
-            peers: vec![1, 2, 3],
-            lease: 1_000 * MS,
-            margin: 100 * MS,
-            tick: 30 * MS,
-            batch_delay: 10 * MS,
-            abandon_after: 10_000 * MS,
-            limits: Limits { records: 100, retention: 30_000 * MS },
-        };
-        let bounds = Bounds {
-            statement: 100,
-            result: 100,
-            adopted: 10,
-            attempts: 4,
-            backoff_ms: 1_000,
-            fetch: 200 * MS,
-        };
-        let one = |me| (me, Takeover::new(Fleet::new(terms(me), u64::from(me), now), bounds));
-        let mut three = Three { all: (1..=3).map(one).collect(), now, actions: Vec::new() };
-        three.pass(40_000);
-        assert!(three.all.values().all(|t| t.fleet.holds(three.now).is_some()));
-        three.actions.clear();
-        three
-    }
-
-    fn pass(&mut self, ms: u64) {
-        let end = self.now + ms * MS;
-        while self.now < end {
-            self.now += 5 * MS;
-            for t in self.all.values_mut() {
-                t.tick(self.now);
-            }
-            for _ in 0..12 {
-                for from in 1..=3 {
-                    let Some(t) = self.all.get_mut(&from) else { continue };
-                    t.flush(self.now);
-                    self.actions.extend(t.actions.drain(..).map(|m| (from, m)));
-                    self.deliver_from(from);
-                }
-            }
-        }
-    }
-
-    fn deliver_from(&mut self, from: Peer) {
-        let sender = self.all.get_mut(&from);
-        for (to, message) in sender.map(|t| std::mem::take(&mut t.fleet.messages)).unwrap_or_default() {
-            if let Some(other) = self.all.get_mut(&to) {
-                other.handle_message(self.now, from, message);
-            }
-        }
-    }
-
-    /// Delivers the pending messages, without proposing what waits to be recorded.
-    fn deliver(&mut self) {
-        (1..=3).for_each(|from| self.deliver_from(from));
-    }
-
-    fn asks(&mut self, at: Peer, rid: u64, ask: u64, repeats: bool, again: bool) -> Gate {
-        let record = Record {
-            attempt_id: rid,
-            class: 0,
-            tenant: None,
-            key: None,
-            group: 0,
-            work_s: None,
-            memory_mb: None,
-            repeatable: repeats,
-            statement: Some("SELECT 1".into()),
-            deadline: self.now + 8_000 * MS,
-            executors_tried: Vec::new(),
-            policy: 0,
-            digest: None,
-        };
-        let now = self.now;
-        self.at(at).handle_request(now, Try { ask: Some(ask), again, record })
-    }
-
-    fn at(&mut self, p: Peer) -> &mut Takeover {
-        self.all.get_mut(&p).unwrap()
-    }
+use three::Three;
 
-    fn peers_with_action(&self, what: &TakeoverAction) -> Vec<Peer> {
-        self.actions.iter().filter(|(_, m)| m == what).map(|(p, _)| *p).collect()
-    }
-}
+const MS: Micros = 1_000;
 
 fn rows() -> Pages {
     vec![b"a\tb\tc\n".to_vec()]
--- a/src/takeover/tests/ask_conflicts.rs
+++ b/src/takeover/tests/ask_conflicts.rs
@@ -1,57 +1,8 @@
 //! Requests that use the ask id of another request.
 
+use super::three::{LOAD, OTHER_LOAD, OTHER_READ, READ, REFUSED, attempt};
 use super::*;
 
-const LOAD: &str = "INSERT INTO sales_1.t SELECT 1";
-const OTHER_LOAD: &str = "INSERT INTO sales_1.t SELECT 2";
-const READ: &str = "SELECT 1 FROM sales_1.t";
-const OTHER_READ: &str = "SELECT 2 FROM sales_1.t";
-
-/// A try of a request with this statement, under ask 5.
-fn attempt(rid: u64, statement: &str, deadline: Micros) -> Try {
-    let content =
-        RequestContent { id: RecordId::Ask(5), class: "c", tenant: None, key: None, token: None, statement };
-    let record = Record {
-        attempt_id: rid,
-        class: 0,
-        tenant: None,
-        key: None,
-        group: 1,
-        work_s: None,
-        memory_mb: None,
-        repeatable: statement.starts_with("SELECT"),
-        statement: Some(statement.into()),
-        deadline,
-        executors_tried: Vec::new(),
-        policy: 0,
-        digest: Some(content.digest()),
-    };
-    Try { ask: Some(5), again: false, record }
-}
-
-impl Three {
-    fn sends(&mut self, at: Peer, rid: u64, statement: &str, again: bool) -> Gate {
-        let now = self.now;
-        let attempt = Try { again, ..attempt(rid, statement, now + 8_000 * MS) };
-        self.at(at).handle_request(now, attempt)
-    }
-
-    fn answers(&mut self, at: Peer, rid: u64, pages: Pages) {
-        let now = self.now;
-        self.at(at).handle_answer(now, rid, Reply::Served(pages));
-    }
-
-    fn answered(&self, at: Peer, rid: u64) -> Vec<Reply> {
-        let reply = |(peer, action): &'_ (Peer, TakeoverAction)| match action {
-            TakeoverAction::Answer(answered, reply) if (*peer, *answered) == (at, rid) => Some(reply.clone()),
-            _ => None,
-        };
-        self.actions.iter().filter_map(reply).collect()
-    }
-}
-
-const REFUSED: Reply = Reply::Refused(1_000);
-
 // Guards against a load that is answered with the rows of another client's load and never runs: it used the ask of a
 // load that was being recorded, in hand or done, at the same or another dispatcher.
 #[test]
@@ -118,28 +69,6 @@
     assert_eq!(three.answered(2, 11), [Reply::Served(rows())]);
 }
 
-// Guards against a load that is sent before it is on record: the record of an earlier request under its ask, answered
-// meanwhile, was taken for its own. If the dispatcher then died, a retry would run the load again.
-#[test]
-fn a_load_waits_for_its_own_record() {
-    let mut three = Three::formed();
-    assert_eq!(three.sends(1, 10, READ, false), Gate::Go);
-    three.now += 10 * MS;
-    let now = three.now;
-    three.at(1).tick(now);
-    // The read's record is proposed and not committed.
-    three.answers(1, 10, rows());
-    assert_eq!(three.sends(1, 20, LOAD, false), Gate::Hold);
-    for _ in 0..6 {
-        three.deliver();
-    }
-    assert_eq!(three.at(2).fleet.ledger().unwrap().record(5).map(|r| r.attempt_id), Some(10));
-    assert!(three.at(1).actions.is_empty(), "{:?}", three.at(1).actions);
-    three.pass(50);
-    assert_eq!(three.peers_with_action(&TakeoverAction::Admit(20)), [1]);
-    assert_eq!(three.at(2).fleet.ledger().unwrap().record(5).map(|r| r.attempt_id), Some(20));
-}
-
 // Guards against a kept result of a lost dispatcher's read that is given to another request under its ask.
 #[test]
 fn a_kept_result_is_given_to_its_own_client_alone() {
--- a/src/takeover/types.rs
+++ b/src/takeover/types.rs
@@ -118,8 +118,8 @@
     pub(super) has_ask: bool,
     /// Tries that wait here for the outcome.
     pub(super) waiting: VecDeque<Waiting>,
-    /// Peers that requested its result.
-    pub(super) wanted: BTreeSet<Peer>,
+    /// Peers that requested its result, and by which id.
+    pub(super) wanted: BTreeSet<(Peer, u64)>,
 }
 
 /// Counters.
