Leave a request alone that has the rid of one taken over

Callers saw: a request without an answer. While it was in hand, its dispatcher took over a read of a lost peer whose last try had the same `rid`: a client that reuses the id of an open request at another dispatcher.

Cause: a request that is taken over is entered under its try's id. The table of open requests was written without a look, so that the request of the client here was replaced, then removed, as the dispatch logic refused an id that it knew; its answer found nobody.

Change: a request whose id is open here is not taken over; its record is removed and its client's retry is a new run. A log line says so.

--- a/src/net/in_flight/moves.rs
+++ b/src/net/in_flight/moves.rs
@@ -57,6 +57,17 @@
 
     /// Takes over a request of a lost peer; its result is kept for its client.
     fn adopt(&mut self, now: Micros, record: &Record) -> Vec<Command<Rows>> {
+        if self.requests.open.contains_key(&record.attempt_id) {
+            // Another client's request has the same id and must not be replaced. The one taken over is served anew when
+            // its client retries.
+            tracing::warn!(
+                request = format_args!("{:016x}", record.attempt_id),
+                error = "a request with this rid is open",
+                "fleet: request takeover failed"
+            );
+            self.end_unsubmitted_in_flight(now, record.attempt_id);
+            return Vec::new();
+        }
         let Some(in_flight) = &mut self.in_flight else { return Vec::new() };
         let (class, statement) = (usize::from(record.class), record.statement.clone().unwrap_or_default());
         let Some(kind) = in_flight.classes.get(class).cloned() else { return Vec::new() };
