Let a retry that is given up end itself alone

A try that waited and whose client leaves is reported as abandoned and never run, and `handle_abandoned_outcome` took that for the outcome of the whole request under its `ask`: it removed the record of the running load and opened it anew for the next try.

Change: only the try that the dispatch logic has in hand for the request ends it; any other is taken off the list of those that wait, as in `handle_answer`.

--- a/src/takeover/answers.rs
+++ b/src/takeover/answers.rs
@@ -76,6 +76,12 @@
     /// A request whose client had disconnected is finished.
     pub fn handle_abandoned_outcome(&mut self, now: Micros, rid: u64, outcome: AbandonedOutcome) {
         let Some(ask) = self.asks.remove(&rid) else { return };
+        let Some(local) = self.local.get(&ask) else { return };
+        let is_own = matches!(local.stage, Stage::Mine { rid: own, .. } if own == rid);
+        if !is_own {
+            // A try that waited. How the request itself ends is not known yet.
+            return self.waiter_gone(ask, rid);
+        }
         let Some(mut local) = self.local.remove(&ask) else { return };
         if matches!(local.stage, Stage::Mine { fenced: true, .. }) {
             return self.turn_away(&mut local);
--- a/src/takeover/tests/late_news.rs
+++ b/src/takeover/tests/late_news.rs
@@ -62,3 +62,27 @@
     let sent = three.at(1).fleet.messages.clone();
     assert!(sent.contains(&(2, Message::Result(5, Some(rows())))), "{sent:?}");
 }
+
+// Guards against a load that runs twice: a retry that waited for it was given up, which was taken for the end of the
+// load, and the next retry was sent to an executor while it ran.
+#[test]
+fn a_retry_that_is_given_up_ends_itself_alone() {
+    for at in [1, 2] {
+        let mut three = Three::formed();
+        three.sends(1, 10, LOAD, false);
+        three.pass(100);
+        for rid in [11, 12] {
+            assert_eq!(three.sends(at, rid, LOAD, true), Gate::Hold);
+        }
+        three.pass(100);
+        let now = three.now;
+        three.at(at).handle_abandoned_outcome(now, 12, AbandonedOutcome::NeverRan);
+        three.at(at).handle_disconnect(now, 12);
+        three.pass(500);
+        assert!(three.peers_with_action(&TakeoverAction::Admit(11)).is_empty());
+        three.answers(1, 10, rows());
+        three.pass(300);
+        assert_eq!(three.answered(at, 11), [Reply::Served(rows())]);
+        assert!(three.all.values().all(|t| t.local.is_empty() && t.asks.is_empty()));
+    }
+}
--- a/tests/takeover/ids.rs
+++ b/tests/takeover/ids.rs
@@ -57,3 +57,18 @@
     }
     assert!(matches!(until_answered(fleet.address(1), "read", 12), Got::Rows(_)));
 }
+
+// Guards against a load that runs twice because the client of one of its waiting retries leaves.
+#[test]
+fn a_retry_whose_client_leaves_does_not_run_the_load_again() {
+    let fleet = Fleet::start();
+    let mut first = Client::asks(fleet.address(0), &ask("load", 13, 1));
+    fleet.until_pulled("t13x");
+    let mut second = Client::asks(fleet.address(0), &ask("load", 13, 2));
+    let third = Client::asks(fleet.address(0), &ask("load", 13, 3));
+    std::thread::sleep(Duration::from_millis(200));
+    drop(third);
+    let Got::Rows(rows) = first.got() else { panic!("not served") };
+    assert_eq!(second.got(), Got::Rows(rows));
+    assert_eq!(fleet.pulls("t13x").len(), 1);
+}
