Keep no second copy of a statement in hand, and name a test file for what it has

The table of requests in hand copied each record whole to drop its statement, and a read's record once more to open it.

--- a/src/takeover/arrivals.rs
+++ b/src/takeover/arrivals.rs
@@ -44,9 +44,10 @@
             return Gate::Hold;
         }
         if repeats && !attempt.again {
-            return match self.fleet.open(now, ask, attempt.record.clone(), false) {
+            let local = Local::new(Stage::Opening, &attempt.record, true);
+            return match self.fleet.open(now, ask, attempt.record, false) {
                 true => {
-                    self.local.insert(ask, Local::new(Stage::Opening, &attempt.record, true));
+                    self.local.insert(ask, local);
                     self.own(ask, rid, true, false);
                     self.tally.recorded += 1;
                     Gate::Go
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -3,7 +3,8 @@
 use fleet::ledger::{Limits, Record};
 
 mod ask_conflicts;
-mod late_news;
+mod stale_records;
+
 mod three;
 
 use three::Three;
--- a/src/takeover/types.rs
+++ b/src/takeover/types.rs
@@ -154,6 +154,6 @@
     /// What is kept of a record.
     pub(super) fn identity(record: &Record) -> Record {
         let statement = record.statement.clone().filter(|_| record.digest.is_none());
-        Record { statement, executors_tried: Vec::new(), ..record.clone() }
+        Record { statement, executors_tried: Vec::new(), ..*record }
     }
 }
