--- a/src/takeover/answers.rs
+++ b/src/takeover/answers.rs
@@ -140,7 +140,7 @@
         local.stage = Stage::Opening;
         local.wanted.clear();
         let record = first.attempt.record.clone();
-        local.record = Local::identity(&record);
+        local.record.attempt_id = record.attempt_id;
         if !self.fleet.open(now, ask, record, true)
             && let Some(mut local) = self.local.remove(&ask)
         {
--- a/src/takeover/conflicts.rs
+++ b/src/takeover/conflicts.rs
@@ -40,8 +40,8 @@
     }
 
     /// Gives up the id of a request because the record under it is another's. Tries that wait are served without a
-    /// record or refused; what runs here continues without a record. Returns false if the request has to stay:
-    /// nothing of it may be sent any more.
+    /// record or refused; what runs here continues without a record. Returns false if the request stays: it is
+    /// a load that runs here, or nothing of it may be sent any more.
     pub(super) fn release_ask(&mut self, ask: u64) -> bool {
         let Some(local) = self.local.get(&ask) else { return true };
         if matches!(local.stage, Stage::Mine { repeats, fenced, .. } if fenced || !repeats) {
--- a/src/takeover/tests.rs
+++ b/src/takeover/tests.rs
@@ -4,7 +4,6 @@
 
 mod ask_conflicts;
 mod stale_records;
-
 mod three;
 
 use three::Three;
--- a/src/takeover/types.rs
+++ b/src/takeover/types.rs
@@ -111,8 +111,8 @@
 #[derive(Debug, Clone, PartialEq)]
 pub(super) struct Local {
     pub(super) stage: Stage,
-    /// The record that was last proposed, or that exists, for this request, which tells it from another with the same
-    /// id. Has no statement if it has a digest.
+    /// The record of this request, which tells it from another with the same id; its attempt is that for which the
+    /// record was last proposed. Has no statement if it has a digest.
     pub(super) record: Record,
     /// Whether its client keeps the id over its tries, so that another try can belong to this request.
     pub(super) has_ask: bool,
@@ -147,13 +147,8 @@
 
 impl Local {
     pub(super) fn new(stage: Stage, record: &Record, has_ask: bool) -> Local {
-        let record = Local::identity(record);
-        Local { stage, record, has_ask, waiting: VecDeque::new(), wanted: BTreeSet::new() }
-    }
-
-    /// What is kept of a record.
-    pub(super) fn identity(record: &Record) -> Record {
         let statement = record.statement.clone().filter(|_| record.digest.is_none());
-        Record { statement, executors_tried: Vec::new(), ..*record }
+        let record = Record { statement, executors_tried: Vec::new(), ..*record };
+        Local { stage, record, has_ask, waiting: VecDeque::new(), wanted: BTreeSet::new() }
     }
 }
